Answer a completion, a service call and a pull over HTTP

Package, settings, shared identifiers and outcomes, abstract bases of the platform and the targets, stand-ins with HTTP servers, and a node that routes with two random choices. The trial runs a whole deployment on loopback.

--- /dev/null
+++ b/tests/test_trial.py
@@ -0,0 +1,86 @@
+import base64
+import json
+
+from tornado import httpclient
+
+
+async def fetch(stage, method, path, body=None):
+    """Returns the status and the decoded body of a request to the node."""
+    client = httpclient.AsyncHTTPClient()
+    response = await client.fetch(
+        stage.url + path,
+        method=method,
+        body=None if body is None else json.dumps(body),
+        raise_error=False,
+    )
+    return response.code, json.loads(response.body)
+
+
+async def test_completion_ends_with_the_prompt(running_stage):
+    status, answer = await fetch(
+        running_stage,
+        'POST',
+        '/v1/completions',
+        {'model': running_stage.deployment.pool, 'prompt': 'Welpenkurs 17'},
+    )
+    assert status == 200
+    assert 'Welpenkurs 17' in answer['choices'][0]['text']
+    assert answer['weight_versions'] == [1]
+
+
+async def test_service_call_runs_once(running_stage):
+    service = running_stage.deployment.service
+    status, answer = await fetch(
+        running_stage,
+        'POST',
+        f'/v1/services/{service}/bookings?slot=3',
+        {'dog': 'Rex'},
+    )
+    assert status == 200
+    assert answer['service'] == service
+    assert answer['path'] == '/bookings?slot=3'
+    assert json.loads(answer['body']) == {'dog': 'Rex'}
+    assert sum(row.runs for row in running_stage.services) == 1
+
+
+async def test_pull_brings_every_sample_once(running_stage):
+    trainer = running_stage.deployment.trainer
+    groups = [
+        {'group': f'g{index}', 'prompt': f'prompt {index}', 'samples': 4}
+        for index in range(3)
+    ]
+    await fetch(
+        running_stage,
+        'PUT',
+        f'/v1/trainers/{trainer}/steps/1',
+        {'groups': groups},
+    )
+    received = bytearray(2)
+    seen = []
+    while len(seen) < 12:
+        _, answer = await fetch(
+            running_stage,
+            'POST',
+            f'/v1/trainers/{trainer}/pull',
+            {
+                'step': 1,
+                'version': 1,
+                'received': base64.b64encode(bytes(received)).decode(),
+            },
+        )
+        for sample in answer['samples']:
+            number = sample['number']
+            seen.append(number)
+            received[number // 8] |= 1 << number % 8
+            assert f'prompt {number // 4}' in sample['text']
+    assert sorted(seen) == list(range(12))
+
+
+async def test_unknown_model_is_not_run(running_stage):
+    status, answer = await fetch(
+        running_stage,
+        'POST',
+        '/v1/completions',
+        {'model': 'nobody', 'prompt': 'x'},
+    )
+    assert (status, answer['ran']) == (404, 'no')
--- /dev/null
+++ b/waxwingport/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface towards callers, trainers and operators."""
--- /dev/null
+++ b/waxwingport/api/application.py
@@ -0,0 +1,61 @@
+"""Routes of the HTTP interface."""
+
+import logging
+
+from tornado import web
+
+from waxwingport.api import completions
+from waxwingport.api import handler
+from waxwingport.api import services
+from waxwingport.api import status
+from waxwingport.api import trainers
+from waxwingport import node
+from waxwingport import outcomes
+
+__all__ = ['make_application']
+
+_LOG = logging.getLogger(__name__)
+
+
+class _Unknown(handler.Handler):
+    def prepare(self) -> None:
+        self.send_refusal(
+            outcomes.Refusal(
+                outcomes.Reason.NOT_FOUND, f'no resource {self.request.path}'
+            )
+        )
+
+
+def make_application(served: node.Node) -> web.Application:
+    """Returns the application that serves ``served``."""
+    arguments = {'node': served}
+    routes = [
+        ('/v1/completions', completions.TextCompletions),
+        ('/v1/chat/completions', completions.ChatCompletions),
+        ('/v1/services/([^/]+)/?(.*)', services.Services),
+        ('/v1/trainers/([^/]+)/steps/([0-9]+)', trainers.StepResource),
+        ('/v1/trainers/([^/]+)/pull', trainers.Pull),
+        (
+            '/v1/trainers/([^/]+)/versions/([0-9]+)',
+            trainers.VersionResource,
+        ),
+        ('/v1/status', status.Status),
+        ('/healthz', status.Health),
+        ('/readyz', status.Readiness),
+    ]
+    return web.Application(
+        [(path, found, arguments) for path, found in routes],
+        default_handler_class=_Unknown,
+        default_handler_args=arguments,
+        log_function=_log_request,
+    )
+
+
+def _log_request(found: web.RequestHandler) -> None:
+    _LOG.info(
+        'request method=%s path=%s status=%d seconds=%.4f',
+        found.request.method,
+        found.request.path,
+        found.get_status(),
+        found.request.request_time(),
+    )
--- /dev/null
+++ b/waxwingport/api/status.py
@@ -0,0 +1,31 @@
+"""``/v1/status``, ``/healthz``, ``/readyz`` and ``/metrics``."""
+
+from waxwingport.api import handler
+
+__all__ = ['Health', 'Readiness', 'Status']
+
+
+class Status(handler.Handler):
+    """``GET /v1/status``."""
+
+    async def get(self) -> None:
+        """Answers with what holds at this node."""
+        self.send_json(self.node.describe())
+
+
+class Health(handler.Handler):
+    """``GET /healthz``: the process runs its loop."""
+
+    async def get(self) -> None:
+        """Answers 200 while the loop turns."""
+        self.send_json({'status': 'ok'})
+
+
+class Readiness(handler.Handler):
+    """``GET /readyz``: the node can take requests."""
+
+    async def get(self) -> None:
+        """Answers 200 when a configuration is in force, else 503."""
+        ready = self.node.is_ready()
+        status = 'ready' if ready else 'not ready'
+        self.send_json({'status': status}, 200 if ready else 503)
--- /dev/null
+++ b/waxwingport/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations of the two deployments, shipped as examples."""
--- /dev/null
+++ b/waxwingport/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards targets and the platform, and its problem answers."""
--- /dev/null
+++ b/waxwingport/http/sse.py
@@ -0,0 +1,34 @@
+"""Server-sent events, as far as the completion protocol uses them."""
+
+__all__ = ['DONE', 'EventSplitter', 'format_event']
+
+DONE = b'data: [DONE]\n\n'
+
+_PREFIX = b'data:'
+
+
+def format_event(data: bytes) -> bytes:
+    """Returns one event that carries ``data``, which holds no newline."""
+    return b'data: ' + data + b'\n\n'
+
+
+class EventSplitter:
+    """Cuts a byte stream into the data of its events."""
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the data of the events that ``data`` completes."""
+        whole = (self._rest + data).replace(b'\r\n', b'\n')
+        *blocks, self._rest = whole.split(b'\n\n')
+        return [event for event in map(_read_block, blocks) if event]
+
+
+def _read_block(block: bytes) -> bytes:
+    lines = [
+        line[len(_PREFIX) :].strip()
+        for line in block.split(b'\n')
+        if line.startswith(_PREFIX)
+    ]
+    return b'\n'.join(lines)
--- /dev/null
+++ b/waxwingport/ids.py
@@ -0,0 +1,77 @@
+"""Identifier types shared by every subsystem.
+
+All of them are ``NewType`` aliases: they cost nothing at run time and let a
+type checker tell a pool's name from a trainer's.
+"""
+
+import os
+import time
+from typing import NewType
+import uuid
+
+__all__ = [
+    'CallerName',
+    'DataCentre',
+    'FencingNumber',
+    'GroupId',
+    'Incarnation',
+    'NodeName',
+    'Offset',
+    'PoolName',
+    'RecordId',
+    'RequestId',
+    'Revision',
+    'SampleNumber',
+    'ServiceName',
+    'StepNumber',
+    'StreamName',
+    'TargetName',
+    'TrainerName',
+    'WeightVersion',
+    'mint_incarnation',
+    'mint_record_id',
+]
+
+CallerName = NewType('CallerName', str)
+DataCentre = NewType('DataCentre', str)
+FencingNumber = NewType('FencingNumber', int)
+"""Offset of the claim that won a lease; grows with every holder."""
+GroupId = NewType('GroupId', str)
+Incarnation = NewType('Incarnation', int)
+"""Distinguishes two lives of a process under one name; grows."""
+NodeName = NewType('NodeName', str)
+Offset = NewType('Offset', int)
+"""Position of a record in a stream of the platform's log, from 0."""
+PoolName = NewType('PoolName', str)
+RecordId = NewType('RecordId', str)
+"""Chosen by the writer, so that a repeated append is recognised."""
+RequestId = NewType('RequestId', str)
+Revision = NewType('Revision', int)
+"""Offset of the last configuration record folded, or -1 for none."""
+SampleNumber = NewType('SampleNumber', int)
+"""Counts from 0 through a step's groups in order, then in each group."""
+ServiceName = NewType('ServiceName', str)
+StepNumber = NewType('StepNumber', int)
+StreamName = NewType('StreamName', str)
+TargetName = NewType('TargetName', str)
+TrainerName = NewType('TrainerName', str)
+WeightVersion = NewType('WeightVersion', int)
+"""Counts from 1 for each trainer."""
+
+_RANDOM_BITS = 16
+
+
+def mint_incarnation() -> Incarnation:
+    """Returns a number larger than that of any earlier life of a process.
+
+    Wall-clock milliseconds come first, so that a restarted process outranks
+    its earlier life; random bits tell apart two starts in one millisecond.
+    """
+    milliseconds = time.time_ns() // 1_000_000
+    noise = int.from_bytes(os.urandom(_RANDOM_BITS // 8), 'big')
+    return Incarnation((milliseconds << _RANDOM_BITS) | noise)
+
+
+def mint_record_id() -> RecordId:
+    """Returns a record id that no other writer uses."""
+    return RecordId(uuid.uuid4().hex)
--- /dev/null
+++ b/waxwingport/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests: limits per target, fair shares, queues, retries."""
--- /dev/null
+++ b/waxwingport/node.py
@@ -0,0 +1,173 @@
+"""An entry node: its subsystems, their start and their stop."""
+
+import asyncio
+from collections.abc import Coroutine
+import logging
+import random
+
+from expression import Result
+import msgspec
+
+from waxwingport.configuration import reader
+from waxwingport.configuration import state
+from waxwingport import ids
+from waxwingport.limits import admission
+from waxwingport.platform import base as platform
+from waxwingport.requests import completions
+from waxwingport.requests import services
+from waxwingport.samples import collector
+from waxwingport import settings
+from waxwingport.targets import table
+
+__all__ = ['Node', 'Outside']
+
+_LIST_INTERVAL = 0.5
+_POLL_INTERVAL = 0.25
+_LOG = logging.getLogger(__name__)
+
+
+class Outside(msgspec.Struct, frozen=True):
+    """The outside systems that a node uses."""
+
+    log: platform.Log
+    vm_list: platform.VmList
+    weight_store: platform.WeightStore
+    targets: table.TargetFactory
+
+
+class Node:
+    """One entry node.
+
+    Construct it inside a running loop, ``start`` it, and ``stop`` it.
+    """
+
+    def __init__(
+        self,
+        configured: settings.Settings,
+        outside: Outside,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings = configured
+        self.outside = outside
+        self.incarnation = ids.mint_incarnation()
+        self.rng = rng or random.Random()
+        self.configuration = state.ConfigurationState()
+        self.targets = table.TargetTable(outside.targets)
+        self.configuration.listen(
+            lambda declared: self.targets.set_rules(declared.labels)
+        )
+        self.admission = admission.Admission(
+            self.configuration, self.targets, self.rng
+        )
+        self.completions = completions.CompletionRunner(self.admission)
+        self.services = services.ServiceRunner(self.admission)
+        self._collectors: dict[ids.TrainerName, collector.Collector] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Starts the node's background work."""
+        source = reader.ConfigurationReader(
+            self.outside.log, self.configuration
+        )
+        self._spawn(source.run())
+        self._spawn(self._follow_vms())
+        self._spawn(self._poll_engines())
+
+    async def stop(self) -> None:
+        """Stops the node's background work."""
+        for trainer in self._collectors.values():
+            trainer.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def is_ready(self) -> bool:
+        """Returns whether requests can be taken."""
+        return self.configuration.revision >= 0 and len(self.targets) > 0
+
+    def find_collector(
+        self, name: ids.TrainerName
+    ) -> collector.Collector | None:
+        """Returns the collector of a declared trainer, or ``None``."""
+        declared = self.configuration.declarations.trainer(name)
+        if declared is None:
+            return None
+        if name not in self._collectors:
+            self._collectors[name] = collector.Collector(
+                declared, self.completions
+            )
+        return self._collectors[name]
+
+    async def publish_version(
+        self, trainer, version: ids.WeightVersion, reference: str
+    ) -> None:
+        """Takes a trainer's new weight version."""
+        found = self.find_collector(trainer.name)
+        found.version = max(found.version, version)
+
+    def describe(self) -> dict[str, object]:
+        """Returns what holds at this node, for ``/v1/status``."""
+        declared = self.configuration.declarations
+        return {
+            'node': self.settings.node.name,
+            'revision': self.configuration.revision,
+            'pools': [{'name': row.name} for row in declared.pools],
+            'services': [{'name': row.name} for row in declared.services],
+            'trainers': [
+                self._describe_trainer(row) for row in declared.trainers
+            ],
+            'targets': [_describe_target(row) for row in self.targets],
+            'nodes': [{'name': self.settings.node.name, 'state': 'live'}],
+        }
+
+    def _describe_trainer(self, declared) -> dict[str, object]:
+        found = self._collectors.get(declared.name)
+        return {
+            'name': declared.name,
+            'staleness_bound': declared.staleness_bound,
+            'version': found.version if found else 1,
+        }
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
+
+    async def _follow_vms(self) -> None:
+        while True:
+            match await self.outside.vm_list.read():
+                case Result(tag='ok', ok=vms):
+                    self.targets.update(vms)
+                case Result(error=fault):
+                    _LOG.warning('VM list: %s', fault.detail)
+            await asyncio.sleep(_LIST_INTERVAL)
+
+    async def _poll_engines(self) -> None:
+        while True:
+            engines = [row for row in self.targets if row.engine is not None]
+            await asyncio.gather(*(_poll(row) for row in engines))
+            await asyncio.sleep(_POLL_INTERVAL)
+
+
+async def _poll(target: table.Target) -> None:
+    match await target.engine.read_load():
+        case Result(tag='ok', ok=report):
+            target.note_load(report)
+        case Result(error=fault):
+            _LOG.info('load of %s: %s', target.name, fault.detail)
+            return
+    match await target.engine.read_state():
+        case Result(tag='ok', ok=found):
+            target.engine_state = found
+        case Result(error=fault):
+            _LOG.info('state of %s: %s', target.name, fault.detail)
+
+
+def _describe_target(target: table.Target) -> dict[str, object]:
+    found = target.engine_state
+    return {
+        'name': target.name,
+        'data_centre': target.vm.data_centre,
+        'state': target.state.value,
+        'weight_version': found.weight_version if found else None,
+        'in_progress': target.in_progress,
+        'labels': target.labels,
+    }
--- /dev/null
+++ b/waxwingport/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: append-only log, VM list and weight store."""
--- /dev/null
+++ b/waxwingport/platform/adapters.py
@@ -0,0 +1,163 @@
+"""HTTP adapters of the platform's services.
+
+The log's interface: ``POST /v1/streams/{stream}`` with the record as its body
+answers ``{"offset": n}``; ``GET /v1/streams/{stream}?offset=&limit=&wait=``
+answers a page, 410 with the oldest offset when the asked one has expired.
+"""
+
+from collections.abc import Sequence
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.http import client
+from waxwingport import ids
+from waxwingport.platform import base
+
+__all__ = ['HttpLog', 'HttpVmList', 'HttpWeightStore']
+
+_TIMEOUT = 5.0
+_BINARY = ('Content-Type', 'application/octet-stream')
+
+
+class _Appended(msgspec.Struct):
+    offset: ids.Offset
+
+
+class _Expired(msgspec.Struct):
+    oldest: ids.Offset
+
+
+class HttpLog(base.Log):
+    """The log service behind HTTP."""
+
+    def __init__(self, http: client.HttpClient, address: str) -> None:
+        self._http = http
+        self._address = address
+
+    async def append(
+        self, stream: ids.StreamName, body: bytes
+    ) -> Result[ids.Offset, base.LogFault]:
+        """Appends one record and returns its offset."""
+        request = client.Request(
+            'POST', f'/v1/streams/{stream}', (_BINARY,), body, fresh=True
+        )
+        match await self._http.fetch(self._address, request, _TIMEOUT):
+            case Result(tag='ok', ok=response):
+                return _read_append(response)
+            case Result(error=fault):
+                return Error(_from_transport(fault))
+
+    async def read(
+        self,
+        stream: ids.StreamName,
+        offset: ids.Offset,
+        limit: int = 1000,
+        wait: float = 0.0,
+    ) -> Result[base.LogPage, base.LogFault]:
+        """Returns up to ``limit`` records from ``offset`` on."""
+        path = (
+            f'/v1/streams/{stream}?offset={offset}&limit={limit}&wait={wait}'
+        )
+        request = client.Request('GET', path)
+        timeout = wait + _TIMEOUT
+        match await self._http.fetch(self._address, request, timeout):
+            case Result(tag='ok', ok=response):
+                return _read_page(response)
+            case Result(error=fault):
+                return Error(_from_transport(fault))
+
+
+def _from_transport(fault: client.TransportFault) -> base.LogFault:
+    kind = (
+        base.LogFaultKind.UNKNOWN
+        if fault.sent
+        else base.LogFaultKind.UNAVAILABLE
+    )
+    return base.LogFault(kind, fault.detail)
+
+
+def _read_append(
+    response: client.WholeResponse,
+) -> Result[ids.Offset, base.LogFault]:
+    if response.status == 200:
+        try:
+            answer = msgspec.json.decode(response.body, type=_Appended)
+            return Ok(answer.offset)
+        except msgspec.DecodeError as error:
+            return Error(base.LogFault(base.LogFaultKind.UNKNOWN, str(error)))
+    return Error(_from_status(response))
+
+
+def _read_page(
+    response: client.WholeResponse,
+) -> Result[base.LogPage, base.LogFault]:
+    if response.status != 200:
+        return Error(_from_status(response))
+    try:
+        return Ok(msgspec.json.decode(response.body, type=base.LogPage))
+    except msgspec.DecodeError as error:
+        return Error(base.LogFault(base.LogFaultKind.UNKNOWN, str(error)))
+
+
+def _from_status(response: client.WholeResponse) -> base.LogFault:
+    detail = f'log answered {response.status}'
+    if response.status == 410:
+        answer = msgspec.json.decode(response.body, type=_Expired)
+        return base.LogFault(base.LogFaultKind.EXPIRED, detail, answer.oldest)
+    if response.status == 429:
+        return base.LogFault(base.LogFaultKind.RATE_LIMITED, detail)
+    if response.status == 503:
+        return base.LogFault(base.LogFaultKind.UNAVAILABLE, detail)
+    return base.LogFault(base.LogFaultKind.UNKNOWN, detail)
+
+
+class HttpVmList(base.VmList):
+    """The VM list behind HTTP."""
+
+    def __init__(self, http: client.HttpClient, address: str) -> None:
+        self._http = http
+        self._address = address
+
+    async def read(self) -> Result[Sequence[base.Vm], base.PlatformFault]:
+        """Returns the VMs that the platform lists now."""
+        return await _get(
+            self._http, self._address, '/v1/vms', tuple[base.Vm, ...]
+        )
+
+
+class HttpWeightStore(base.WeightStore):
+    """The weight store behind HTTP."""
+
+    def __init__(self, http: client.HttpClient, address: str) -> None:
+        self._http = http
+        self._address = address
+
+    async def describe(
+        self, reference: str
+    ) -> Result[base.Weights, base.PlatformFault]:
+        """Returns the size of the weights under ``reference``."""
+        path = f'/v1/weights/{reference}'
+        return await _get(self._http, self._address, path, base.Weights)
+
+    async def read_rate(self) -> Result[int, base.PlatformFault]:
+        """Returns how many engines may load at the same time."""
+        return await _get(self._http, self._address, '/v1/rate', int)
+
+
+async def _get(http: client.HttpClient, address: str, path: str, answer):
+    request = client.Request('GET', path)
+    match await http.fetch(address, request, _TIMEOUT):
+        case Result(tag='ok', ok=response):
+            pass
+        case Result(error=fault):
+            return Error(base.PlatformFault(fault.detail))
+    if response.status != 200:
+        detail = f'{path} answered {response.status}'
+        return Error(base.PlatformFault(detail))
+    try:
+        return Ok(msgspec.json.decode(response.body, type=answer))
+    except msgspec.DecodeError as error:
+        return Error(base.PlatformFault(f'{path}: {error}'))
--- /dev/null
+++ b/waxwingport/requests/__init__.py
@@ -0,0 +1,1 @@
+"""What a node does with a caller's request, from admission to answer."""
--- /dev/null
+++ b/waxwingport/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for a request: pure decisions over a snapshot."""
--- /dev/null
+++ b/waxwingport/routing/candidates.py
@@ -0,0 +1,82 @@
+"""Snapshot of the targets that a routing decision works on."""
+
+from collections.abc import Mapping
+import enum
+
+import msgspec
+
+from waxwingport import ids
+from waxwingport.targets import base
+
+__all__ = ['Candidate', 'Decision', 'TargetState', 'Work', 'WorkClass']
+
+
+class TargetState(enum.Enum):
+    """State of a target as this node sees it; see ``charts/target.yaml``."""
+
+    GONE = 'gone'
+    JOINING = 'joining'
+    LEAVING = 'leaving'
+    LIVE = 'live'
+    SUSPECT = 'suspect'
+
+
+class WorkClass(enum.Enum):
+    """Live calls go before rollouts."""
+
+    LIVE = 'live'
+    ROLLOUT = 'rollout'
+
+
+class Work(msgspec.Struct, frozen=True):
+    """A request as routing and limits see it.
+
+    ``group`` is the pool or service, ``owner`` the caller or trainer,
+    ``deadline`` a time of the loop's clock in seconds.
+    """
+
+    request_id: ids.RequestId
+    group: str
+    owner: str
+    work_class: WorkClass
+    deadline: float
+    priority: int = 0
+    weight: float = 1.0
+    blocks: tuple[int, ...] = ()
+    minimum_version: ids.WeightVersion | None = None
+    excluded: frozenset[ids.TargetName] = frozenset()
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """One target as it stands at the time of a decision.
+
+    ``in_progress`` counts this node's own requests there; ``sent_since`` those
+    sent after the time that ``report`` describes; ``matched_blocks`` how many
+    of the prompt's blocks are in its prefix cache.
+    """
+
+    name: ids.TargetName
+    data_centre: ids.DataCentre
+    labels: Mapping[str, str]
+    state: TargetState
+    distance: float = 0.0
+    """Seconds one way from this node's data centre."""
+    weight_version: ids.WeightVersion | None = None
+    loading: bool = False
+    report: base.LoadReport | None = None
+    in_progress: int = 0
+    sent_since: int = 0
+    limit: float = 1e9
+    matched_blocks: int = 0
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """The outcome of a routing decision and the reasons for it.
+
+    ``rejected`` counts, by reason, the targets that fell out.
+    """
+
+    chosen: ids.TargetName | None
+    score: float
+    considered: int
+    rejected: Mapping[str, int] = {}
--- /dev/null
+++ b/waxwingport/samples/__init__.py
@@ -0,0 +1,1 @@
+"""Samples for trainers: steps, collectors and staleness."""
--- /dev/null
+++ b/waxwingport/settings.py
@@ -0,0 +1,86 @@
+"""Settings of one entry node, read from a TOML file.
+
+They hold what a process must know alone.  Everything that operators change
+while the system runs is declared instead, see
+``waxwingport.configuration.declarations``.
+"""
+
+import pathlib
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.http import client as http_client
+from waxwingport import ids
+
+__all__ = [
+    'LogSettings',
+    'NodeSettings',
+    'PlatformSettings',
+    'Settings',
+    'TlsSettings',
+    'read_settings',
+]
+
+
+class TlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Certificate of the port for callers and operators."""
+
+    certificate: str
+    key: str
+
+
+class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where this node is and listens; addresses are ``ip:port``."""
+
+    name: ids.NodeName
+    data_centre: ids.DataCentre
+    listen: str
+    peer_listen: str
+    max_body_size: int = 8 * 1024 * 1024
+    """Bytes of one request's body."""
+    max_connections: int = 4096
+    shutdown_timeout: float = 60.0
+    """Seconds that requests in progress get when the node stops."""
+
+
+class PlatformSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Addresses of the platform's services, ``ip:port``."""
+
+    log: str
+    vm_list: str
+    weight_store: str
+    token: str | None = None
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How this process logs."""
+
+    level: str = 'INFO'
+    lines_per_second: int = 2000
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one node."""
+
+    node: NodeSettings
+    platform: PlatformSettings
+    client: http_client.ClientSettings = http_client.ClientSettings()
+    tls: TlsSettings | None = None
+    logging: LogSettings = LogSettings()
+
+
+def read_settings(path: pathlib.Path) -> Result[Settings, str]:
+    """Returns the settings, or ``file: key: what is wrong``."""
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        return Error(f'{path}: {error.strerror}')
+    try:
+        return Ok(msgspec.toml.decode(data, type=Settings))
+    except msgspec.DecodeError as error:
+        return Error(f'{path}: {error}')
--- /dev/null
+++ b/waxwingport/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: model engines, plain services and scoring services."""
--- /dev/null
+++ b/waxwingport/targets/faults.py
@@ -0,0 +1,68 @@
+"""Maps transport faults and status codes to target faults."""
+
+import msgspec
+
+from waxwingport.http import client
+from waxwingport.targets import base
+
+__all__ = ['from_status', 'from_transport', 'unreadable']
+
+_KINDS = {
+    client.TransportFaultKind.BROKEN: base.TargetFaultKind.BROKEN,
+    client.TransportFaultKind.CONNECT: base.TargetFaultKind.UNREACHABLE,
+    client.TransportFaultKind.SILENT: base.TargetFaultKind.SILENT,
+    client.TransportFaultKind.TIMEOUT: base.TargetFaultKind.TIMEOUT,
+}
+
+
+class _Problem(msgspec.Struct):
+    ran: str = 'unknown'
+    detail: str = ''
+
+
+def from_transport(fault: client.TransportFault) -> base.TargetFault:
+    """Returns the target fault for a failed exchange."""
+    return base.TargetFault(_KINDS[fault.kind], fault.detail, fault.sent)
+
+
+def from_status(response: client.WholeResponse) -> base.TargetFault:
+    """Returns the target fault for an answer that is no success.
+
+    A target says that it did not run a request by 429 or 503 together with
+    ``"ran": "no"`` in a problem body.
+    """
+    try:
+        problem = msgspec.json.decode(response.body, type=_Problem)
+    except msgspec.DecodeError:
+        problem = _Problem(
+            detail=response.body[:200].decode('utf-8', 'replace')
+        )
+    headers = {name.lower(): value for name, value in response.headers}
+    detail = f'status {response.status}: {problem.detail}'
+    if response.status in (429, 503) and problem.ran == 'no':
+        kind = base.TargetFaultKind.REFUSED
+    elif 400 <= response.status < 500:
+        kind = base.TargetFaultKind.REJECTED
+    else:
+        kind = base.TargetFaultKind.BROKEN
+    return base.TargetFault(
+        kind,
+        detail,
+        sent=kind is not base.TargetFaultKind.REFUSED,
+        retry_after=_read_seconds(headers.get('retry-after')),
+        status=response.status,
+    )
+
+
+def unreadable(error: Exception) -> base.TargetFault:
+    """Returns the fault for an answer that could not be decoded."""
+    return base.TargetFault(
+        base.TargetFaultKind.BROKEN, f'unreadable answer: {error}', sent=True
+    )
+
+
+def _read_seconds(text: str | None) -> float | None:
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/waxwingport/trial/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment on loopback in one process."""
--- /dev/null
+++ b/waxwingport/trial/deployments.py
@@ -0,0 +1,68 @@
+"""The two deployments that the trial can run, in their real sizes."""
+
+import importlib.resources
+
+import msgspec
+
+from waxwingport.configuration import declarations
+from waxwingport import ids
+
+__all__ = ['DEPLOYMENTS', 'Deployment', 'read_declarations']
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """Names and sizes of a deployment."""
+
+    name: str
+    data_centres: tuple[ids.DataCentre, ...]
+    pool: ids.PoolName
+    engines: int
+    model: str
+    service: ids.ServiceName
+    services: int
+    application: str
+    scoring: ids.ServiceName
+    trainer: ids.TrainerName
+
+
+def _name_centres(*names: str) -> tuple[ids.DataCentre, ...]:
+    return tuple(ids.DataCentre(name) for name in names)
+
+
+DEPLOYMENTS = {
+    'bavaria': Deployment(
+        name='bavaria',
+        data_centres=_name_centres(
+            'muenchen', 'nuernberg', 'augsburg', 'regensburg'
+        ),
+        pool=ids.PoolName('sprachmodell-dienst'),
+        engines=5,
+        model='sprachmodell',
+        service=ids.ServiceName('buchungs-dienst'),
+        services=4,
+        application='buchung',
+        scoring=ids.ServiceName('bewertung'),
+        trainer=ids.TrainerName('kursabgleich'),
+    ),
+    'occidente': Deployment(
+        name='occidente',
+        data_centres=_name_centres('xela-a', 'xela-b', 'toto-c'),
+        pool=ids.PoolName('redactor'),
+        engines=5,
+        model='redactor',
+        service=ids.ServiceName('libro-socios'),
+        services=4,
+        application='libro',
+        scoring=ids.ServiceName('evaluacion'),
+        trainer=ids.TrainerName('notas-registrales'),
+    ),
+}
+
+
+def read_declarations(deployment: Deployment) -> declarations.Declarations:
+    """Returns the declarations that ship with a deployment."""
+    folder = importlib.resources.files('waxwingport.examples')
+    path = folder / deployment.name / 'declarations.toml'
+    return msgspec.toml.decode(
+        path.read_bytes(), type=declarations.Declarations
+    )
