--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -7,7 +7,10 @@
 import sys
 
 import fire
+import msgspec
 
+from waxwingport.measure import base as measure_base
+from waxwingport.measure import catalogue
 from waxwingport.trial import deployments
 from waxwingport.trial import stage
 
@@ -39,6 +42,32 @@
         logging.basicConfig(level=logging.INFO, stream=sys.stderr)
         asyncio.run(_run_trial(found, port, seconds))
 
+    def measure(
+        self,
+        name: str | None = None,
+        seconds: float = 10.0,
+        seed: int = 1,
+        json: bool = False,
+    ) -> None:
+        """Runs the named measurement, or lists them all.
+
+        Args:
+            name: The measurement; the list is printed without one.
+            seconds: How long to measure.
+            seed: Seed of every random choice.
+            json: Prints the report as JSON.
+        """
+        if name is None:
+            for row in catalogue.MEASUREMENTS.values():
+                print(f'{row.name:24} {row.summary}')
+            return
+        found = catalogue.MEASUREMENTS.get(name)
+        if found is None:
+            known = ', '.join(sorted(catalogue.MEASUREMENTS))
+            _fail_usage(f'no measurement is called {name!r}: {known}')
+        options = measure_base.Options(seconds, seed)
+        _print_report(asyncio.run(found.run(options)), json)
+
 
 async def _run_trial(
     deployment: deployments.Deployment, port: int, seconds: float | None
@@ -59,6 +88,18 @@
         await asyncio.wait_for(stopped.wait(), seconds)
 
 
+def _print_report(report: measure_base.Report, as_json: bool) -> None:
+    if as_json:
+        print(msgspec.json.encode(report).decode())
+        return
+    for row in report.figures:
+        line = f'{row.name:44} {row.value:14.4f} {row.unit}'
+        if row.target is not None:
+            verdict = 'met' if row.met else 'MISSED'
+            line += f'  ({row.bound.value} {row.target:g}: {verdict})'
+        print(line)
+
+
 def _fail_usage(message: str) -> None:
     print(message, file=sys.stderr)
     raise SystemExit(_EXIT_USAGE)
--- /dev/null
+++ b/waxwingport/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys that callers choose, kept in the platform's log."""
--- /dev/null
+++ b/waxwingport/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers, kept in the platform's log."""
--- /dev/null
+++ b/waxwingport/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: policy comparisons and the slopes for docs/CAPACITY.md."""
--- /dev/null
+++ b/waxwingport/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are there, and which of them does what."""
--- /dev/null
+++ b/waxwingport/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the nodes of the system."""
