Load new weight versions in waves under a lease

Cause: a published version reached no engine. Change: a book of publications fed by trainers, peers and the log; a pure plan that keeps the weight store's rate and each pool's serving share, the neediest pool first, spread over data centres; a controller that orders, reads back, backs off after failed loads and mends late orders.

--- /dev/null
+++ b/tests/weights/test_controller.py
@@ -0,0 +1,286 @@
+import asyncio
+import random
+
+import pytest
+
+from waxwingport.configuration import declarations
+from waxwingport.configuration import state
+from waxwingport import ids
+from waxwingport.leases import base as leases
+from waxwingport.membership import base as membership
+from waxwingport import metrics
+from waxwingport.peers import memory
+from waxwingport.platform import base as platform
+from waxwingport.standins import engine as standin
+from waxwingport.standins import platform as standin_platform
+from waxwingport.targets import base
+from waxwingport.targets import table
+from waxwingport.weights import controller
+from waxwingport.weights import versions
+
+POOL = ids.PoolName('pool')
+TRAINER = ids.TrainerName('trainer')
+
+
+class Factory(table.TargetFactory):
+    """Hands out stand-ins by VM name."""
+
+    def __init__(self, engines):
+        self.engines = engines
+
+    def make_engine(self, vm):
+        return self.engines[vm.name]
+
+    def make_service(self, vm):
+        raise NotImplementedError
+
+    def make_scoring(self, vm):
+        raise NotImplementedError
+
+
+class Bench:
+    """A weight controller over engines in memory."""
+
+    def __init__(self, count=5, checks_fencing=True, rate=2):
+        self.engines = {
+            f'engine-{index}': standin.StandInEngine(
+                f'engine-{index}',
+                standin.StandInEngineSettings(checks_fencing=checks_fencing),
+            )
+            for index in range(count)
+        }
+        self.targets = table.TargetTable(Factory(self.engines))
+        self.targets.update(
+            platform.Vm(
+                name, platform.VmKind.ENGINE, ids.DataCentre('here'), ''
+            )
+            for name in self.engines
+        )
+        self.configuration = state.ConfigurationState()
+        self.book = versions.VersionBook()
+        self.store = standin_platform.StandInWeightStore(rate)
+        self.log_down = False
+        self.lease = leases.StaticLease(ids.FencingNumber(7))
+        self.controller = controller.WeightController(
+            self.configuration,
+            self.targets,
+            self.book,
+            self.store,
+            membership.StaticMembership(make_member('node-1')),
+            lambda pool: self.lease,
+            metrics.Metrics(),
+            is_log_down=lambda: self.log_down,
+        )
+        self.declare()
+
+    def declare(self, **changes):
+        pool = declarations.Pool(POOL, 'kind = engine', **changes)
+        trainer = declarations.Trainer(TRAINER, POOL)
+        self.configuration.apply(
+            ids.Revision(self.configuration.revision + 1),
+            declarations.Declarations(pools=(pool,), trainers=(trainer,)),
+        )
+
+    def publish(self, version):
+        publication = versions.Publication(
+            TRAINER, ids.WeightVersion(version), f'weights/{version}'
+        )
+        assert self.book.publish(publication).is_ok()
+
+    async def run(self, seconds):
+        """Polls and orders; returns the largest number of loads at once."""
+        most = 0
+        for _ in range(int(seconds / 0.25)):
+            for target in self.targets:
+                found = await target.engine.read_state()
+                target.engine_state = found.default_value(None)
+            await self.controller.send_due()
+            loading = sum(row.state.loading is not None for row in self.all)
+            most = max(most, loading)
+            await asyncio.sleep(0.25)
+        return most
+
+    @property
+    def all(self):
+        return list(self.engines.values())
+
+    @property
+    def versions(self):
+        return {row.state.weight_version for row in self.all}
+
+
+def make_member(name):
+    return membership.Member(
+        ids.NodeName(name),
+        ids.DataCentre('here'),
+        f'{name}:1',
+        ids.Incarnation(1),
+    )
+
+
+@pytest.mark.looptime
+async def test_new_version_reaches_every_engine_in_waves():
+    bench = Bench()
+    bench.publish(2)
+    most = await bench.run(5.0)
+    assert bench.versions == {2}
+    assert most == 2
+
+
+@pytest.mark.looptime
+async def test_failed_load_is_tried_again_after_a_backoff():
+    bench = Bench()
+    failing = bench.all[0]
+    failing.swap_fails = True
+    bench.publish(2)
+    await bench.run(6.0)
+    assert failing.state.weight_version == 1
+    assert bench.versions == {1, 2}
+    failing.swap_fails = False
+    await bench.run(20.0)
+    assert bench.versions == {2}
+
+
+@pytest.mark.looptime
+async def test_engine_that_comes_back_with_old_weights_is_mended():
+    bench = Bench()
+    bench.publish(3)
+    await bench.run(5.0)
+    bench.all[0].crash()
+    bench.all[0].restart()
+    await bench.run(5.0)
+    assert bench.versions == {3}
+
+
+@pytest.mark.looptime
+async def test_declared_version_rolls_back_and_release_moves_on():
+    bench = Bench()
+    bench.publish(2)
+    bench.publish(3)
+    await bench.run(5.0)
+    bench.declare(version=ids.WeightVersion(2))
+    await bench.run(5.0)
+    assert bench.versions == {2}
+    bench.declare()
+    await bench.run(5.0)
+    assert bench.versions == {3}
+
+
+@pytest.mark.looptime
+async def test_late_order_to_engine_that_ignores_numbers_is_mended():
+    bench = Bench(checks_fencing=False)
+    bench.publish(3)
+    await bench.run(5.0)
+    late = base.Order(
+        base.OrderKind.LOAD_VERSION,
+        ids.FencingNumber(1),
+        weight_version=ids.WeightVersion(2),
+    )
+    assert (await bench.all[0].send_order(late)).is_ok()
+    await bench.run(5.0)
+    assert bench.versions == {3}
+
+
+@pytest.mark.looptime
+async def test_late_order_is_refused_by_engine_that_checks_numbers():
+    bench = Bench()
+    bench.publish(3)
+    await bench.run(5.0)
+    late = base.Order(
+        base.OrderKind.LOAD_VERSION,
+        ids.FencingNumber(1),
+        weight_version=ids.WeightVersion(2),
+    )
+    assert (await bench.all[0].send_order(late)).is_error()
+    assert bench.versions == {3}
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ('log_down', 'version', 'role', 'expected_version', 'expected_role'),
+    [
+        (False, 2, 'drafting', 1, None),
+        (True, 2, 'drafting', 2, None),
+    ],
+)
+async def test_orders_without_a_lease(
+    log_down, version, role, expected_version, expected_role
+):
+    bench = Bench()
+    bench.lease.number = None
+    bench.log_down = log_down
+    bench.targets.set_rules(
+        [declarations.LabelRule('role', 'kind = engine', {'role': role})]
+    )
+    bench.publish(version)
+    await bench.run(5.0)
+    assert bench.versions == {expected_version}
+    assert {row.state.role for row in bench.all} == {expected_role}
+
+
+@pytest.mark.looptime
+async def test_labels_set_role_drain_and_adapters():
+    bench = Bench()
+    bench.declare(adapters=('notes',))
+    bench.targets.set_rules(
+        [
+            declarations.LabelRule(
+                'all', 'kind = engine', {'role': 'drafting', 'drain': 'on'}
+            )
+        ]
+    )
+    await bench.run(2.0)
+    assert {row.state.role for row in bench.all} == {'drafting'}
+    assert all(row.state.draining for row in bench.all)
+    assert {row.state.adapters for row in bench.all} == {('notes',)}
+    bench.targets.set_rules([])
+    await bench.run(2.0)
+    assert not any(row.state.draining for row in bench.all)
+
+
+@pytest.mark.looptime
+async def test_version_spreads_while_the_log_is_down_and_is_logged_later():
+    network = memory.MemoryNetwork()
+    log = standin_platform.StandInLog()
+    log.down = True
+    members = [make_member(f'node-{index}') for index in range(4)]
+    books, exchanges = [], []
+    for own in members:
+        book = versions.VersionBook()
+        end = network.join(own.name, own.peer_address, own.incarnation)
+        others = [row for row in members if row is not own]
+        exchanges.append(
+            versions.VersionExchange(
+                book,
+                log,
+                membership.StaticMembership(own, others),
+                end,
+                random.Random(1),
+            )
+        )
+        books.append(book)
+    tasks = [asyncio.create_task(row.run()) for row in exchanges]
+    network.separate({'node-0:1'}, {'node-3:1'})
+    publication = versions.Publication(TRAINER, ids.WeightVersion(2), 'w/2')
+    await exchanges[0].publish(publication)
+    await asyncio.sleep(0.1)
+    assert books[1].find_latest(TRAINER) == publication
+    assert books[3].find_latest(TRAINER) is None
+    await asyncio.sleep(20.0)
+    assert books[3].find_latest(TRAINER) == publication
+    log.down = False
+    await asyncio.sleep(5.0)
+    assert books[0].list_unlogged() == []
+    page = await log.read(versions.STREAM, ids.Offset(0))
+    assert len(page.ok.records) >= 1
+    for task in tasks:
+        task.cancel()
+
+
+def test_version_under_another_reference_is_refused():
+    book = versions.VersionBook()
+    first = versions.Publication(TRAINER, ids.WeightVersion(2), 'w/2')
+    other = versions.Publication(TRAINER, ids.WeightVersion(2), 'w/x')
+    assert book.publish(first).ok is True
+    assert book.publish(first).ok is False
+    assert book.publish(other).is_error()
--- /dev/null
+++ b/tests/weights/test_plan.py
@@ -0,0 +1,140 @@
+import collections
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from waxwingport import ids
+from waxwingport.weights import plan
+
+VERSION = ids.WeightVersion(5)
+
+
+def make_wish(**changes):
+    values = {
+        'pool': ids.PoolName('pool'),
+        'version': VERSION,
+        'reference': 'weights/5',
+        'serving_share': 0.6,
+    }
+    return plan.PoolWish(**{**values, **changes})
+
+
+def make_engine(index, **changes):
+    values = {
+        'name': ids.TargetName(f'engine-{index}'),
+        'data_centre': ids.DataCentre(f'centre-{index % 3}'),
+        'pool': ids.PoolName('pool'),
+        'version': ids.WeightVersion(4),
+    }
+    return plan.EngineView(**{**values, **changes})
+
+
+engine_lists = st.lists(
+    st.tuples(
+        st.integers(0, 7),
+        st.sampled_from(['a', 'b']),
+        st.booleans(),
+        st.booleans(),
+    ),
+    max_size=30,
+).map(
+    lambda rows: [
+        make_engine(
+            index,
+            version=ids.WeightVersion(version) if version else None,
+            pool=ids.PoolName(pool),
+            loading=VERSION if loading else None,
+            blocked=blocked,
+        )
+        for index, (version, pool, loading, blocked) in enumerate(rows)
+    ]
+)
+
+
+@hypothesis.given(
+    engine_lists,
+    st.integers(0, 12),
+    st.floats(0.0, 1.0),
+    st.booleans(),
+)
+def test_plan_keeps_rate_and_serving_share(engines, rate, share, rollback):
+    wishes = [
+        make_wish(
+            pool=ids.PoolName(name), serving_share=share, rollback=rollback
+        )
+        for name in 'ab'
+    ]
+    loads = plan.plan_loads(wishes, engines, rate)
+    loading = sum(row.loading is not None for row in engines)
+    assert len(loads) <= max(0, rate - loading)
+    assert len({row.engine for row in loads}) == len(loads)
+    by_name = {row.name: row for row in engines}
+    for load in loads:
+        engine = by_name[load.engine]
+        assert not engine.blocked and engine.loading is None
+        assert engine.version != VERSION
+        if not rollback:
+            assert engine.version is None or engine.version < VERSION
+    started = collections.Counter(row.pool for row in loads)
+    for pool, count in started.items():
+        rows = [row for row in engines if row.pool == pool]
+        serving = sum(not (row.blocked or row.loading) for row in rows)
+        assert serving - count >= min(share * len(rows), len(rows) - 1) - 1e-9
+
+
+@hypothesis.given(st.integers(1, 40), st.integers(1, 9), st.floats(0.0, 1.0))
+def test_waves_reach_every_engine(count, rate, share):
+    engines = [make_engine(index) for index in range(count)]
+    rounds = 0
+    while any(row.version != VERSION for row in engines):
+        loads = plan.plan_loads(
+            [make_wish(serving_share=share)], engines, rate
+        )
+        assert loads, 'the waves stand still'
+        loaded = {row.engine for row in loads}
+        engines = [
+            msgspec.structs.replace(row, version=VERSION)
+            if row.name in loaded
+            else row
+            for row in engines
+        ]
+        rounds += 1
+    assert rounds <= count
+
+
+def test_neediest_pool_loads_first():
+    engines = [
+        make_engine(index, pool=ids.PoolName('ab'[index % 2]))
+        for index in range(8)
+    ]
+    wishes = [
+        make_wish(pool=ids.PoolName('a'), need=0.1),
+        make_wish(pool=ids.PoolName('b'), need=0.9),
+    ]
+    loads = plan.plan_loads(wishes, engines, 1)
+    assert [row.pool for row in loads] == ['b']
+
+
+def test_wave_spreads_over_data_centres():
+    engines = [make_engine(index) for index in range(9)]
+    loads = plan.plan_loads([make_wish(serving_share=0.5)], engines, 3)
+    assert len({row.data_centre for row in loads}) == 3
+
+
+@pytest.mark.parametrize(
+    ('version', 'rollback', 'expected'),
+    [(4, False, True), (6, False, False), (6, True, True), (5, True, False)],
+)
+def test_versions_move_forward_unless_rolled_back(version, rollback, expected):
+    engine = make_engine(0, version=ids.WeightVersion(version))
+    loads = plan.plan_loads([make_wish(rollback=rollback)], [engine], 1)
+    assert bool(loads) is expected
+
+
+@pytest.mark.parametrize('idle_weight', [0.0, 0.3, 0.7, 1.0])
+def test_need_leans_as_declared(idle_weight):
+    idle = plan.compute_need(1.0, 0.0, idle_weight)
+    stale = plan.compute_need(0.0, 1.0, idle_weight)
+    assert (idle, stale) == (idle_weight, 1 - idle_weight)
--- a/waxwingport/api/trainers.py
+++ b/waxwingport/api/trainers.py
@@ -78,11 +78,18 @@
             return
         match handler.read_json(self.request.body, VersionBody):
             case Result(tag='ok', ok=body):
-                await self.node.publish_version(
-                    collector.trainer,
+                outcome = await self.node.publish_version(
+                    ids.TrainerName(trainer),
                     ids.WeightVersion(int(version)),
                     body.weights,
                 )
-                self.send_json({'version': int(version)})
+                self._answer(int(version), outcome)
+            case Result(error=refusal):
+                self.send_refusal(refusal)
+
+    def _answer(self, version: int, outcome: Result) -> None:
+        match outcome:
+            case Result(tag='ok'):
+                self.send_json({'version': version})
             case Result(error=refusal):
                 self.send_refusal(refusal)
--- a/waxwingport/leases/base.py
+++ b/waxwingport/leases/base.py
@@ -18,6 +18,14 @@
         may be sent.
         """
 
+    def find_latest(self) -> ids.FencingNumber | None:
+        """Returns the highest number seen, held by whoever; it may be old.
+
+        Only orders that stay harmless when late may carry it: loads that move
+        a version forward while the log is down.
+        """
+        return self.check()
+
 
 class StaticLease(Lease):
     """A lease that tests hold or lose at will."""
--- a/waxwingport/membership/rendezvous.py
+++ b/waxwingport/membership/rendezvous.py
@@ -24,4 +24,4 @@
 
 
 def _weigh(key: str, name: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f'{key}\0{name}'), name
+    return xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode()), name
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -11,13 +11,21 @@
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
+from waxwingport.leases import base as leases
 from waxwingport.limits import admission
+from waxwingport.membership import base as membership
+from waxwingport import metrics
+from waxwingport import outcomes
+from waxwingport.peers import base as peers
+from waxwingport.peers import memory
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
 from waxwingport.requests import services
 from waxwingport.samples import collector
 from waxwingport import settings
 from waxwingport.targets import table
+from waxwingport.weights import controller
+from waxwingport.weights import versions
 
 __all__ = ['Node', 'Outside']
 
@@ -51,6 +59,9 @@
         self.outside = outside
         self.incarnation = ids.mint_incarnation()
         self.rng = rng or random.Random()
+        self.metrics = metrics.Metrics()
+        self.peers = self._join_peers()
+        self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
         self.targets = table.TargetTable(outside.targets)
         self.configuration.listen(
@@ -61,6 +72,24 @@
         )
         self.completions = completions.CompletionRunner(self.admission)
         self.services = services.ServiceRunner(self.admission)
+        self.versions = versions.VersionBook()
+        self.version_exchange = versions.VersionExchange(
+            self.versions,
+            outside.log,
+            self.membership,
+            self.peers,
+            self.rng,
+        )
+        self.weights = controller.WeightController(
+            self.configuration,
+            self.targets,
+            self.versions,
+            outside.weight_store,
+            self.membership,
+            self.find_lease,
+            self.metrics,
+            is_log_down=lambda: self.version_exchange.log_down,
+        )
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -72,6 +101,8 @@
         self._spawn(source.run())
         self._spawn(self._follow_vms())
         self._spawn(self._poll_engines())
+        self._spawn(self.version_exchange.run())
+        self._spawn(self.weights.run())
 
     async def stop(self) -> None:
         """Stops the node's background work."""
@@ -98,12 +129,23 @@
             )
         return self._collectors[name]
 
+    def find_lease(self, pool: ids.PoolName) -> leases.Lease:
+        """Returns the lease for orders to a pool in this data centre."""
+        return leases.StaticLease(ids.FencingNumber(0))
+
     async def publish_version(
-        self, trainer, version: ids.WeightVersion, reference: str
-    ) -> None:
-        """Takes a trainer's new weight version."""
-        found = self.find_collector(trainer.name)
-        found.version = max(found.version, version)
+        self,
+        trainer: ids.TrainerName,
+        version: ids.WeightVersion,
+        reference: str,
+    ) -> Result[bool, outcomes.Refusal]:
+        """Takes a trainer's new weight version; returns whether it was new.
+
+        Fails when the version is known under another reference.
+        """
+        return await self.version_exchange.publish(
+            versions.Publication(trainer, version, reference)
+        )
 
     def describe(self) -> dict[str, object]:
         """Returns what holds at this node, for ``/v1/status``."""
@@ -121,13 +163,30 @@
         }
 
     def _describe_trainer(self, declared) -> dict[str, object]:
-        found = self._collectors.get(declared.name)
+        latest = self.versions.find_latest(declared.name)
         return {
             'name': declared.name,
             'staleness_bound': declared.staleness_bound,
-            'version': found.version if found else 1,
+            'version': latest.version if latest else 1,
         }
 
+    def _join_peers(self) -> peers.Peers:
+        configured = self.settings.node
+        return memory.MemoryNetwork().join(
+            configured.name, configured.peer_listen, self.incarnation
+        )
+
+    def _join_members(self) -> membership.Membership:
+        configured = self.settings.node
+        return membership.StaticMembership(
+            membership.Member(
+                configured.name,
+                configured.data_centre,
+                configured.peer_listen,
+                self.incarnation,
+            )
+        )
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
--- a/waxwingport/standins/engine.py
+++ b/waxwingport/standins/engine.py
@@ -44,6 +44,8 @@
     event_loss: float = 0.0
     load_delay: float = 0.2
     swap_time: float = 0.5
+    pauses_for_swap: bool = True
+    """Whether generations stand still while weights are loaded."""
     checks_fencing: bool = True
     mean_tokens: float = 24.0
     spread: float = 0.6
@@ -336,12 +338,18 @@
         used = len(self._running) / self.settings.capacity
         pace = self.settings.token_time * (1 + self.settings.crowding * used)
         await asyncio.sleep(tokens * pace * self.slowdown)
+        await self._wait_for_swap()
         await self._stall()
 
     async def _stall(self) -> None:
         while self.silent and not self.crashed:
             await asyncio.sleep(0.05)
 
+    async def _wait_for_swap(self) -> None:
+        swap = self._swap
+        if swap is not None and self.settings.pauses_for_swap:
+            await asyncio.wait([swap])
+
     def _plan_length(
         self, generation: base.Generation
     ) -> tuple[int, base.FinishReason]:
--- a/waxwingport/standins/services.py
+++ b/waxwingport/standins/services.py
@@ -94,7 +94,7 @@
 
 
 def _rate(prompt: str, text: str) -> float:
-    return xxhash.xxh32_intdigest(f'{prompt}\0{text}') / 2**32
+    return xxhash.xxh32_intdigest(f'{prompt}\0{text}'.encode()) / 2**32
 
 
 def _fault(kind: base.TargetFaultKind, sent: bool) -> base.TargetFault:
--- /dev/null
+++ b/waxwingport/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weight versions: which are published, and which engine loads which."""
--- /dev/null
+++ b/waxwingport/weights/controller.py
@@ -0,0 +1,332 @@
+"""Brings the engines of this data centre to the versions wanted."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from expression import Result
+
+from waxwingport.configuration import declarations
+from waxwingport.configuration import state
+from waxwingport import ids
+from waxwingport.leases import base as leases
+from waxwingport.membership import base as membership
+from waxwingport.membership import rendezvous
+from waxwingport import metrics
+from waxwingport.platform import base as platform
+from waxwingport.routing import candidates
+from waxwingport.targets import base
+from waxwingport.targets import table
+from waxwingport.weights import orders
+from waxwingport.weights import plan
+from waxwingport.weights import versions
+
+__all__ = ['Need', 'WeightController']
+
+Need = Callable[[ids.PoolName], float]
+"""Returns how much the trainers of a pool need new weights, 0 to 1."""
+
+FindLease = Callable[[ids.PoolName], leases.Lease]
+
+_INTERVAL = 0.25
+_RATE_INTERVAL = 5.0
+_FIRST_BACKOFF = 1.0
+_LONGEST_BACKOFF = 60.0
+_SETTLING_TIME = 1.0
+"""Seconds in which a state read before an order may still arrive."""
+_LOG = logging.getLogger(__name__)
+
+
+class _Failures:
+    """Backoff of one engine after failed loads."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.retry_at = 0.0
+
+    def note(self, now: float) -> None:
+        delay = min(_FIRST_BACKOFF * 2**self.count, _LONGEST_BACKOFF)
+        self.count += 1
+        self.retry_at = now + delay
+
+
+class _Ordered:
+    """A load that was ordered and has not been seen to end."""
+
+    def __init__(self, version: ids.WeightVersion, at: float) -> None:
+        self.version = version
+        self.at = at
+
+
+class WeightController:
+    """Sends orders under the leases of this data centre.
+
+    Every node runs one; only the holder of a pool's lease sends anything.
+    Orders name the wanted state and are repeated until the engine reports it.
+    """
+
+    def __init__(
+        self,
+        configuration: state.ConfigurationState,
+        targets: table.TargetTable,
+        book: versions.VersionBook,
+        store: platform.WeightStore,
+        members: membership.Membership,
+        find_lease: FindLease,
+        counters: metrics.Metrics,
+        need: Need = lambda pool: 0.0,
+        is_log_down: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._configuration = configuration
+        self._targets = targets
+        self._book = book
+        self._store = store
+        self._members = members
+        self._find_lease = find_lease
+        self._metrics = counters
+        self._need = need
+        self._is_log_down = is_log_down
+        self._rate = 1
+        self._rate_at = float('-inf')
+        self._failures: dict[ids.TargetName, _Failures] = {}
+        self._ordered: dict[ids.TargetName, _Ordered] = {}
+
+    async def run(self) -> None:
+        """Sends orders until cancelled."""
+        while True:
+            await self.send_due()
+            await asyncio.sleep(_INTERVAL)
+
+    async def send_due(self) -> None:
+        """Sends the orders that are due now."""
+        await self._refresh_rate()
+        loads = plan.plan_loads(
+            self._list_wishes(), self._view_engines(), self._rate
+        )
+        own = self._members.own.data_centre
+        await asyncio.gather(
+            *(self._load(row) for row in loads if row.data_centre == own),
+            self._send_labelled(),
+        )
+
+    def find_wanted(self, pool: declarations.Pool) -> plan.PoolWish | None:
+        """Returns the version that a pool should run, ``None`` if unknown.
+
+        A declared version wins over the owner's latest.
+        """
+        owner = self._find_owner(pool.name)
+        if owner is None:
+            return None
+        latest = self._book.find_latest(owner.name)
+        pinned = pool.version is not None
+        wanted = (
+            self._book.find(owner.name, pool.version) if pinned else latest
+        )
+        version = pool.version if pinned else latest and latest.version
+        if version is None:
+            return None
+        return plan.PoolWish(
+            pool=pool.name,
+            version=version,
+            reference=(
+                wanted.reference if wanted else f'{owner.name}/{version}'
+            ),
+            serving_share=pool.serving_share,
+            need=self._need(pool.name),
+            rollback=pinned,
+        )
+
+    def _find_owner(self, pool: ids.PoolName) -> declarations.Trainer | None:
+        trainers = self._configuration.declarations.trainers
+        return next(
+            (row for row in trainers if row.pool == pool and row.owner), None
+        )
+
+    def _list_wishes(self) -> list[plan.PoolWish]:
+        pools = self._configuration.declarations.pools
+        wishes = [self.find_wanted(pool) for pool in pools]
+        return [wish for wish in wishes if wish is not None]
+
+    def _view_engines(self) -> list[plan.EngineView]:
+        """Returns each engine once, under the first pool that selects it."""
+        now = asyncio.get_running_loop().time()
+        views: dict[ids.TargetName, plan.EngineView] = {}
+        pools = sorted(
+            self._configuration.declarations.pools,
+            key=lambda pool: (-pool.priority, pool.name),
+        )
+        for pool in pools:
+            for target in self._targets.select(pool.selector):
+                if target.engine is not None and target.name not in views:
+                    views[target.name] = self._view(pool.name, target, now)
+        return list(views.values())
+
+    def _view(
+        self, pool: ids.PoolName, target: table.Target, now: float
+    ) -> plan.EngineView:
+        found = target.engine_state
+        self._note_result(target, now)
+        failures = self._failures.get(target.name)
+        usable = target.state in (
+            candidates.TargetState.LIVE,
+            candidates.TargetState.JOINING,
+        )
+        return plan.EngineView(
+            name=target.name,
+            data_centre=target.vm.data_centre,
+            pool=pool,
+            version=found.weight_version if found else None,
+            loading=found.loading if found else None,
+            in_progress=target.in_progress,
+            blocked=not usable
+            or found is None
+            or bool(failures and failures.retry_at > now),
+        )
+
+    def _note_result(self, target: table.Target, now: float) -> None:
+        """Counts a load as failed when the engine reports its end so."""
+        ordered = self._ordered.get(target.name)
+        found = target.engine_state
+        if ordered is None or found is None or found.loading is not None:
+            return
+        if found.weight_version == ordered.version:
+            del self._ordered[target.name]
+            self._failures.pop(target.name, None)
+            self._count('loaded')
+            return
+        if now - ordered.at < _SETTLING_TIME:
+            return
+        del self._ordered[target.name]
+        self._failures.setdefault(target.name, _Failures()).note(now)
+        self._count('failed')
+        _LOG.warning(
+            'placement engine=%s ordered=%s reported=%s error=%s',
+            target.name,
+            ordered.version,
+            found.weight_version,
+            found.last_error,
+        )
+
+    async def _load(self, load: plan.Load) -> None:
+        target = self._targets.find(load.engine)
+        number = self._authorise(
+            load.pool, base.OrderKind.LOAD_VERSION, target, load.version
+        )
+        if target is None or number is None:
+            return
+        _LOG.info(
+            'placement engine=%s pool=%s version=%d fencing=%d %s',
+            load.engine,
+            load.pool,
+            load.version,
+            number,
+            load.reason,
+        )
+        order = base.Order(
+            base.OrderKind.LOAD_VERSION,
+            number,
+            weight_version=load.version,
+            reference=load.reference,
+        )
+        if await self._send(target, order):
+            now = asyncio.get_running_loop().time()
+            self._ordered[load.engine] = _Ordered(load.version, now)
+
+    def _authorise(
+        self,
+        pool: ids.PoolName,
+        kind: base.OrderKind,
+        target: table.Target | None,
+        version: ids.WeightVersion | None = None,
+    ) -> ids.FencingNumber | None:
+        """Returns the fencing number to send with, ``None`` if not now."""
+        lease = self._find_lease(pool)
+        held = lease.check()
+        if held is not None:
+            return held
+        found = target.engine_state if target else None
+        forward = bool(
+            found and version is not None and version > found.weight_version
+        )
+        allowed = orders.may_send(kind, held, self._is_log_down(), forward)
+        if not allowed or not self._is_deputy(pool):
+            return None
+        return lease.find_latest() or ids.FencingNumber(0)
+
+    def _is_deputy(self, pool: ids.PoolName) -> bool:
+        """Returns whether this node sends while nobody can hold the lease."""
+        own = self._members.own
+        names = [row.name for row in self._members.list_live(own.data_centre)]
+        return rendezvous.pick(f'orders/{pool}', names) == own.name
+
+    async def _send_labelled(self) -> None:
+        """Sends role changes, drains and adapters, one a round and engine."""
+        own = self._members.own.data_centre
+        sends = [
+            self._send_wish(pool, target)
+            for pool in self._configuration.declarations.pools
+            for target in self._targets.select(pool.selector)
+            if target.engine_state is not None and target.vm.data_centre == own
+        ]
+        await asyncio.gather(*sends)
+
+    async def _send_wish(
+        self, pool: declarations.Pool, target: table.Target
+    ) -> None:
+        wishes = orders.list_wishes(
+            target.engine_state, target.labels, pool.adapters
+        )
+        if not wishes:
+            return
+        wish = wishes[0]
+        number = self._authorise(pool.name, wish.kind, target)
+        if number is None:
+            return
+        _LOG.info(
+            'placement engine=%s pool=%s order=%s value=%s fencing=%d '
+            'reason=%s',
+            target.name,
+            pool.name,
+            wish.kind.value,
+            wish.value,
+            number,
+            wish.reason,
+        )
+        order = base.Order(wish.kind, number, value=wish.value)
+        await self._send(target, order)
+
+    async def _send(self, target: table.Target, order: base.Order) -> bool:
+        match await target.engine.send_order(order):
+            case Result(tag='ok', ok=found):
+                target.engine_state = found
+                self._count('sent')
+                return True
+            case Result(error=fault):
+                self._count('refused')
+                now = asyncio.get_running_loop().time()
+                self._failures.setdefault(target.name, _Failures()).note(now)
+                _LOG.warning(
+                    'placement engine=%s order=%s: %s',
+                    target.name,
+                    order.kind.value,
+                    fault.detail,
+                )
+                return False
+
+    async def _refresh_rate(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if now - self._rate_at < _RATE_INTERVAL:
+            return
+        self._rate_at = now
+        match await self._store.read_rate():
+            case Result(tag='ok', ok=rate):
+                self._rate = max(1, rate)
+            case Result(error=fault):
+                _LOG.warning('weight store: %s', fault.detail)
+
+    def _count(self, outcome: str) -> None:
+        self._metrics.count(
+            'waxwingport_engine_orders_total',
+            'Orders to engines by outcome',
+            outcome=outcome,
+        )
