--- /dev/null
+++ b/waxwingport/limits/decay.py
@@ -0,0 +1,27 @@
+"""A count that forgets: each addition fades exponentially."""
+
+import asyncio
+import math
+
+__all__ = ['DecayingCount']
+
+
+class DecayingCount:
+    """A sum whose parts fade with time constant ``window`` (seconds)."""
+
+    def __init__(self, window: float) -> None:
+        self.window = window
+        self._value = 0.0
+        self._updated = 0.0
+
+    def add(self, amount: float) -> None:
+        """Adds ``amount`` now."""
+        self._value = self.read() + amount
+
+    def read(self) -> float:
+        """Returns what is left of everything added so far."""
+        now = asyncio.get_running_loop().time()
+        elapsed = max(0.0, now - self._updated)
+        self._value *= math.exp(-elapsed / self.window)
+        self._updated = now
+        return self._value
