--- a/waxwingport/api/application.py
+++ b/waxwingport/api/application.py
@@ -42,6 +42,7 @@
         ('/v1/status', status.Status),
         ('/healthz', status.Health),
         ('/readyz', status.Readiness),
+        ('/metrics', status.MetricsResource),
     ]
     return web.Application(
         [(path, found, arguments) for path, found in routes],
--- a/waxwingport/api/status.py
+++ b/waxwingport/api/status.py
@@ -2,7 +2,7 @@
 
 from waxwingport.api import handler
 
-__all__ = ['Health', 'Readiness', 'Status']
+__all__ = ['Health', 'MetricsResource', 'Readiness', 'Status']
 
 
 class Status(handler.Handler):
@@ -21,6 +21,19 @@
         self.send_json({'status': 'ok'})
 
 
+class MetricsResource(handler.Handler):
+    """``GET /metrics``, for a scraper."""
+
+    async def get(self) -> None:
+        """Answers with the metrics of this process."""
+        self.node.update_gauges()
+        accept = self.request.headers.get('Accept', '')
+        body, headers = self.node.metrics.render(accept)
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.finish(body)
+
+
 class Readiness(handler.Handler):
     """``GET /readyz``: the node can take requests."""
 
--- /dev/null
+++ b/waxwingport/assembly.py
@@ -0,0 +1,24 @@
+"""Puts a node together from its settings."""
+
+from waxwingport.http import client
+from waxwingport import node
+from waxwingport.platform import adapters as platform_adapters
+from waxwingport import settings
+from waxwingport.targets import adapters
+
+__all__ = ['connect_outside']
+
+
+def connect_outside(
+    configured: settings.Settings, http: client.HttpClient
+) -> node.Outside:
+    """Returns HTTP adapters of every outside system, on one client."""
+    platform = configured.platform
+    return node.Outside(
+        log=platform_adapters.HttpLog(http, platform.log),
+        vm_list=platform_adapters.HttpVmList(http, platform.vm_list),
+        weight_store=platform_adapters.HttpWeightStore(
+            http, platform.weight_store
+        ),
+        targets=adapters.HttpTargetFactory(http),
+    )
--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -2,25 +2,76 @@
 
 import asyncio
 import contextlib
-import logging
-import signal
+import pathlib
 import sys
+from typing import NoReturn
 
+from expression import Result
 import fire
 import msgspec
+from rich import console
 
+import waxwingport
+from waxwingport.commands import observing
+from waxwingport.commands import serving
+from waxwingport import logs
 from waxwingport.measure import base as measure_base
 from waxwingport.measure import catalogue
+from waxwingport import settings as node_settings
 from waxwingport.trial import deployments
 from waxwingport.trial import stage
 
 __all__ = ['Commands', 'main']
 
+_EXIT_REFUSED = 1
 _EXIT_USAGE = 2
 
 
 class Commands:
-    """Rollout service for reinforcement learning."""
+    """Rollout service for reinforcement learning.
+
+    Exit codes: 0 done, 1 refused or invalid, 2 wrong usage.
+    """
+
+    def version(self) -> None:
+        """Prints the version of this program."""
+        print(waxwingport.__version__)
+
+    def serve(self, settings: str) -> None:
+        """Runs an entry node until SIGTERM, then shuts it down gracefully.
+
+        Args:
+            settings: The node's settings, a TOML file.
+        """
+        match node_settings.read_settings(pathlib.Path(settings)):
+            case Result(tag='ok', ok=configured):
+                pass
+            case Result(error=reason):
+                _fail(reason)
+        logs.configure(configured.logging)
+        _check(asyncio.run(serving.serve(configured)))
+
+    def status(self, node: str, json: bool = False) -> None:
+        """Prints what holds, as one node sees it.
+
+        Args:
+            node: URL of the node.
+            json: Prints the node's answer as JSON.
+        """
+        found = _check(asyncio.run(observing.fetch_status(node)))
+        if json:
+            print(msgspec.json.encode(found).decode())
+        else:
+            console.Console().print(observing.render_status(found))
+
+    def watch(self, node: str) -> None:
+        """Shows what holds, anew each second, until interrupted.
+
+        Args:
+            node: URL of the node.
+        """
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(observing.watch(node, console.Console()))
 
     def trial(
         self,
@@ -39,7 +90,7 @@
         if found is None:
             known = ', '.join(sorted(deployments.DEPLOYMENTS))
             _fail_usage(f'no deployment is called {deployment!r}: {known}')
-        logging.basicConfig(level=logging.INFO, stream=sys.stderr)
+        logs.configure(node_settings.LogSettings())
         asyncio.run(_run_trial(found, port, seconds))
 
     def measure(
@@ -75,19 +126,10 @@
     running = stage.Stage(deployment, port)
     await running.start()
     print(f'ready {running.url}', flush=True)
-    await _wait_for_stop(seconds)
+    await serving.wait_for_signal(seconds)
     await running.stop()
 
 
-async def _wait_for_stop(seconds: float | None) -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(stopped.wait(), seconds)
-
-
 def _print_report(report: measure_base.Report, as_json: bool) -> None:
     if as_json:
         print(msgspec.json.encode(report).decode())
@@ -100,7 +142,19 @@
         print(line)
 
 
-def _fail_usage(message: str) -> None:
+def _check(outcome: Result):
+    """Returns the value of ``outcome``; prints an error and exits with 1."""
+    if outcome.is_error():
+        _fail(outcome.error)
+    return outcome.ok
+
+
+def _fail(message: object) -> NoReturn:
+    print(message, file=sys.stderr)
+    raise SystemExit(_EXIT_REFUSED)
+
+
+def _fail_usage(message: str) -> NoReturn:
     print(message, file=sys.stderr)
     raise SystemExit(_EXIT_USAGE)
 
--- /dev/null
+++ b/waxwingport/logs.py
@@ -0,0 +1,102 @@
+"""Set-up of logging: readable lines on a terminal, JSON lines elsewhere.
+
+Every module logs ``key=value`` messages to a logger of its own name.  Prompts,
+generated text, tokens and keys are never logged.
+"""
+
+import contextvars
+import logging
+import sys
+from typing import TextIO
+
+from pythonjsonlogger import json as json_logging
+
+from waxwingport import ids
+from waxwingport import settings
+
+__all__ = ['RateFilter', 'configure', 'request_id']
+
+_NO_REQUEST = ids.RequestId('-')
+
+request_id: contextvars.ContextVar[ids.RequestId] = contextvars.ContextVar(
+    'request_id', default=_NO_REQUEST
+)
+"""Id of the request that the running task works on, for log lines."""
+
+_READABLE = '%(asctime)s %(levelname)-7s %(name)s [%(request_id)s] %(message)s'
+_JSON = '%(levelname)s %(name)s %(request_id)s %(message)s'
+_QUIET = ('tornado.access', 'tornado.general', 'asyncio')
+
+
+class RequestFilter(logging.Filter):
+    """Adds the id of the running request to each record."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Keeps every record."""
+        record.request_id = request_id.get()
+        return True
+
+
+class RateFilter(logging.Filter):
+    """Drops lines beyond a bound for each second, and counts them.
+
+    The first line of a later second is preceded by the count.  Warnings and
+    errors have a bound of their own, so that routine lines don't crowd them
+    out.
+    """
+
+    def __init__(self, lines_per_second: int) -> None:
+        super().__init__()
+        self._bound = lines_per_second
+        self._second = 0
+        self._counts = {False: 0, True: 0}
+        self.dropped = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Returns whether the line is within the bound."""
+        if int(record.created) != self._second:
+            self._start_second(record)
+        urgent = record.levelno >= logging.WARNING
+        self._counts[urgent] += 1
+        if self._counts[urgent] <= self._bound:
+            return True
+        self.dropped += 1
+        return False
+
+    def _start_second(self, record: logging.LogRecord) -> None:
+        self._second = int(record.created)
+        self._counts = {False: 0, True: 0}
+        if self.dropped:
+            record.msg = f'{record.msg} (dropped_lines={self.dropped})'
+            self.dropped = 0
+
+
+def configure(
+    configured: settings.LogSettings, stream: TextIO | None = None
+) -> logging.Handler:
+    """Sends the log to ``stream``, standard error by default.
+
+    Returns the handler that was installed on the root logger, in place of
+    those that were there.
+    """
+    target = stream or sys.stderr
+    handler = logging.StreamHandler(target)
+    handler.setFormatter(_make_formatter(target.isatty()))
+    handler.addFilter(RequestFilter())
+    handler.addFilter(RateFilter(configured.lines_per_second))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(configured.level)
+    for name in _QUIET:
+        logging.getLogger(name).setLevel(logging.ERROR)
+    return handler
+
+
+def _make_formatter(readable: bool) -> logging.Formatter:
+    if readable:
+        return logging.Formatter(_READABLE)
+    return json_logging.JsonFormatter(
+        _JSON,
+        timestamp=True,
+        rename_fields={'levelname': 'level', 'name': 'logger'},
+    )
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -1,6 +1,7 @@
 """An entry node: its subsystems, their start and their stop."""
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 import logging
 import random
@@ -21,6 +22,7 @@
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
 from waxwingport.requests import services
+from waxwingport.routing import candidates
 from waxwingport.samples import collector
 from waxwingport import settings
 from waxwingport.targets import table
@@ -147,6 +149,23 @@
             versions.Publication(trainer, version, reference)
         )
 
+    def update_gauges(self) -> None:
+        """Sets the gauges that are read off the node's state."""
+        revision = self.configuration.revision
+        self.metrics.set(
+            'waxwingport_configuration_revision',
+            'Offset of the last configuration record in force',
+            revision,
+        )
+        states = collections.Counter(row.state for row in self.targets)
+        for found in candidates.TargetState:
+            self.metrics.set(
+                'waxwingport_targets',
+                'Targets by state',
+                states[found],
+                state=found.value,
+            )
+
     def describe(self) -> dict[str, object]:
         """Returns what holds at this node, for ``/v1/status``."""
         declared = self.configuration.declarations
--- a/waxwingport/trial/stage.py
+++ b/waxwingport/trial/stage.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
+from waxwingport import assembly
 from waxwingport.configuration import reader
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import node
-from waxwingport.platform import adapters as platform_adapters
 from waxwingport.platform import base as platform
 from waxwingport import server
 from waxwingport import settings
@@ -16,7 +16,6 @@
 from waxwingport.standins import platform as standin_platform
 from waxwingport.standins import servers
 from waxwingport.standins import services
-from waxwingport.targets import adapters
 from waxwingport.trial import deployments
 
 __all__ = ['Stage']
@@ -144,13 +143,6 @@
             ),
         )
         self._http = client.HttpClient(configured.client)
-        outside = node.Outside(
-            log=platform_adapters.HttpLog(self._http, log_address),
-            vm_list=platform_adapters.HttpVmList(self._http, list_address),
-            weight_store=platform_adapters.HttpWeightStore(
-                self._http, store_address
-            ),
-            targets=adapters.HttpTargetFactory(self._http),
-        )
+        outside = assembly.connect_outside(configured, self._http)
         self.node = node.Node(configured, outside)
         self.node_server = server.NodeServer(self.node)
