Carry messages between nodes over pynng

Cause: nodes had only the in-memory fake to talk over. Change: PynngPeers listens on one pull socket and dials one push socket for each peer it has something to say to. Node has peers and a membership of itself; settings refuse an open peer port without a secret.

--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -12,6 +12,9 @@
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.limits import admission
+from waxwingport.membership import base as membership
+from waxwingport.peers import base as peers
+from waxwingport.peers import transport
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
 from waxwingport.requests import services
@@ -39,6 +42,7 @@
     """One entry node.
 
     Construct it inside a running loop, ``start`` it, and ``stop`` it.
+    ``joined`` with its ``incarnation`` replaces the transport in tests.
     """
 
     def __init__(
@@ -46,10 +50,26 @@
         configured: settings.Settings,
         outside: Outside,
         rng: random.Random | None = None,
+        joined: peers.Peers | None = None,
+        incarnation: ids.Incarnation | None = None,
     ) -> None:
         self.settings = configured
         self.outside = outside
-        self.incarnation = ids.mint_incarnation()
+        self.incarnation = incarnation or ids.mint_incarnation()
+        self.peers = joined or transport.PynngPeers(
+            configured.node.name,
+            configured.node.peer_listen,
+            self.incarnation,
+            configured.peers,
+        )
+        self.membership = membership.StaticMembership(
+            membership.Member(
+                configured.node.name,
+                configured.node.data_centre,
+                self.peers.address,
+                self.incarnation,
+            )
+        )
         self.rng = rng or random.Random()
         self.configuration = state.ConfigurationState()
         self.targets = table.TargetTable(outside.targets)
@@ -80,6 +100,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.close()
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
--- a/waxwingport/peers/base.py
+++ b/waxwingport/peers/base.py
@@ -20,6 +20,8 @@
     'Peer',
     'PeerFault',
     'PeerFaultKind',
+    'PeerSettings',
+    'PeerTlsSettings',
     'Peers',
     'Receiver',
 ]
@@ -52,6 +54,8 @@
 class PeerFaultKind(enum.Enum):
     """Why a request to a peer has no answer."""
 
+    BROKEN = 'broken'
+    """The connection broke after sending; the request may have run."""
     GONE = 'gone'
     """Another incarnation answers there; the request did not run."""
     OVERLOADED = 'overloaded'
@@ -79,12 +83,47 @@
 """Takes a one-way message: the sender and the body."""
 
 
+class PeerTlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """TLS between nodes; every node shows a certificate of ``authority``.
+
+    ``certificate`` is a PEM file with certificate and key, ``authority`` the
+    PEM file of the certificate authority.  All certificates carry the name
+    ``server_name``, because nodes know each other by address only.
+    """
+
+    certificate: str
+    authority: str
+    server_name: str = 'waxwingport'
+
+
+class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How this node talks to other nodes; times in seconds."""
+
+    secret: str = ''
+    """Shared by all nodes; every message is authenticated with it."""
+    tls: PeerTlsSettings | None = None
+    queue_length: int = 256
+    """Messages that may wait for one peer."""
+    queue_size: int = 16 * 1024 * 1024
+    """Bytes that may wait for one peer."""
+    message_size: int = 16 * 1024 * 1024
+    """Bytes of one message."""
+    requests_at_once: int = 256
+    """Requests of one peer that may be in progress here."""
+    connect_timeout: float = 1.0
+    idle_timeout: float = 30.0
+    """A connection without traffic is closed after this time."""
+
+
 class Peers(abc.ABC):
     """Requests and one-way messages to other nodes.
 
     Bodies are msgpack of the typed message that each kind defines.
+    ``address`` is where this node receives them, ``ip:port``.
     """
 
+    address: str
+
     @abc.abstractmethod
     async def request(
         self, peer: Peer, kind: MessageKind, body: bytes, timeout: float
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -5,6 +5,7 @@
 ``waxwingport.configuration.declarations``.
 """
 
+import ipaddress
 import pathlib
 
 from expression import Error
@@ -14,6 +15,7 @@
 
 from waxwingport.http import client as http_client
 from waxwingport import ids
+from waxwingport.peers import base as peer_base
 
 __all__ = [
     'LogSettings',
@@ -24,6 +26,8 @@
     'read_settings',
 ]
 
+_SECRET_LENGTH = 16
+
 
 class TlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Certificate of the port for callers and operators."""
@@ -72,6 +76,18 @@
     client: http_client.ClientSettings = http_client.ClientSettings()
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
+    peers: peer_base.PeerSettings = peer_base.PeerSettings()
+
+    def __post_init__(self) -> None:
+        host = self.node.peer_listen.rpartition(':')[0].strip('[]')
+        address = ipaddress.ip_address(host)
+        if address.is_unspecified:
+            raise ValueError('peer_listen has to name the address itself')
+        short = len(self.peers.secret) < _SECRET_LENGTH
+        if short and not address.is_loopback:
+            raise ValueError(
+                f'peers.secret needs {_SECRET_LENGTH} characters or more'
+            )
 
 
 def read_settings(path: pathlib.Path) -> Result[Settings, str]:
