--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -18,7 +18,7 @@
 from waxwingport import metrics
 from waxwingport import outcomes
 from waxwingport.peers import base as peers
-from waxwingport.peers import memory
+from waxwingport.peers import transport
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
 from waxwingport.requests import services
@@ -49,6 +49,7 @@
     """One entry node.
 
     Construct it inside a running loop, ``start`` it, and ``stop`` it.
+    ``joined`` with its ``incarnation`` replaces the transport in tests.
     """
 
     def __init__(
@@ -56,13 +57,15 @@
         configured: settings.Settings,
         outside: Outside,
         rng: random.Random | None = None,
+        joined: peers.Peers | None = None,
+        incarnation: ids.Incarnation | None = None,
     ) -> None:
         self.settings = configured
         self.outside = outside
-        self.incarnation = ids.mint_incarnation()
+        self.incarnation = incarnation or ids.mint_incarnation()
         self.rng = rng or random.Random()
         self.metrics = metrics.Metrics()
-        self.peers = self._join_peers()
+        self.peers = joined or self._join_peers()
         self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
         self.targets = table.TargetTable(outside.targets)
@@ -113,6 +116,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.close()
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
@@ -190,9 +194,12 @@
         }
 
     def _join_peers(self) -> peers.Peers:
-        configured = self.settings.node
-        return memory.MemoryNetwork().join(
-            configured.name, configured.peer_listen, self.incarnation
+        configured = self.settings
+        return transport.PynngPeers(
+            configured.node.name,
+            configured.node.peer_listen,
+            self.incarnation,
+            configured.peers,
         )
 
     def _join_members(self) -> membership.Membership:
@@ -201,7 +208,7 @@
             membership.Member(
                 configured.name,
                 configured.data_centre,
-                configured.peer_listen,
+                self.peers.address,
                 self.incarnation,
             )
         )
