--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -9,17 +9,19 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
-import enum
+import functools
 
 from expression import Error
 from expression import Ok
 from expression import Result
-import msgspec
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
 from tornado import tcpclient
 
+from waxwingport.http import exchange as http_exchange
+from waxwingport.http import messages
+
 __all__ = [
     'ClientSettings',
     'HttpClient',
@@ -30,196 +32,20 @@
     'WholeResponse',
 ]
 
-_MIB = 1024 * 1024
 _CHUNK_SIZE = 65536
+_BODILESS = ('GET', 'HEAD', 'DELETE', 'OPTIONS')
 
-
-class ClientSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits of outgoing connections; seconds and bytes."""
-
-    connect_timeout: float = 1.0
-    progress_timeout: float = 15.0
-    idle_timeout: float = 30.0
-    idle_connections: int = 64
-    buffer_size: int = 1 * _MIB
-    max_body_size: int = 256 * _MIB
-
-
-class TransportFaultKind(enum.Enum):
-    """Why no whole response came."""
-
-    BROKEN = 'broken'
-    CONNECT = 'connect'
-    SILENT = 'silent'
-    TIMEOUT = 'timeout'
-
-
-class TransportFault(msgspec.Struct, frozen=True):
-    """A failed exchange.
-
-    ``sent`` is false only when no byte of the request can have left.
-    """
-
-    kind: TransportFaultKind
-    detail: str
-    sent: bool
-
-
-class Request(msgspec.Struct, frozen=True):
-    """A request; ``fresh`` asks for a connection of its own."""
-
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b''
-    fresh: bool = False
-
-
-class WholeResponse(msgspec.Struct, frozen=True):
-    """A response that came whole."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
-class _Exchange(httputil.HTTPMessageDelegate):
-    """One request and its response on one connection."""
-
-    def __init__(
-        self,
-        stream: iostream.IOStream,
-        settings: ClientSettings,
-        deadline: float,
-    ) -> None:
-        self._stream = stream
-        self._settings = settings
-        self._deadline = deadline
-        self._loop = asyncio.get_running_loop()
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._buffered = 0
-        self._wake: asyncio.Future[None] | None = None
-        self._room: asyncio.Future[None] | None = None
-        self._last_progress = self._loop.time()
-        self._timer: asyncio.TimerHandle | None = None
-        self.status = 0
-        self.headers = httputil.HTTPHeaders()
-        self.fault: TransportFault | None = None
-        self.done = False
-        self._arm_timer()
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        self._note_progress()
-        if isinstance(start_line, httputil.ResponseStartLine):
-            if start_line.code < 200:
-                return
-            self.status = start_line.code
-            self.headers = headers
-        self._wake_reader()
-
-    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
-        self._note_progress()
-        self._chunks.append(chunk)
-        self._buffered += len(chunk)
-        self._wake_reader()
-        if self._buffered <= self._settings.buffer_size:
-            return None
-        self._room = self._loop.create_future()
-        return self._room
-
-    def finish(self) -> None:
-        self._end()
-
-    def on_connection_close(self) -> None:
-        self.fail(TransportFaultKind.BROKEN, 'connection closed early')
-
-    def fail(self, kind: TransportFaultKind, detail: str) -> None:
-        """Ends the exchange with a fault and closes the connection."""
-        if self.done:
-            return
-        self.fault = TransportFault(kind, detail, sent=True)
-        self._end()
-        self._stream.close()
-
-    async def wait_head(self) -> None:
-        """Waits until the status has come or the exchange has ended."""
-        while not self.status and not self.done:
-            await self._wait()
-
-    async def read(self) -> Result[bytes | None, TransportFault]:
-        """Returns the next piece of the body, or ``None`` at its end."""
-        while True:
-            if self._chunks:
-                return Ok(self._take())
-            if self.fault is not None:
-                return Error(self.fault)
-            if self.done:
-                return Ok(None)
-            await self._wait()
-
-    def _take(self) -> bytes:
-        data = b''.join(self._chunks)
-        self._chunks.clear()
-        self._buffered = 0
-        if self._room is not None:
-            self._note_progress()
-            if not self._room.done():
-                self._room.set_result(None)
-            self._room = None
-        return data
-
-    async def _wait(self) -> None:
-        self._wake = self._loop.create_future()
-        try:
-            await self._wake
-        finally:
-            self._wake = None
-
-    def _wake_reader(self) -> None:
-        if self._wake is not None and not self._wake.done():
-            self._wake.set_result(None)
-
-    def _end(self) -> None:
-        self.done = True
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if self._room is not None and not self._room.done():
-            self._room.set_result(None)
-        self._wake_reader()
-
-    def _note_progress(self) -> None:
-        self._last_progress = self._loop.time()
-
-    def _arm_timer(self) -> None:
-        silence = self._last_progress + self._settings.progress_timeout
-        self._timer = self._loop.call_at(
-            min(silence, self._deadline), self._check_time
-        )
-
-    def _check_time(self) -> None:
-        now = self._loop.time()
-        silent = now - self._last_progress
-        if now >= self._deadline:
-            self.fail(TransportFaultKind.TIMEOUT, 'deadline passed')
-        elif self._room is not None:
-            # The reader is slow, not the connection.
-            self._note_progress()
-            self._arm_timer()
-        elif silent >= self._settings.progress_timeout:
-            self.fail(TransportFaultKind.SILENT, f'no byte for {silent:.1f} s')
-        else:
-            self._arm_timer()
+ClientSettings = messages.ClientSettings
+Request = messages.Request
+TransportFault = messages.TransportFault
+TransportFaultKind = messages.TransportFaultKind
+WholeResponse = messages.WholeResponse
 
 
 class Response:
     """A response whose head has come and whose body can be read."""
 
-    def __init__(self, exchange: _Exchange) -> None:
+    def __init__(self, exchange: http_exchange.Exchange) -> None:
         self._exchange = exchange
 
     @property
@@ -280,7 +106,12 @@
                     pass
                 case Result(error=fault):
                     return Error(fault)
-        exchange = _Exchange(stream, self._settings, deadline)
+        exchange = http_exchange.Exchange(
+            stream,
+            self._settings,
+            deadline,
+            functools.partial(self.discard_idle, address),
+        )
         self._start(address, request, stream, exchange)
         try:
             await exchange.wait_head()
@@ -288,8 +119,6 @@
             exchange.fail(TransportFaultKind.BROKEN, 'cancelled')
             raise
         if exchange.fault is not None and not exchange.status:
-            if exchange.fault.kind is TransportFaultKind.SILENT:
-                self.discard_idle(address)
             return Error(exchange.fault)
         return Ok(Response(exchange))
 
@@ -348,7 +177,7 @@
         address: str,
         request: Request,
         stream: iostream.IOStream,
-        exchange: _Exchange,
+        exchange: http_exchange.Exchange,
     ) -> None:
         task = asyncio.get_running_loop().create_task(
             self._run(address, request, stream, exchange)
@@ -361,7 +190,7 @@
         address: str,
         request: Request,
         stream: iostream.IOStream,
-        exchange: _Exchange,
+        exchange: http_exchange.Exchange,
     ) -> None:
         connection = http1connection.HTTP1Connection(
             stream,
@@ -371,6 +200,13 @@
                 max_body_size=self._settings.max_body_size,
             ),
         )
+        if stream.closed():
+            exchange.fail(
+                TransportFaultKind.CONNECT,
+                f'{address}: closed before the request',
+                sent=False,
+            )
+            return
         try:
             self._write(connection, address, request)
             reusable = await connection.read_response(exchange)
@@ -397,7 +233,7 @@
         for name, value in request.headers:
             headers.add(name, value)
         headers['Host'] = address
-        if request.body or request.method not in ('GET', 'HEAD', 'DELETE'):
+        if request.body or request.method not in _BODILESS:
             headers['Content-Length'] = str(len(request.body))
         start = httputil.RequestStartLine(request.method, request.path, '')
         connection.write_headers(start, headers, request.body or None)
@@ -411,6 +247,7 @@
         while idle:
             since, stream = idle.pop()
             if since >= oldest and not stream.closed():
+                stream.set_close_callback(None)
                 return stream
             stream.close()
         return None
@@ -418,12 +255,18 @@
     def _keep_idle(self, address: str, stream: iostream.IOStream) -> None:
         if stream.closed():
             return
+        # A callback makes tornado watch for the other side's close.
+        stream.set_close_callback(_ignore_close)
         idle = self._idle.setdefault(address, collections.deque())
         idle.append((asyncio.get_running_loop().time(), stream))
         if len(idle) > self._settings.idle_connections:
             idle.popleft()[1].close()
 
 
+def _ignore_close() -> None:
+    """Does nothing; ``_take_idle`` drops a closed connection."""
+
+
 async def _read_whole(
     response: Response,
 ) -> Result[WholeResponse, TransportFault]:
--- /dev/null
+++ b/waxwingport/requests/refusals.py
@@ -0,0 +1,49 @@
+"""Turns the faults of targets into what a caller is told."""
+
+from waxwingport import outcomes
+from waxwingport.targets import base
+
+__all__ = ['refuse_interrupted', 'refuse_unknown', 'refuse_with']
+
+_RETRY_AFTER = 1.0
+_TIMED_OUT = (base.TargetFaultKind.SILENT, base.TargetFaultKind.TIMEOUT)
+
+
+def refuse_with(fault: base.TargetFault) -> outcomes.Refusal:
+    """Returns the refusal of a request whose last attempt failed so."""
+    if fault.kind is base.TargetFaultKind.REJECTED:
+        return outcomes.Refusal(
+            outcomes.Reason.BAD_REQUEST, fault.detail, _find_ran(fault)
+        )
+    if not fault.sent:
+        return outcomes.Refusal(
+            outcomes.Reason.NO_TARGET,
+            fault.detail,
+            retry_after=fault.retry_after or _RETRY_AFTER,
+        )
+    reason = (
+        outcomes.Reason.TIMEOUT
+        if fault.kind in _TIMED_OUT
+        else outcomes.Reason.TARGET_FAILED
+    )
+    return outcomes.Refusal(reason, fault.detail, outcomes.Ran.UNKNOWN)
+
+
+def refuse_unknown(detail: str) -> outcomes.Refusal:
+    """Returns the refusal of a request whose outcome nobody can tell."""
+    return outcomes.Refusal(
+        outcomes.Reason.UNKNOWN_OUTCOME, detail, outcomes.Ran.UNKNOWN
+    )
+
+
+def refuse_interrupted() -> outcomes.Refusal:
+    """Returns the refusal of a request that the node's stop cut off."""
+    return outcomes.Refusal(
+        outcomes.Reason.INTERRUPTED,
+        'the node stopped before the answer was whole',
+        outcomes.Ran.UNKNOWN,
+    )
+
+
+def _find_ran(fault: base.TargetFault) -> outcomes.Ran:
+    return outcomes.Ran.UNKNOWN if fault.sent else outcomes.Ran.NO
