Run each request at most once and say what is known of it

Cause: non-idempotent calls had one way only, a stream ended with its engine, and nothing told a caller's departure or a node's stop.

Change: minted ids and idempotency keys meet in one ledger per process, completions resume by position, handlers end with their callers, a stop drains. A table of faults with a counting target holds what is said.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,8 @@
 import hypothesis
 import pytest
 
+from tests import lone_node
+from tests import raw_target
 from waxwingport.trial import deployments
 from waxwingport.trial import stage
 
@@ -20,3 +22,31 @@
     await found.start()
     yield found
     await found.stop()
+
+
+@pytest.fixture
+async def make_node():
+    """Returns a function that starts a node without targets."""
+    made = []
+
+    def make(**settings):
+        made.append(lone_node.LoneNode(**settings))
+        return made[-1]
+
+    yield make
+    for found in made:
+        await found.stop()
+
+
+@pytest.fixture
+async def make_raw_target():
+    """Returns a function that starts a raw target with a fault."""
+    made = []
+
+    async def make(fault=raw_target.Fault.NONE, **options):
+        made.append(raw_target.RawTarget(fault, **options))
+        return await made[-1].start()
+
+    yield make
+    for found in made:
+        await found.stop()
--- a/waxwingport/api/application.py
+++ b/waxwingport/api/application.py
@@ -6,6 +6,7 @@
 
 from waxwingport.api import completions
 from waxwingport.api import handler
+from waxwingport.api import request_ids
 from waxwingport.api import services
 from waxwingport.api import status
 from waxwingport.api import trainers
@@ -19,6 +20,10 @@
 
 class _Unknown(handler.Handler):
     def prepare(self) -> None:
+        """Refuses every method."""
+        super().prepare()
+        if self._finished:
+            return
         self.send_refusal(
             outcomes.Refusal(
                 outcomes.Reason.NOT_FOUND, f'no resource {self.request.path}'
@@ -32,7 +37,8 @@
     routes = [
         ('/v1/completions', completions.TextCompletions),
         ('/v1/chat/completions', completions.ChatCompletions),
-        ('/v1/services/([^/]+)/?(.*)', services.Services),
+        ('/v1/request-ids', request_ids.RequestIds),
+        ('/v1/services/.+', services.Services),
         ('/v1/trainers/([^/]+)/steps/([0-9]+)', trainers.StepResource),
         ('/v1/trainers/([^/]+)/pull', trainers.Pull),
         (
--- a/waxwingport/api/completions.py
+++ b/waxwingport/api/completions.py
@@ -7,11 +7,15 @@
 from expression import Result
 import msgspec
 
+from waxwingport.api import bodies
+from waxwingport.api import events
 from waxwingport.api import handler
 from waxwingport.api import problems
 from waxwingport.api import protocol
 from waxwingport.http import sse
+from waxwingport import ids
 from waxwingport import outcomes
+from waxwingport.requests import assembly
 from waxwingport.requests import completions
 from waxwingport.routing import candidates
 from waxwingport.routing import prefixes
@@ -19,49 +23,67 @@
 
 __all__ = ['ChatCompletions', 'TextCompletions']
 
-_DEFAULT_MAX_TOKENS = 256
-
 
 class _Completions(handler.Handler):
     """What the two completion resources share."""
 
     object_name = ''
+    event_name = ''
+
+    def initialize(self, node) -> None:
+        """Takes the node that this handler serves."""
+        super().initialize(node)
+        self._events: events.EventStream | None = None
+
+    @abc.abstractmethod
+    def read_plan(self) -> Result[bodies.Plan, outcomes.Refusal]:
+        """Returns what the request's body asks for."""
 
     @abc.abstractmethod
     def make_choice(self, text: str, finish: str | None, delta: bool):
         """Returns the choice for a whole text or for one piece of it."""
 
-    @abc.abstractmethod
-    def read_prompt(self, body) -> str:
-        """Returns the prompt of a request body."""
+    async def post(self) -> None:
+        """Answers a completion, streamed or whole."""
+        match self.read_plan():
+            case Result(tag='ok', ok=plan):
+                if self.check_allowed(plan.model):
+                    await self.guard(self._run(plan))
+            case Result(error=refusal):
+                self.send_refusal(refusal)
+
+    def send_cut(self, refusal: outcomes.Refusal) -> None:
+        """Ends a started stream with an error event."""
+        if self._events is not None and self._headers_written:
+            self._events.finish(_write_error(refusal))
+        else:
+            self._events = None
+            super().send_cut(refusal)
 
-    async def run(self, body, max_tokens: int) -> None:
-        """Runs the completion and answers."""
-        self._model = body.model
-        self._id = self.read_request_id()
+    async def _run(self, plan: bodies.Plan) -> None:
         self._created = int(time.time())
-        request = self._plan(self.read_prompt(body), max_tokens)
-        stream = self.node.completions.stream(request)
+        self._plan = plan
+        stream = self.node.completions.stream(self._make_work(plan))
         async with contextlib.aclosing(stream):
-            if body.stream:
+            if plan.stream:
                 await self._send_stream(stream)
             else:
                 await self._send_whole(stream)
 
-    def _plan(
-        self, prompt: str, max_tokens: int
-    ) -> completions.CompletionWork:
+    def _make_work(self, plan: bodies.Plan) -> completions.CompletionWork:
         limits = self.node.configuration.declarations.limit
         work = candidates.Work(
-            request_id=self._id,
-            group=self._model,
+            request_id=self.terms.request_id,
+            group=plan.model,
             owner=self.caller,
             work_class=candidates.WorkClass.LIVE,
-            deadline=self.read_deadline(limits.default_timeout),
-            priority=self.read_priority(),
-            blocks=prefixes.hash_blocks(prompt),
+            deadline=self.find_deadline(limits.default_timeout),
+            priority=self.terms.priority,
+            blocks=prefixes.hash_blocks(plan.prompt),
+        )
+        return completions.CompletionWork(
+            work, plan.prompt, plan.max_tokens, plan.parameters
         )
-        return completions.CompletionWork(work, prompt, max_tokens)
 
     async def _send_whole(self, stream) -> None:
         chunks: list[base.Chunk] = []
@@ -74,74 +96,94 @@
                     return
         text = ''.join(chunk.text for chunk in chunks)
         finish = chunks[-1].finish_reason.value
-        answer = self._make_answer((self.make_choice(text, finish, False),))
-        answer.weight_versions = completions.list_versions(chunks) or ()
-        tokens = sum(chunk.tokens for chunk in chunks)
-        answer.usage = protocol.Usage(0, tokens, tokens)
-        self.send_json(answer)
+        answer = self._make_answer(
+            (self.make_choice(text, finish, False),),
+            completions.list_versions(chunks),
+        )
+        answer.usage = _count_tokens(sum(chunk.tokens for chunk in chunks))
+        self.set_header('Content-Type', 'application/json')
+        await self.send_body(msgspec.json.encode(answer))
 
     async def _send_stream(self, stream) -> None:
-        chunks: list[base.Chunk] = []
+        versions = assembly.Versions()
+        tokens = 0
         async for outcome in stream:
             match outcome:
                 case Result(tag='ok', ok=chunk):
-                    chunks.append(chunk)
-                    await self._send_chunk(chunk, chunks)
+                    tokens += chunk.tokens
+                    versions.add(chunk.weight_version)
+                    await self._send_chunk(chunk, versions.list())
                 case Result(error=refusal):
-                    self._fail_stream(refusal, bool(chunks))
+                    self._fail_stream(refusal)
                     return
-        self.finish(sse.DONE)
+        if self._plan.include_usage:
+            event = self._make_answer((), versions.list())
+            event.usage = _count_tokens(tokens)
+            await self._events.send(msgspec.json.encode(event))
+        self._events.finish(sse.DONE)
 
     async def _send_chunk(
-        self, chunk: base.Chunk, chunks: list[base.Chunk]
+        self,
+        chunk: base.Chunk,
+        versions: tuple[ids.WeightVersion, ...] | None,
     ) -> None:
+        if self._events is None:
+            self.set_header('Content-Type', 'text/event-stream')
+            self.set_header('Cache-Control', 'no-cache')
+            self._events = events.EventStream(
+                self, self.node.settings.requests
+            )
         finish = chunk.finish_reason.value if chunk.finish_reason else None
         event = self._make_answer(
-            (self.make_choice(chunk.text, finish, True),)
+            (self.make_choice(chunk.text, finish, True),), versions
         )
-        event.weight_versions = completions.list_versions(chunks) or ()
-        self.set_header('Content-Type', 'text/event-stream')
-        self.write(sse.format_event(msgspec.json.encode(event)))
-        await self.flush()
+        await self._events.send(msgspec.json.encode(event))
 
-    def _fail_stream(self, refusal: outcomes.Refusal, started: bool) -> None:
-        if not started:
+    def _fail_stream(self, refusal: outcomes.Refusal) -> None:
+        if self._events is None:
             self.send_refusal(refusal)
-            return
-        problem = problems.describe(refusal)
-        error = {'error': {'message': problem.detail, **_as_dict(problem)}}
-        self.finish(sse.format_event(msgspec.json.encode(error)))
+        else:
+            self._events.finish(_write_error(refusal))
 
-    def _make_answer(self, choices) -> protocol.Completion:
+    def _make_answer(
+        self, choices, versions: tuple[ids.WeightVersion, ...] | None
+    ) -> protocol.Completion:
         return protocol.Completion(
-            id=self._id,
-            object=self.object_name,
+            id=self.terms.given_id or self.terms.request_id,
+            object=(
+                self.event_name if self._plan.stream else self.object_name
+            ),
             created=self._created,
-            model=self._model,
+            model=self._plan.model,
             choices=choices,
+            weight_versions=versions or (),
         )
 
 
-def _as_dict(problem: problems.Problem) -> dict[str, object]:
-    return msgspec.structs.asdict(problem)
+def _write_error(refusal: outcomes.Refusal) -> bytes:
+    problem = problems.describe(refusal)
+    error = protocol.StreamError(
+        message=problem.detail,
+        type=problem.type,
+        code=problem.status,
+        ran=problem.ran,
+    )
+    return sse.format_event(msgspec.json.encode(protocol.ErrorEvent(error)))
+
+
+def _count_tokens(tokens: int) -> protocol.Usage:
+    return protocol.Usage(0, tokens, tokens)
 
 
 class TextCompletions(_Completions):
     """``POST /v1/completions``."""
 
-    object_name = 'text_completion'
+    object_name = event_name = 'text_completion'
 
-    async def post(self) -> None:
-        """Answers a completion, streamed or whole."""
-        match handler.read_json(self.request.body, protocol.CompletionBody):
-            case Result(tag='ok', ok=body):
-                await self.run(body, body.max_tokens)
-            case Result(error=refusal):
-                self.send_refusal(refusal)
-
-    def read_prompt(self, body: protocol.CompletionBody) -> str:
-        """Returns the prompt."""
-        return body.prompt
+    def read_plan(self) -> Result[bodies.Plan, outcomes.Refusal]:
+        """Returns what the request's body asks for."""
+        limit = self.node.settings.requests.max_tokens
+        return bodies.read_completion(self.request.body, limit)
 
     def make_choice(self, text: str, finish: str | None, delta: bool):
         """Returns a text choice."""
@@ -152,23 +194,12 @@
     """``POST /v1/chat/completions``."""
 
     object_name = 'chat.completion'
+    event_name = 'chat.completion.chunk'
 
-    async def post(self) -> None:
-        """Answers a chat completion, streamed or whole."""
-        match handler.read_json(self.request.body, protocol.ChatBody):
-            case Result(tag='ok', ok=body):
-                if body.stream:
-                    self.object_name = 'chat.completion.chunk'
-                wanted = body.max_completion_tokens or body.max_tokens
-                await self.run(body, wanted or _DEFAULT_MAX_TOKENS)
-            case Result(error=refusal):
-                self.send_refusal(refusal)
-
-    def read_prompt(self, body: protocol.ChatBody) -> str:
-        """Returns the messages as one prompt, the last one at its end."""
-        return '\n'.join(
-            f'{row.role}: {row.content or ""}' for row in body.messages
-        )
+    def read_plan(self) -> Result[bodies.Plan, outcomes.Refusal]:
+        """Returns what the request's body asks for."""
+        limit = self.node.settings.requests.max_tokens
+        return bodies.read_chat(self.request.body, limit)
 
     def make_choice(self, text: str, finish: str | None, delta: bool):
         """Returns a chat choice."""
--- /dev/null
+++ b/waxwingport/api/events.py
@@ -0,0 +1,91 @@
+"""Server-sent events of one answer, merged into as few writes as possible."""
+
+import asyncio
+
+from waxwingport.api import handler
+from waxwingport.http import sse
+from waxwingport.requests import settings
+
+__all__ = ['EventStream']
+
+
+class EventStream:
+    """Writes events to a caller at the caller's own pace.
+
+    Events that come in one turn of the loop, or while an earlier write still
+    waits for the caller, leave together.  Only ``write_buffer`` bytes wait:
+    ``send`` then holds its sender up, and with it the engine.
+    """
+
+    def __init__(
+        self, target: handler.Handler, configured: settings.RequestSettings
+    ) -> None:
+        self._handler = target
+        self._settings = configured
+        self._loop = asyncio.get_running_loop()
+        self._waiting: list[bytes] = []
+        self._size = 0
+        self._scheduled = False
+        self._written: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def send(self, data: bytes) -> None:
+        """Queues one event with ``data``.
+
+        Raises ``StreamClosedError`` when the caller takes nothing in time.
+        """
+        self._queue(sse.format_event(data))
+        while self._size > self._settings.write_buffer:
+            if self._written is None:
+                self._flush()
+                continue
+            await self._handler.wait_written(self._written)
+            self._flush()
+
+    def finish(self, last: bytes) -> None:
+        """Ends the answer with ``last``, after everything that waits."""
+        self._waiting.append(last)
+        self._stop_timer()
+        self._scheduled = True
+        self._handler.finish(self._take())
+
+    def _queue(self, event: bytes) -> None:
+        self._waiting.append(event)
+        self._size += len(event)
+        if not self._scheduled:
+            self._scheduled = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._scheduled = False
+        if not self._waiting or self._handler.ended:
+            return
+        if self._written is not None and not self._written.done():
+            return
+        self._stop_timer()
+        self._handler.write(self._take())
+        self._written = self._handler.flush()
+        if self._written.done():
+            self._written = None
+            return
+        self._written.add_done_callback(self._note_written)
+        self._timer = self._loop.call_later(
+            self._settings.write_timeout, self._handler.close_connection
+        )
+
+    def _note_written(self, written: 'asyncio.Future[None]') -> None:
+        if self._written is written:
+            self._written = None
+            self._stop_timer()
+            self._flush()
+
+    def _take(self) -> bytes:
+        data = b''.join(self._waiting)
+        self._waiting.clear()
+        self._size = 0
+        return data
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/waxwingport/api/problems.py
+++ b/waxwingport/api/problems.py
@@ -7,7 +7,14 @@
 
 from waxwingport import outcomes
 
-__all__ = ['CONTENT_TYPE', 'Problem', 'describe', 'find_status', 'send']
+__all__ = [
+    'CONTENT_TYPE',
+    'Problem',
+    'describe',
+    'find_status',
+    'render',
+    'send',
+]
 
 CONTENT_TYPE = 'application/problem+json'
 
@@ -68,12 +75,27 @@
     )
 
 
-def send(handler: web.RequestHandler, refusal: outcomes.Refusal) -> None:
-    """Answers a request with a refusal."""
+def render(
+    refusal: outcomes.Refusal, status: int | None = None
+) -> tuple[int, dict[str, str], bytes]:
+    """Returns status, headers and body of a refusal.
+
+    ``status`` replaces the usual one of the refusal's reason.
+    """
     problem = describe(refusal)
-    handler.set_status(problem.status)
-    handler.set_header('Content-Type', CONTENT_TYPE)
+    if status is not None:
+        problem.status = status
+    headers = {'Content-Type': CONTENT_TYPE}
     if refusal.ran is outcomes.Ran.NO and problem.status in (429, 503):
         seconds = max(1, math.ceil(refusal.retry_after or 1.0))
-        handler.set_header('Retry-After', str(seconds))
-    handler.finish(msgspec.json.encode(problem))
+        headers['Retry-After'] = str(seconds)
+    return problem.status, headers, msgspec.json.encode(problem)
+
+
+def send(handler: web.RequestHandler, refusal: outcomes.Refusal) -> None:
+    """Answers a request with a refusal."""
+    status, headers, body = render(refusal)
+    handler.set_status(status)
+    for name, value in headers.items():
+        handler.set_header(name, value)
+    handler.finish(body)
--- a/waxwingport/api/protocol.py
+++ b/waxwingport/api/protocol.py
@@ -1,5 +1,7 @@
 """Bodies of the completion protocol towards callers."""
 
+from typing import Annotated
+
 import msgspec
 
 from waxwingport import ids
@@ -8,37 +10,73 @@
     'ChatBody',
     'ChatChoice',
     'ChatMessage',
+    'ChatPart',
     'Choice',
     'Completion',
     'CompletionBody',
+    'ErrorEvent',
+    'StreamError',
+    'StreamOptions',
     'Usage',
 ]
 
+_Count = Annotated[int, msgspec.Meta(ge=1)]
 
-class CompletionBody(msgspec.Struct):
-    """Request of ``POST /v1/completions``."""
+
+class StreamOptions(msgspec.Struct, frozen=True):
+    """Options of a streamed answer."""
+
+    include_usage: bool | None = None
+
+
+class _Body(msgspec.Struct, kw_only=True):
+    """Fields that both kinds of completions share.
+
+    What is not named here goes to the engine as a parameter.  ``Raw`` fields
+    are features that no engine is asked for; only their neutral value passes.
+    """
 
     model: str
-    prompt: str
-    max_tokens: int = 256
-    stream: bool = False
+    max_tokens: _Count | None = None
+    stream: bool | None = None
+    stream_options: StreamOptions | None = None
+    n: msgspec.Raw = msgspec.Raw(b'1')
+    logprobs: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class CompletionBody(_Body, kw_only=True):
+    """Request of ``POST /v1/completions``."""
+
+    prompt: str | tuple[str]
+    best_of: msgspec.Raw = msgspec.Raw(b'1')
+    echo: msgspec.Raw = msgspec.Raw(b'false')
+    suffix: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class ChatPart(msgspec.Struct, frozen=True):
+    """A part of a message's content; only text is supported."""
+
+    type: str
+    text: str | None = None
 
 
 class ChatMessage(msgspec.Struct, omit_defaults=True):
     """One message of a chat."""
 
     role: str | None = None
-    content: str | None = None
+    content: str | tuple[ChatPart, ...] | None = None
 
 
-class ChatBody(msgspec.Struct):
+class ChatBody(_Body, kw_only=True):
     """Request of ``POST /v1/chat/completions``."""
 
-    model: str
-    messages: tuple[ChatMessage, ...]
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
-    stream: bool = False
+    messages: Annotated[tuple[ChatMessage, ...], msgspec.Meta(min_length=1)]
+    max_completion_tokens: _Count | None = None
+    top_logprobs: msgspec.Raw = msgspec.Raw(b'null')
+    tools: msgspec.Raw = msgspec.Raw(b'[]')
+    functions: msgspec.Raw = msgspec.Raw(b'[]')
+    audio: msgspec.Raw = msgspec.Raw(b'null')
+    modalities: msgspec.Raw = msgspec.Raw(b'["text"]')
 
 
 class Choice(msgspec.Struct):
@@ -74,6 +112,21 @@
     object: str
     created: int
     model: str
-    choices: tuple[Choice | ChatChoice, ...] | tuple
+    choices: tuple[Choice, ...] | tuple[ChatChoice, ...]
     weight_versions: tuple[ids.WeightVersion, ...] = ()
     usage: Usage | None = None
+
+
+class StreamError(msgspec.Struct):
+    """Why a stream ended before its answer was whole."""
+
+    message: str
+    type: str
+    code: int
+    ran: str
+
+
+class ErrorEvent(msgspec.Struct):
+    """Last event of a stream that broke."""
+
+    error: StreamError
--- a/waxwingport/http/exchange.py
+++ b/waxwingport/http/exchange.py
@@ -47,6 +47,7 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
+        """Takes the head of the response."""
         self._note_progress()
         if isinstance(start_line, httputil.ResponseStartLine):
             if start_line.code < 200:
@@ -56,6 +57,7 @@
         self._wake_reader()
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
+        """Takes a piece of the body; the future is done when there is room."""
         self._note_progress()
         self._chunks.append(chunk)
         self._buffered += len(chunk)
@@ -66,10 +68,14 @@
         return self._room
 
     def finish(self) -> None:
+        """Takes the end of the response."""
         self._end()
 
     def on_connection_close(self) -> None:
-        self.fail(messages.TransportFaultKind.BROKEN, 'connection closed early')
+        """Takes the loss of the connection."""
+        self.fail(
+            messages.TransportFaultKind.BROKEN, 'connection closed early'
+        )
 
     def fail(
         self,
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -8,12 +8,15 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import declarations
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.limits import admission
+from waxwingport.limits import retries
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
+from waxwingport.requests import progress
 from waxwingport.requests import services
 from waxwingport.samples import collector
 from waxwingport import settings
@@ -59,8 +62,22 @@
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
-        self.completions = completions.CompletionRunner(self.admission)
-        self.services = services.ServiceRunner(self.admission)
+        self.progress = progress.Progress(configured.requests.body_memory)
+        self.retry_budget = retries.RetryBudget(
+            self.configuration.declarations.limit.retry_share
+        )
+        self.configuration.listen(self._set_limits)
+        self.completions = completions.CompletionRunner(
+            self.admission, self.retry_budget, self.rng, configured.requests
+        )
+        self.services = services.ServiceRunner(
+            self.admission,
+            configured.node.name,
+            self.incarnation,
+            self.retry_budget,
+            self.rng,
+            configured.requests,
+        )
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -83,7 +100,11 @@
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
-        return self.configuration.revision >= 0 and len(self.targets) > 0
+        return (
+            self.progress.ready
+            and self.configuration.revision >= 0
+            and len(self.targets) > 0
+        )
 
     def find_collector(
         self, name: ids.TrainerName
@@ -120,6 +141,9 @@
             'nodes': [{'name': self.settings.node.name, 'state': 'live'}],
         }
 
+    def _set_limits(self, declared: declarations.Declarations) -> None:
+        self.retry_budget.retry_share = declared.limit.retry_share
+
     def _describe_trainer(self, declared) -> dict[str, object]:
         found = self._collectors.get(declared.name)
         return {
--- a/waxwingport/requests/assembly.py
+++ b/waxwingport/requests/assembly.py
@@ -55,9 +55,7 @@
             f'chunk of {chunk.tokens} tokens at {chunk.position} does not '
             f'continue position {self.position}'
         )
-        return base.TargetFault(
-            base.TargetFaultKind.BROKEN, detail, sent=True
-        )
+        return base.TargetFault(base.TargetFaultKind.BROKEN, detail, sent=True)
 
 
 class Versions:
--- /dev/null
+++ b/waxwingport/requests/attempts.py
@@ -0,0 +1,63 @@
+"""Decides whether and how a request may be tried once more."""
+
+import enum
+
+import msgspec
+
+from waxwingport import ids
+from waxwingport.targets import base
+
+__all__ = ['Attempts', 'Next']
+
+_MAX_IDLE_ATTEMPTS = 4
+"""Attempts in a row that brought nothing."""
+_MAX_ATTEMPTS = 16
+
+
+class Next(enum.Enum):
+    """What to do after a failed attempt."""
+
+    GIVE_UP = 'give-up'
+    MOVE = 'move'
+    """Try another target."""
+    RETRY = 'retry'
+    """Try another target, if the retry budget allows."""
+
+
+class Attempts(msgspec.Struct):
+    """Counts the attempts of one request.
+
+    An attempt that brought a part of the answer repeats no work when the next
+    one resumes from there, and one that reached no target costs none; neither
+    is charged to the retry budget.
+    """
+
+    total: int = 0
+    idle: int = 0
+    sent: bool = False
+    """Whether one of them may have run."""
+    failed: frozenset[ids.TargetName] = frozenset()
+
+    def note(
+        self, target: ids.TargetName, progressed: bool, sent: bool
+    ) -> None:
+        """Takes a failed attempt at ``target``."""
+        self.total += 1
+        self.sent = self.sent or sent
+        self.idle = 0 if progressed else self.idle + 1
+        self.failed |= {target}
+
+    def decide(self, fault: base.TargetFault, idempotent: bool) -> Next:
+        """Returns what to do after ``fault``, the last attempt's."""
+        if fault.sent and not idempotent:
+            return Next.GIVE_UP
+        if fault.kind in (
+            base.TargetFaultKind.REJECTED,
+            base.TargetFaultKind.TIMEOUT,
+        ):
+            return Next.GIVE_UP
+        if self.total >= _MAX_ATTEMPTS or self.idle >= _MAX_IDLE_ATTEMPTS:
+            return Next.GIVE_UP
+        if self.idle == 0 or fault.kind is base.TargetFaultKind.UNREACHABLE:
+            return Next.MOVE
+        return Next.RETRY
--- a/waxwingport/requests/completions.py
+++ b/waxwingport/requests/completions.py
@@ -1,9 +1,11 @@
 """Completions: a stream of chunks that survives the loss of an engine."""
 
-import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Sequence
 import contextlib
+import functools
 import logging
+import random
 
 from expression import Error
 from expression import Ok
@@ -12,13 +14,20 @@
 
 from waxwingport import ids
 from waxwingport.limits import admission
+from waxwingport.limits import retries
 from waxwingport import outcomes
+from waxwingport.requests import assembly
+from waxwingport.requests import attempts
+from waxwingport.requests import refusals
+from waxwingport.requests import retrying
+from waxwingport.requests import running
+from waxwingport.requests import settings
 from waxwingport.routing import candidates
 from waxwingport.targets import base
 
 __all__ = ['CompletionRunner', 'CompletionWork', 'list_versions']
 
-_MAX_ATTEMPTS = 4
+_RETRY_SHARE = 0.1
 _LOG = logging.getLogger(__name__)
 
 
@@ -32,23 +41,31 @@
 
 
 def list_versions(
-    chunks: list[base.Chunk],
+    chunks: Sequence[base.Chunk],
 ) -> tuple[ids.WeightVersion, ...] | None:
     """Returns the distinct versions in order, ``None`` if one is missing."""
-    versions: list[ids.WeightVersion] = []
+    versions = assembly.Versions()
     for chunk in chunks:
-        if chunk.weight_version is None:
-            return None
-        if not versions or versions[-1] != chunk.weight_version:
-            versions.append(chunk.weight_version)
-    return tuple(dict.fromkeys(versions))
+        versions.add(chunk.weight_version)
+    return versions.list()
 
 
 class CompletionRunner:
     """Runs completions on engines."""
 
-    def __init__(self, gate: admission.Admission) -> None:
+    def __init__(
+        self,
+        gate: admission.Admission,
+        budget: retries.RetryBudget | None = None,
+        rng: random.Random | None = None,
+        configured: settings.RequestSettings | None = None,
+    ) -> None:
         self._admission = gate
+        self._retrying = retrying.Retrying(
+            budget or retries.RetryBudget(_RETRY_SHARE),
+            rng or random.Random(),
+        )
+        self._settings = configured or settings.RequestSettings()
 
     async def stream(
         self, request: CompletionWork
@@ -57,73 +74,87 @@
 
         Ends after the chunk with a finish reason, or after one ``Error``.
         """
+        answer = assembly.Assembly()
+        made = attempts.Attempts()
         work = request.work
-        text = ''
-        position = 0
-        for attempt in range(_MAX_ATTEMPTS):
+        self._retrying.note_request(work.group)
+        while True:
             match await self._admission.acquire(work):
                 case Result(tag='ok', ok=grant):
                     pass
                 case Result(error=refusal):
-                    yield Error(refusal)
+                    yield Error(_note_progress(refusal, made))
                     return
-            fault: base.TargetFault | None = None
-            chunks = self._run(grant, request, text, position)
-            async with contextlib.aclosing(chunks):
-                async for outcome in chunks:
-                    match outcome:
-                        case Result(tag='ok', ok=chunk):
-                            text += chunk.text
-                            position += chunk.tokens
-                            yield Ok(chunk)
-                            if chunk.finish_reason is not None:
-                                return
-                        case Result(error=fault):
-                            pass
-            _LOG.warning(
-                'attempt %d of %s at %s: %s',
-                attempt,
-                work.request_id,
-                grant.target.name,
-                fault.detail,
+            attempt = running.Attempt(
+                grant,
+                self._settings.probe_timeout,
+                functools.partial(self._retrying.take, work.group),
             )
-            if fault.kind is base.TargetFaultKind.REJECTED:
-                yield Error(
-                    outcomes.Refusal(outcomes.Reason.BAD_REQUEST, fault.detail)
+            generation = _plan(request, answer)
+            chunks = attempt.run(generation, work.deadline, answer)
+            async with contextlib.aclosing(chunks):
+                async for chunk in chunks:
+                    yield Ok(chunk)
+            if answer.finished:
+                return
+            if attempt.preempted:
+                made.sent = made.sent or attempt.sent
+                _LOG.info(
+                    'preempt request=%s target=%s position=%d',
+                    work.request_id,
+                    grant.target.name,
+                    answer.position,
                 )
+                continue
+            refusal = await self._judge(work, attempt, made)
+            if refusal is not None:
+                yield Error(refusal)
                 return
             work = msgspec.structs.replace(
-                work, excluded=work.excluded | {grant.target.name}
-            )
-        yield Error(
-            outcomes.Refusal(
-                outcomes.Reason.TARGET_FAILED,
-                fault.detail,
-                outcomes.Ran.UNKNOWN,
+                work, excluded=request.work.excluded | made.failed
             )
-        )
 
-    async def _run(
+    async def _judge(
         self,
-        grant: admission.Grant,
-        request: CompletionWork,
-        text: str,
-        position: int,
-    ) -> AsyncIterator[Result[base.Chunk, base.TargetFault]]:
-        generation = base.Generation(
-            request_id=request.work.request_id,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            priority=request.work.priority,
-            parameters=request.parameters,
-            text=text,
-            position=position,
+        work: candidates.Work,
+        attempt: running.Attempt,
+        made: attempts.Attempts,
+    ) -> outcomes.Refusal | None:
+        """Returns why to give up, or ``None`` when another try may start."""
+        fault = attempt.fault
+        made.note(attempt.target.name, attempt.progressed, attempt.sent)
+        again = await self._retrying.wait(work, made, fault, idempotent=True)
+        _LOG.warning(
+            'attempt request=%s target=%s number=%d fault=%s again=%s '
+            'detail=%r',
+            work.request_id,
+            attempt.target.name,
+            made.total,
+            fault.kind.value,
+            again,
+            fault.detail,
         )
-        timeout = request.work.deadline - asyncio.get_running_loop().time()
-        stream = grant.target.engine.stream(generation, timeout)
-        try:
-            async with contextlib.aclosing(stream):
-                async for outcome in stream:
-                    yield outcome
-        finally:
-            grant.release()
+        if again:
+            return None
+        return _note_progress(refusals.refuse_with(fault), made)
+
+
+def _note_progress(
+    refusal: outcomes.Refusal, made: attempts.Attempts
+) -> outcomes.Refusal:
+    """Withdraws ``ran: no`` when an earlier attempt may have run."""
+    return refusals.withdraw_promise(refusal) if made.sent else refusal
+
+
+def _plan(
+    request: CompletionWork, answer: assembly.Assembly
+) -> base.Generation:
+    return base.Generation(
+        request_id=request.work.request_id,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        priority=running.rank(request.work),
+        parameters=request.parameters,
+        text=answer.text,
+        position=answer.position,
+    )
--- /dev/null
+++ b/waxwingport/requests/execution.py
@@ -0,0 +1,104 @@
+"""Sends one service call to a target, again only where that is safe."""
+
+import asyncio
+import logging
+import random
+
+from expression import Error
+from expression import Result
+import msgspec
+
+from waxwingport.limits import admission
+from waxwingport.limits import retries
+from waxwingport import outcomes
+from waxwingport.requests import attempts
+from waxwingport.requests import refusals
+from waxwingport.requests import retrying
+from waxwingport.routing import candidates
+from waxwingport.targets import base
+
+__all__ = ['Execution']
+
+_LOG = logging.getLogger(__name__)
+
+
+class Execution:
+    """Runs service calls at targets."""
+
+    def __init__(
+        self,
+        gate: admission.Admission,
+        budget: retries.RetryBudget,
+        rng: random.Random,
+    ) -> None:
+        self._admission = gate
+        self._retrying = retrying.Retrying(budget, rng)
+
+    async def run(
+        self, work: candidates.Work, call: base.ServiceCall
+    ) -> Result[base.ServiceAnswer, outcomes.Refusal]:
+        """Returns the service's answer, or what is known of the call.
+
+        A call that is not idempotent moves to another target only while no
+        byte of it can have reached one.
+        """
+        made = attempts.Attempts()
+        excluded = work.excluded
+        self._retrying.note_request(work.group)
+        while True:
+            match await self._admission.acquire(work):
+                case Result(tag='ok', ok=grant):
+                    pass
+                case Result(error=refusal):
+                    return Error(_note_attempts(refusal, made))
+            match await _send(grant, call, work.deadline):
+                case Result(tag='ok') as answer:
+                    return answer
+                case Result(error=fault):
+                    pass
+            made.note(grant.target.name, False, fault.sent)
+            again = await self._retrying.wait(
+                work, made, fault, call.idempotent
+            )
+            _log_attempt(work, grant, made, fault, again)
+            if not again:
+                return Error(_note_attempts(refusals.refuse_with(fault), made))
+            work = msgspec.structs.replace(
+                work, excluded=excluded | made.failed
+            )
+
+
+async def _send(
+    grant: admission.Grant, call: base.ServiceCall, deadline: float
+) -> Result[base.ServiceAnswer, base.TargetFault]:
+    timeout = deadline - asyncio.get_running_loop().time()
+    try:
+        return await grant.target.service.call(call, timeout)
+    finally:
+        grant.release()
+
+
+def _note_attempts(
+    refusal: outcomes.Refusal, made: attempts.Attempts
+) -> outcomes.Refusal:
+    return refusals.withdraw_promise(refusal) if made.sent else refusal
+
+
+def _log_attempt(
+    work: candidates.Work,
+    grant: admission.Grant,
+    made: attempts.Attempts,
+    fault: base.TargetFault,
+    again: bool,
+) -> None:
+    _LOG.warning(
+        'attempt request=%s target=%s number=%d fault=%s sent=%s again=%s '
+        'detail=%r',
+        work.request_id,
+        grant.target.name,
+        made.total,
+        fault.kind.value,
+        fault.sent,
+        again,
+        fault.detail,
+    )
--- a/waxwingport/requests/refusals.py
+++ b/waxwingport/requests/refusals.py
@@ -1,9 +1,17 @@
 """Turns the faults of targets into what a caller is told."""
 
+import msgspec
+
 from waxwingport import outcomes
 from waxwingport.targets import base
 
-__all__ = ['refuse_interrupted', 'refuse_unknown', 'refuse_with']
+__all__ = [
+    'refuse_interrupted',
+    'refuse_shutting_down',
+    'refuse_unknown',
+    'refuse_with',
+    'withdraw_promise',
+]
 
 _RETRY_AFTER = 1.0
 _TIMED_OUT = (base.TargetFaultKind.SILENT, base.TargetFaultKind.TIMEOUT)
@@ -45,5 +53,21 @@
     )
 
 
+def refuse_shutting_down() -> outcomes.Refusal:
+    """Returns the refusal of a new request at a node that stops."""
+    return outcomes.Refusal(
+        outcomes.Reason.SHUTTING_DOWN,
+        'the node is shutting down; ask another one',
+        retry_after=_RETRY_AFTER,
+    )
+
+
+def withdraw_promise(refusal: outcomes.Refusal) -> outcomes.Refusal:
+    """Returns the refusal of a request of which an attempt may have run."""
+    return msgspec.structs.replace(
+        refusal, ran=outcomes.Ran.UNKNOWN, retry_after=None
+    )
+
+
 def _find_ran(fault: base.TargetFault) -> outcomes.Ran:
     return outcomes.Ran.UNKNOWN if fault.sent else outcomes.Ran.NO
--- /dev/null
+++ b/waxwingport/requests/running.py
@@ -0,0 +1,180 @@
+"""One attempt of a completion at one engine."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import logging
+
+from expression import Result
+import msgspec
+
+from waxwingport.limits import admission
+from waxwingport.requests import assembly
+from waxwingport.routing import candidates
+from waxwingport.targets import base
+
+__all__ = ['Attempt', 'rank']
+
+_LIVE_RANK = 1_000
+"""Lifts live calls above rollouts of any priority at the engines."""
+_CONNECTION_FAULTS = (
+    base.TargetFaultKind.BROKEN,
+    base.TargetFaultKind.SILENT,
+)
+_LOG = logging.getLogger(__name__)
+
+
+def rank(work: candidates.Work) -> int:
+    """Returns the priority of ``work`` at an engine."""
+    if work.work_class is candidates.WorkClass.LIVE:
+        return work.priority + _LIVE_RANK
+    return work.priority
+
+
+class Attempt:
+    """Generates on a grant's engine and releases the grant exactly once.
+
+    When ``run`` has ended, ``fault`` says why the answer is not whole,
+    ``progressed`` whether this attempt brought a part of it, ``preempted``
+    that it gave way to a live call, and ``sent`` whether it may have run.
+    """
+
+    def __init__(
+        self,
+        grant: admission.Grant,
+        probe_timeout: float,
+        take_retry: Callable[[], bool],
+    ) -> None:
+        self.target = grant.target
+        self.fault = _ended_early()
+        self.progressed = False
+        self.preempted = False
+        self.sent = False
+        self._grant = grant
+        self._held = True
+        self._probe_timeout = probe_timeout
+        self._take_retry = take_retry
+        self._reconnected_idle = False
+
+    async def run(
+        self,
+        generation: base.Generation,
+        deadline: float,
+        answer: assembly.Assembly,
+    ) -> AsyncIterator[base.Chunk]:
+        """Yields the new chunks, also those from a second connection."""
+        watcher = self._watch(generation)
+        try:
+            while True:
+                chunks = self._read(generation, deadline, answer)
+                async with contextlib.aclosing(chunks):
+                    async for chunk in chunks:
+                        yield chunk
+                self.preempted = self._grant.preempted.is_set()
+                if answer.finished or self.preempted:
+                    return
+                if not await self._may_reconnect(generation, answer):
+                    return
+                generation = msgspec.structs.replace(
+                    generation, text=answer.text, position=answer.position
+                )
+        finally:
+            if watcher is not None:
+                watcher.cancel()
+            self._release()
+
+    async def _read(
+        self,
+        generation: base.Generation,
+        deadline: float,
+        answer: assembly.Assembly,
+    ) -> AsyncIterator[base.Chunk]:
+        timeout = deadline - asyncio.get_running_loop().time()
+        stream = self.target.engine.stream(generation, timeout)
+        async with contextlib.aclosing(stream):
+            async for outcome in stream:
+                taken = outcome.bind(answer.take)
+                match taken:
+                    case Result(tag='ok', ok=None):
+                        continue
+                    case Result(tag='ok', ok=chunk):
+                        self.progressed = True
+                        yield chunk
+                        if self._grant.preempted.is_set():
+                            break
+                    case Result(error=fault):
+                        self._note_fault(fault)
+                        return
+                if answer.finished:
+                    return
+        self._note_fault(_ended_early())
+
+    def _note_fault(self, fault: base.TargetFault) -> None:
+        self.fault = fault
+        self.sent = self.sent or fault.sent or self.progressed
+
+    async def _may_reconnect(
+        self, generation: base.Generation, answer: assembly.Assembly
+    ) -> bool:
+        """Returns whether only the connection is gone, not the engine.
+
+        The order to cancel goes over a connection of its own, which also
+        ends what the engine may still generate for the dead one.
+        """
+        broken = self.fault.kind in _CONNECTION_FAULTS
+        if not broken or self.fault.status is not None:
+            return False
+        if not await self._cancel(generation):
+            return False
+        if answer.position > generation.position:
+            return True
+        if self._reconnected_idle or not self._take_retry():
+            return False
+        self._reconnected_idle = True
+        return True
+
+    async def _cancel(self, generation: base.Generation) -> bool:
+        try:
+            outcome = await asyncio.wait_for(
+                self.target.engine.cancel(generation.request_id),
+                self._probe_timeout,
+            )
+        except TimeoutError:
+            return False
+        _LOG.info(
+            'cancel request=%s target=%s reached=%s',
+            generation.request_id,
+            self.target.name,
+            outcome.is_ok(),
+        )
+        return outcome.is_ok()
+
+    def _watch(
+        self, generation: base.Generation
+    ) -> 'asyncio.Task[None] | None':
+        if self._grant.work.work_class is candidates.WorkClass.LIVE:
+            return None
+        return asyncio.get_running_loop().create_task(
+            self._give_way(generation)
+        )
+
+    async def _give_way(self, generation: base.Generation) -> None:
+        """Cancels at the engine, which ends the stream, and frees the slot.
+
+        The slot is freed even when the engine does not answer.
+        """
+        await self._grant.preempted.wait()
+        await self._cancel(generation)
+        self._release()
+
+    def _release(self) -> None:
+        if self._held:
+            self._held = False
+            self._grant.release()
+
+
+def _ended_early() -> base.TargetFault:
+    return base.TargetFault(
+        base.TargetFaultKind.BROKEN, 'stream ended early', sent=True
+    )
--- a/waxwingport/requests/settings.py
+++ b/waxwingport/requests/settings.py
@@ -20,10 +20,14 @@
     write_buffer: int = 64 * _KIB
     """Bytes of a stream that may wait for its caller."""
     max_header_size: int = 32 * _KIB
+    body_memory: int = 256 * _MIB
+    """Bytes of all bodies that are being received or worked on."""
     max_tokens: int = 131_072
     """Tokens that one completion may ask for."""
     drain_delay: float = 3.0
     """Between the fall of readiness and the first refusal on a stop."""
+    final_timeout: float = 1.0
+    """For the last error events of the requests that a stop cut off."""
     probe_timeout: float = 1.0
     """For the new connection that tells a dead target from a dead
     connection."""
--- a/waxwingport/server.py
+++ b/waxwingport/server.py
@@ -1,29 +1,101 @@
 """The HTTP server of an entry node."""
 
+import asyncio
+import contextlib
+
 from tornado import httpserver
+from tornado import iostream
 from tornado import netutil
 
 from waxwingport.api import application
+from waxwingport.api import intake
+from waxwingport.api import problems
 from waxwingport import node
+from waxwingport import outcomes
 
 __all__ = ['NodeServer']
 
+_SOFT_LIMIT_SLACK = 64 * 1024
+"""Bytes beyond a limit in which a caller still gets a problem answer."""
+_TIMEOUT_SLACK = 1.0
+"""Seconds likewise."""
+_RETRY_AFTER = 1.0
+
+
+class _BoundedServer(httpserver.HTTPServer):
+    """Turns away the connections beyond a bound."""
+
+    def initialize(self, *args, max_connections: int, **kwargs) -> None:
+        super().initialize(*args, **kwargs)
+        self._max_connections = max_connections
+
+    def handle_stream(self, stream: iostream.IOStream, address) -> None:
+        if len(self._connections) < self._max_connections:
+            super().handle_stream(stream, address)
+            return
+        stream.write(_render_full()).add_done_callback(
+            lambda written: (written.exception(), stream.close())
+        )
+
 
 class NodeServer:
     """Serves a node's HTTP interface on its ``listen`` address."""
 
     def __init__(self, served: node.Node) -> None:
         configured = served.settings.node
+        limits = served.settings.requests
+        self._node = served
         host, _, port = configured.listen.rpartition(':')
-        self._server = httpserver.HTTPServer(
-            application.make_application(served),
-            max_body_size=configured.max_body_size,
+        self._server = _BoundedServer(
+            intake.Intake(
+                application.make_application(served),
+                configured.max_body_size,
+                limits,
+                served.progress,
+            ),
+            max_connections=configured.max_connections,
+            max_body_size=configured.max_body_size + _SOFT_LIMIT_SLACK,
+            max_header_size=limits.max_header_size + _SOFT_LIMIT_SLACK,
+            idle_connection_timeout=limits.header_timeout,
+            body_timeout=limits.body_timeout + _TIMEOUT_SLACK,
         )
         sockets = netutil.bind_sockets(int(port), host)
         self._server.add_sockets(sockets)
         self.address = f'{host}:{sockets[0].getsockname()[1]}'
 
     async def stop(self) -> None:
-        """Stops listening and closes every connection."""
+        """Shuts down gracefully, then closes every connection.
+
+        Readiness falls at once, new requests are refused after the drain
+        delay, and what is still in progress after the shutdown timeout ends
+        in an explicit error.
+        """
+        limits = self._node.settings.requests
+        timeout = self._node.settings.node.shutdown_timeout
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await self._node.progress.drain(
+            limits.drain_delay, timeout, self._node.services.refuse_new
+        )
+        await self._node.progress.wait_idle(limits.final_timeout)
+        # A call kept for repeats goes on without the caller who began it.
+        with contextlib.suppress(TimeoutError):
+            left = max(started + timeout - loop.time(), limits.final_timeout)
+            await asyncio.wait_for(self._node.services.settle(), left)
         self._server.stop()
         await self._server.close_all_connections()
+
+
+def _render_full() -> bytes:
+    status, headers, body = problems.render(
+        outcomes.Refusal(
+            outcomes.Reason.OVERLOADED,
+            'too many connections',
+            retry_after=_RETRY_AFTER,
+        )
+    )
+    headers['Content-Length'] = str(len(body))
+    headers['Connection'] = 'close'
+    lines = [f'HTTP/1.1 {status} Refused']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    return '\r\n'.join([*lines, '', '']).encode() + body
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -14,6 +14,7 @@
 
 from waxwingport.http import client as http_client
 from waxwingport import ids
+from waxwingport.requests import settings as request_settings
 
 __all__ = [
     'LogSettings',
@@ -70,6 +71,9 @@
     node: NodeSettings
     platform: PlatformSettings
     client: http_client.ClientSettings = http_client.ClientSettings()
+    requests: request_settings.RequestSettings = (
+        request_settings.RequestSettings()
+    )
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
 
--- a/waxwingport/standins/servers.py
+++ b/waxwingport/standins/servers.py
@@ -4,6 +4,7 @@
 ``waxwingport.targets.adapters`` and ``waxwingport.platform.adapters`` expect.
 """
 
+import asyncio
 import contextlib
 
 from expression import Result
@@ -61,6 +62,12 @@
 class _Handler(web.RequestHandler):
     def initialize(self, subject: object) -> None:
         self.subject = subject
+        self.task: asyncio.Task[object] | None = None
+
+    def on_connection_close(self) -> None:
+        """Ends what is being done for a client that has gone."""
+        if self.task is not None:
+            self.task.cancel()
 
     def send_json(self, value: object, status: int = 200) -> None:
         self.set_status(status)
@@ -99,11 +106,19 @@
             position=body.resume_position,
             adapter=body.adapter,
         )
+        self.task = asyncio.get_running_loop().create_task(
+            self._run(generation)
+        )
+        with contextlib.suppress(
+            iostream.StreamClosedError, asyncio.CancelledError
+        ):
+            await self.task
+        self._auto_finish = False
+
+    async def _run(self, generation: base.Generation) -> None:
         stream = self.subject.stream(generation, _STREAM_TIMEOUT)
-        self._stream = stream
-        with contextlib.suppress(iostream.StreamClosedError):
-            async with contextlib.aclosing(stream):
-                await self._send(stream)
+        async with contextlib.aclosing(stream):
+            await self._send(stream)
 
     async def _send(self, stream) -> None:
         started = False
--- a/waxwingport/targets/adapters.py
+++ b/waxwingport/targets/adapters.py
@@ -1,8 +1,10 @@
 """HTTP adapters of engines, plain services and scoring services."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 from typing import TypeVar
+from urllib import parse
 
 from expression import Error
 from expression import Ok
@@ -10,6 +12,7 @@
 import msgspec
 
 from waxwingport.http import client
+from waxwingport.http import headers as http_headers
 from waxwingport.http import sse
 from waxwingport import ids
 from waxwingport.platform import base as platform
@@ -27,21 +30,8 @@
 
 _CONTROL_TIMEOUT = 5.0
 _JSON = ('Content-Type', 'application/json')
-_HOP_BY_HOP = frozenset(
-    {
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
+_LONGEST_FAILURE = 65536
+"""Bytes of an engine's failure answer that are read."""
 
 T = TypeVar('T')
 
@@ -77,7 +67,7 @@
         return Error(faults.from_status(response))
     try:
         return Ok(msgspec.json.decode(response.body, type=answer))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
         return Error(faults.unreadable(error))
 
 
@@ -86,6 +76,7 @@
 
     def __init__(self, http: client.HttpClient, address: str) -> None:
         self._caller = _Caller(http, address)
+        self._cancels: set[asyncio.Task[object]] = set()
 
     async def stream(
         self, generation: base.Generation, timeout: float
@@ -106,20 +97,34 @@
             case Result(error=fault):
                 yield Error(faults.from_transport(fault))
                 return
+        ended = False
         try:
             if response.status != 200:
                 yield Error(await _read_failure(response))
+                ended = True
                 return
             async for outcome in _read_stream(response):
+                ended = _is_last(outcome)
                 yield outcome
         finally:
             response.close()
+            if not ended:
+                self._start_cancel(generation.request_id)
+
+    def _start_cancel(self, request_id: ids.RequestId) -> None:
+        """Cancels by a connection of its own, not waiting for the answer.
+
+        The close of the stream's connection may never reach the engine.
+        """
+        task = asyncio.get_running_loop().create_task(self.cancel(request_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
 
     async def cancel(
         self, request_id: ids.RequestId
     ) -> Result[None, base.TargetFault]:
         """Cancels a running generation."""
-        path = f'/v1/streams/{request_id}/cancel'
+        path = f'/v1/streams/{parse.quote(request_id, safe="")}/cancel'
         return await self._caller.send('POST', path, {}, type(None))
 
     async def read_load(self) -> Result[base.LoadReport, base.TargetFault]:
@@ -183,9 +188,13 @@
 
 
 async def _read_failure(response: client.Response) -> base.TargetFault:
-    parts = [piece.default_value(b'') async for piece in response.chunks()]
+    body = b''
+    async for piece in response.chunks():
+        body += piece.default_value(b'')
+        if len(body) > _LONGEST_FAILURE:
+            break
     headers = tuple(response.headers.get_all())
-    whole = client.WholeResponse(response.status, headers, b''.join(parts))
+    whole = client.WholeResponse(response.status, headers, body)
     return faults.from_status(whole)
 
 
@@ -214,6 +223,14 @@
     )
 
 
+def _is_last(outcome: Result[base.Chunk, base.TargetFault]) -> bool:
+    match outcome:
+        case Result(tag='ok', ok=chunk):
+            return chunk.finish_reason is not None
+        case _:
+            return True
+
+
 def _read_event(event: bytes) -> Result[base.Chunk, base.TargetFault]:
     try:
         body = msgspec.json.decode(event, type=wire.CompletionEvent)
@@ -233,7 +250,7 @@
                 finish_reason=base.FinishReason(finish) if finish else None,
             )
         )
-    except (msgspec.DecodeError, IndexError, ValueError) as error:
+    except (IndexError, RecursionError, ValueError) as error:
         return Error(faults.unreadable(error))
 
 
@@ -251,41 +268,30 @@
         request = client.Request(
             call.method,
             call.path,
-            _drop_hop_by_hop(call.headers),
+            http_headers.keep_end_to_end(call.headers),
             call.body,
             fresh=not call.idempotent,
         )
         match await self._http.fetch(self._address, request, timeout):
             case Result(tag='ok', ok=response):
-                return _read_answer(response)
+                return _read_answer(call, response)
             case Result(error=fault):
                 return Error(faults.from_transport(fault))
 
 
 def _read_answer(
-    response: client.WholeResponse,
+    call: base.ServiceCall, response: client.WholeResponse
 ) -> Result[base.ServiceAnswer, base.TargetFault]:
     if response.status in (429, 503):
         fault = faults.from_status(response)
         if fault.kind is base.TargetFaultKind.REFUSED:
             return Error(fault)
-    headers = _drop_hop_by_hop(response.headers)
+    headers = http_headers.keep_end_to_end(
+        response.headers, keep_length=call.method == 'HEAD'
+    )
     return Ok(base.ServiceAnswer(response.status, headers, response.body))
 
 
-def _drop_hop_by_hop(
-    headers: Sequence[tuple[str, str]],
-) -> tuple[tuple[str, str], ...]:
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == 'connection'
-        for token in value.split(',')
-    }
-    dropped = _HOP_BY_HOP | named
-    return tuple(row for row in headers if row[0].lower() not in dropped)
-
-
 class HttpScoringService(base.ScoringService):
     """A scoring service behind HTTP."""
 
--- a/waxwingport/targets/faults.py
+++ b/waxwingport/targets/faults.py
@@ -15,6 +15,12 @@
 }
 
 
+_LONGEST_WAIT = 3600.0
+"""Seconds of a target's ``Retry-After`` that are believed."""
+_PASSING = (408, 425, 429)
+"""Client errors that say nothing against the request itself."""
+
+
 class _Problem(msgspec.Struct):
     ran: str = 'unknown'
     detail: str = ''
@@ -33,7 +39,7 @@
     """
     try:
         problem = msgspec.json.decode(response.body, type=_Problem)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         problem = _Problem(
             detail=response.body[:200].decode('utf-8', 'replace')
         )
@@ -41,7 +47,7 @@
     detail = f'status {response.status}: {problem.detail}'
     if response.status in (429, 503) and problem.ran == 'no':
         kind = base.TargetFaultKind.REFUSED
-    elif 400 <= response.status < 500:
+    elif 400 <= response.status < 500 and response.status not in _PASSING:
         kind = base.TargetFaultKind.REJECTED
     else:
         kind = base.TargetFaultKind.BROKEN
@@ -63,6 +69,9 @@
 
 def _read_seconds(text: str | None) -> float | None:
     try:
-        return float(text) if text else None
+        seconds = float(text) if text else None
     except ValueError:
         return None
+    if seconds is None or not 0.0 <= seconds <= _LONGEST_WAIT:
+        return None
+    return seconds
--- a/waxwingport/trial/stage.py
+++ b/waxwingport/trial/stage.py
@@ -10,6 +10,7 @@
 from waxwingport import node
 from waxwingport.platform import adapters as platform_adapters
 from waxwingport.platform import base as platform
+from waxwingport.requests import settings as request_settings
 from waxwingport import server
 from waxwingport import settings
 from waxwingport.standins import engine
@@ -142,6 +143,7 @@
                 vm_list=list_address,
                 weight_store=store_address,
             ),
+            requests=request_settings.RequestSettings(drain_delay=0.0),
         )
         self._http = client.HttpClient(configured.client)
         outside = node.Outside(
