--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -9,11 +9,13 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import declarations
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.leases import base as leases
 from waxwingport.limits import admission
+from waxwingport.limits import retries
 from waxwingport.membership import base as membership
 from waxwingport import metrics
 from waxwingport import outcomes
@@ -21,6 +23,7 @@
 from waxwingport.peers import transport
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
+from waxwingport.requests import progress
 from waxwingport.requests import services
 from waxwingport.routing import candidates
 from waxwingport.samples import collector
@@ -75,8 +78,6 @@
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
-        self.completions = completions.CompletionRunner(self.admission)
-        self.services = services.ServiceRunner(self.admission)
         self.versions = versions.VersionBook()
         self.version_exchange = versions.VersionExchange(
             self.versions,
@@ -95,6 +96,22 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
+        self.progress = progress.Progress(configured.requests.body_memory)
+        self.retry_budget = retries.RetryBudget(
+            self.configuration.declarations.limit.retry_share
+        )
+        self.configuration.listen(self._set_limits)
+        self.completions = completions.CompletionRunner(
+            self.admission, self.retry_budget, self.rng, configured.requests
+        )
+        self.services = services.ServiceRunner(
+            self.admission,
+            configured.node.name,
+            self.incarnation,
+            self.retry_budget,
+            self.rng,
+            configured.requests,
+        )
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -120,7 +137,11 @@
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
-        return self.configuration.revision >= 0 and len(self.targets) > 0
+        return (
+            self.progress.ready
+            and self.configuration.revision >= 0
+            and len(self.targets) > 0
+        )
 
     def find_collector(
         self, name: ids.TrainerName
@@ -185,6 +206,9 @@
             'nodes': [{'name': self.settings.node.name, 'state': 'live'}],
         }
 
+    def _set_limits(self, declared: declarations.Declarations) -> None:
+        self.retry_budget.retry_share = declared.limit.retry_share
+
     def _describe_trainer(self, declared) -> dict[str, object]:
         latest = self.versions.find_latest(declared.name)
         return {
