--- a/waxwingport/measure/dissemination.py
+++ b/waxwingport/measure/dissemination.py
@@ -148,8 +148,7 @@
         for length in range(fixed, _ID_BITS):
             sibling = (length + 1, (node >> (_ID_BITS - length - 1)) ^ 1)
             choices = groups.get(sibling, [])
-            drawn = rng.sample(choices, min(neighbours, len(choices)))
-            for target in drawn:
+            for target in _draw_near(node, choices, nodes, neighbours, rng):
                 sent[node] += 1
                 remote += nodes.centre[target] != nodes.centre[node]
                 if target in nodes.failed:
@@ -168,6 +167,20 @@
     )
 
 
+def _draw_near(
+    node: int,
+    choices: list[int],
+    nodes: _Nodes,
+    count: int,
+    rng: random.Random,
+) -> list[int]:
+    """Returns neighbours drawn at random, those near ``node`` first."""
+    own = nodes.centre[node]
+    drawn = rng.sample(choices, len(choices))
+    drawn.sort(key=lambda other: nodes.centre[other] != own)
+    return drawn[:count]
+
+
 def _group_by_prefix(
     names: list[int],
 ) -> dict[tuple[int, int], list[int]]:
