--- a/waxwingport/api/handler.py
+++ b/waxwingport/api/handler.py
@@ -18,9 +18,9 @@
 from waxwingport.api import terms
 from waxwingport.configuration import declarations
 from waxwingport import ids
+from waxwingport import logs
 from waxwingport import node
 from waxwingport import outcomes
-from waxwingport.requests import context
 from waxwingport.requests import progress
 from waxwingport.requests import refusals
 
@@ -86,7 +86,7 @@
         """Refuses what must not run; marks the log lines of the rest."""
         refusal = self._check()
         request_id = self.terms.given_id or self.terms.request_id
-        context.REQUEST_ID.set(request_id)
+        logs.request_id.set(ids.RequestId(request_id))
         if refusal is not None:
             self.send_refusal(refusal)
         elif self._is_work():
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -1,6 +1,7 @@
 """An entry node: its subsystems, their start and their stop."""
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 import logging
 import random
@@ -12,15 +13,24 @@
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
+from waxwingport.leases import base as leases
 from waxwingport.limits import admission
 from waxwingport.limits import retries
+from waxwingport.membership import base as membership
+from waxwingport import metrics
+from waxwingport import outcomes
+from waxwingport.peers import base as peers
+from waxwingport.peers import transport
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
 from waxwingport.requests import progress
 from waxwingport.requests import services
+from waxwingport.routing import candidates
 from waxwingport.samples import collector
 from waxwingport import settings
 from waxwingport.targets import table
+from waxwingport.weights import controller
+from waxwingport.weights import versions
 
 __all__ = ['Node', 'Outside']
 
@@ -42,6 +52,7 @@
     """One entry node.
 
     Construct it inside a running loop, ``start`` it, and ``stop`` it.
+    ``joined`` with its ``incarnation`` replaces the transport in tests.
     """
 
     def __init__(
@@ -49,11 +60,16 @@
         configured: settings.Settings,
         outside: Outside,
         rng: random.Random | None = None,
+        joined: peers.Peers | None = None,
+        incarnation: ids.Incarnation | None = None,
     ) -> None:
         self.settings = configured
         self.outside = outside
-        self.incarnation = ids.mint_incarnation()
+        self.incarnation = incarnation or ids.mint_incarnation()
         self.rng = rng or random.Random()
+        self.metrics = metrics.Metrics()
+        self.peers = joined or self._join_peers()
+        self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
         self.targets = table.TargetTable(outside.targets)
         self.configuration.listen(
@@ -78,6 +94,25 @@
             self.rng,
             configured.requests,
         )
+        self.services.connect(self.peers, self.membership)
+        self.versions = versions.VersionBook()
+        self.version_exchange = versions.VersionExchange(
+            self.versions,
+            outside.log,
+            self.membership,
+            self.peers,
+            self.rng,
+        )
+        self.weights = controller.WeightController(
+            self.configuration,
+            self.targets,
+            self.versions,
+            outside.weight_store,
+            self.membership,
+            self.find_lease,
+            self.metrics,
+            is_log_down=lambda: self.version_exchange.log_down,
+        )
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -89,6 +124,8 @@
         self._spawn(source.run())
         self._spawn(self._follow_vms())
         self._spawn(self._poll_engines())
+        self._spawn(self.version_exchange.run())
+        self._spawn(self.weights.run())
 
     async def stop(self) -> None:
         """Stops the node's background work."""
@@ -97,6 +134,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.close()
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
@@ -119,12 +157,40 @@
             )
         return self._collectors[name]
 
+    def find_lease(self, pool: ids.PoolName) -> leases.Lease:
+        """Returns the lease for orders to a pool in this data centre."""
+        return leases.StaticLease(ids.FencingNumber(0))
+
     async def publish_version(
-        self, trainer, version: ids.WeightVersion, reference: str
-    ) -> None:
-        """Takes a trainer's new weight version."""
-        found = self.find_collector(trainer.name)
-        found.version = max(found.version, version)
+        self,
+        trainer: ids.TrainerName,
+        version: ids.WeightVersion,
+        reference: str,
+    ) -> Result[bool, outcomes.Refusal]:
+        """Takes a trainer's new weight version; returns whether it was new.
+
+        Fails when the version is known under another reference.
+        """
+        return await self.version_exchange.publish(
+            versions.Publication(trainer, version, reference)
+        )
+
+    def update_gauges(self) -> None:
+        """Sets the gauges that are read off the node's state."""
+        revision = self.configuration.revision
+        self.metrics.set(
+            'waxwingport_configuration_revision',
+            'Offset of the last configuration record in force',
+            revision,
+        )
+        states = collections.Counter(row.state for row in self.targets)
+        for found in candidates.TargetState:
+            self.metrics.set(
+                'waxwingport_targets',
+                'Targets by state',
+                states[found],
+                state=found.value,
+            )
 
     def describe(self) -> dict[str, object]:
         """Returns what holds at this node, for ``/v1/status``."""
@@ -145,13 +211,33 @@
         self.retry_budget.retry_share = declared.limit.retry_share
 
     def _describe_trainer(self, declared) -> dict[str, object]:
-        found = self._collectors.get(declared.name)
+        latest = self.versions.find_latest(declared.name)
         return {
             'name': declared.name,
             'staleness_bound': declared.staleness_bound,
-            'version': found.version if found else 1,
+            'version': latest.version if latest else 1,
         }
 
+    def _join_peers(self) -> peers.Peers:
+        configured = self.settings
+        return transport.PynngPeers(
+            configured.node.name,
+            configured.node.peer_listen,
+            self.incarnation,
+            configured.peers,
+        )
+
+    def _join_members(self) -> membership.Membership:
+        configured = self.settings.node
+        return membership.StaticMembership(
+            membership.Member(
+                configured.name,
+                configured.data_centre,
+                self.peers.address,
+                self.incarnation,
+            )
+        )
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
--- a/waxwingport/server.py
+++ b/waxwingport/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ssl
 
 from tornado import httpserver
 from tornado import iostream
@@ -41,7 +42,9 @@
 class NodeServer:
     """Serves a node's HTTP interface on its ``listen`` address."""
 
-    def __init__(self, served: node.Node) -> None:
+    def __init__(
+        self, served: node.Node, context: ssl.SSLContext | None = None
+    ) -> None:
         configured = served.settings.node
         limits = served.settings.requests
         self._node = served
@@ -58,6 +61,7 @@
             max_header_size=limits.max_header_size + _SOFT_LIMIT_SLACK,
             idle_connection_timeout=limits.header_timeout,
             body_timeout=limits.body_timeout + _TIMEOUT_SLACK,
+            ssl_options=context,
         )
         sockets = netutil.bind_sockets(int(port), host)
         self._server.add_sockets(sockets)
