--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -78,6 +78,23 @@
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
+        self.progress = progress.Progress(configured.requests.body_memory)
+        self.retry_budget = retries.RetryBudget(
+            self.configuration.declarations.limit.retry_share
+        )
+        self.configuration.listen(self._set_limits)
+        self.completions = completions.CompletionRunner(
+            self.admission, self.retry_budget, self.rng, configured.requests
+        )
+        self.services = services.ServiceRunner(
+            self.admission,
+            configured.node.name,
+            self.incarnation,
+            self.retry_budget,
+            self.rng,
+            configured.requests,
+        )
+        self.services.connect(self.peers, self.membership)
         self.versions = versions.VersionBook()
         self.version_exchange = versions.VersionExchange(
             self.versions,
@@ -96,22 +113,6 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
-        self.progress = progress.Progress(configured.requests.body_memory)
-        self.retry_budget = retries.RetryBudget(
-            self.configuration.declarations.limit.retry_share
-        )
-        self.configuration.listen(self._set_limits)
-        self.completions = completions.CompletionRunner(
-            self.admission, self.retry_budget, self.rng, configured.requests
-        )
-        self.services = services.ServiceRunner(
-            self.admission,
-            configured.node.name,
-            self.incarnation,
-            self.retry_budget,
-            self.rng,
-            configured.requests,
-        )
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
