--- a/waxwingport/api/handler.py
+++ b/waxwingport/api/handler.py
@@ -196,7 +196,8 @@
         self.finish(msgspec.json.encode(value))
 
     def send_refusal(self, refusal: outcomes.Refusal) -> None:
-        """Answers with problem details."""
+        """Answers with problem details, and counts the refusal."""
+        self.node.note_refusal(refusal)
         problems.send(self, refusal)
 
     async def send_body(self, body: bytes) -> None:
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -113,6 +113,9 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
+        self._refusals: collections.Counter[
+            tuple[outcomes.Reason, outcomes.Ran]
+        ] = collections.Counter()
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -175,6 +178,16 @@
             versions.Publication(trainer, version, reference)
         )
 
+    def note_refusal(self, refusal: outcomes.Refusal) -> None:
+        """Counts a refusal by its reason."""
+        self._refusals[refusal.reason, refusal.ran] += 1
+        self.metrics.count(
+            'waxwingport_refusals_total',
+            'Refused requests by reason, and whether they may have run',
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+        )
+
     def update_gauges(self) -> None:
         """Sets the gauges that are read off the node's state."""
         revision = self.configuration.revision
@@ -204,6 +217,10 @@
                 self._describe_trainer(row) for row in declared.trainers
             ],
             'targets': [_describe_target(row) for row in self.targets],
+            'refusals': [
+                {'reason': reason.value, 'ran': ran.value, 'count': count}
+                for (reason, ran), count in self._refusals.items()
+            ],
             'nodes': [{'name': self.settings.node.name, 'state': 'live'}],
         }
 
