--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,113 @@
+import asyncio
+import io
+import os
+import signal
+import ssl
+
+import pytest
+from rich import console
+from tornado import httpclient
+import trustme
+
+from waxwingport import cli
+from waxwingport.commands import observing
+from waxwingport.commands import serving
+from waxwingport import ids
+from waxwingport import settings
+from waxwingport.standins import platform
+from waxwingport.standins import servers
+
+
+@pytest.mark.parametrize(
+    ('run', 'code', 'message'),
+    [
+        (lambda c: c.trial('atlantis'), 2, 'bavaria, occidente'),
+        (lambda c: c.measure('nothing'), 2, 'no measurement is called'),
+        (lambda c: c.serve('/nowhere/settings.toml'), 1, 'settings.toml'),
+        (lambda c: c.status('http://127.0.0.1:1'), 1, '127.0.0.1:1'),
+    ],
+)
+def test_faults_are_named_without_a_traceback(run, code, message, capsys):
+    with pytest.raises(SystemExit) as stopped:
+        run(cli.Commands())
+    assert stopped.value.code == code
+    shown = capsys.readouterr().err
+    assert message in shown
+    assert 'Traceback' not in shown
+
+
+async def test_status_is_rendered_as_tables(running_stage):
+    status = (await observing.fetch_status(running_stage.url)).ok
+    output = io.StringIO()
+    console.Console(file=output, width=100).print(
+        observing.render_status(status)
+    )
+    for target in running_stage.node.targets:
+        assert target.name in output.getvalue()
+
+
+@pytest.fixture
+async def platform_settings():
+    """Serves an empty platform."""
+    found = [
+        servers.serve_log(platform.StandInLog()),
+        servers.serve_vm_list(platform.StandInVmList()),
+        servers.serve_weight_store(platform.StandInWeightStore()),
+    ]
+    yield settings.PlatformSettings(*(row.address for row in found))
+    for row in found:
+        await row.stop()
+
+
+def make_settings(platform_settings, port, **changes):
+    return settings.Settings(
+        node=settings.NodeSettings(
+            name=ids.NodeName('node-1'),
+            data_centre=ids.DataCentre('here'),
+            listen=f'127.0.0.1:{port}',
+            peer_listen='127.0.0.1:0',
+        ),
+        platform=platform_settings,
+        **changes,
+    )
+
+
+async def test_serve_answers_over_tls_until_sigterm(
+    platform_settings, tmp_path, unused_tcp_port
+):
+    authority = trustme.CA()
+    issued = authority.issue_cert('127.0.0.1')
+    files = settings.TlsSettings(
+        str(tmp_path / 'cert.pem'), str(tmp_path / 'key.pem')
+    )
+    issued.cert_chain_pems[0].write_to_path(files.certificate)
+    issued.private_key_pem.write_to_path(files.key)
+    configured = make_settings(platform_settings, unused_tcp_port, tls=files)
+    serving_task = asyncio.create_task(serving.serve(configured))
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    request = httpclient.HTTPRequest(
+        f'https://127.0.0.1:{unused_tcp_port}/healthz', ssl_options=context
+    )
+    await fetch_when_up(request)
+    os.kill(os.getpid(), signal.SIGTERM)
+    assert (await asyncio.wait_for(serving_task, 30)).is_ok()
+
+
+async def fetch_when_up(request):
+    """Repeats a request until the server listens."""
+    client = httpclient.AsyncHTTPClient()
+    for _ in range(500):
+        try:
+            return await client.fetch(request)
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
+    raise AssertionError('the server never listened')
+
+
+async def test_serve_says_why_it_cannot_start(platform_settings):
+    holder = servers.serve_log(platform.StandInLog())
+    port = holder.address.rpartition(':')[2]
+    outcome = await serving.serve(make_settings(platform_settings, port))
+    assert 'node.listen' in outcome.error
+    await holder.stop()
