--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,5 +1,6 @@
 import asyncio
 import io
+import json
 import os
 import signal
 import ssl
@@ -111,3 +112,19 @@
     outcome = await serving.serve(make_settings(platform_settings, port))
     assert 'node.listen' in outcome.error
     await holder.stop()
+
+
+def test_measure_prints_json_and_writes_a_page(tmp_path, capsys):
+    page = tmp_path / 'page.md'
+    cli.Commands().measure(
+        'weight-plan', seconds=0.1, json=True, page=str(page), commit='abc'
+    )
+    report = json.loads(capsys.readouterr().out)
+    assert report['name'] == 'weight-plan'
+    assert '## weight-plan' in page.read_text()
+    assert '`abc`' in page.read_text()
+
+
+def test_measure_plots_bars(capsys):
+    cli.Commands().measure('weight-plan', seconds=0.1, plot=True)
+    assert '█' in capsys.readouterr().out
--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -12,6 +12,7 @@
 from rich import console
 
 import waxwingport
+from waxwingport.commands import measuring
 from waxwingport.commands import observing
 from waxwingport.commands import serving
 from waxwingport import logs
@@ -99,25 +100,36 @@
         seconds: float = 10.0,
         seed: int = 1,
         json: bool = False,
+        plot: bool = False,
+        page: str | None = None,
+        commit: str = 'unknown',
     ) -> None:
         """Runs the named measurement, or lists them all.
 
         Args:
-            name: The measurement; the list is printed without one.
+            name: The measurement, or "all"; the list is printed without one.
             seconds: How long to measure.
             seed: Seed of every random choice.
-            json: Prints the report as JSON.
+            json: Prints each report as a line of JSON.
+            plot: Prints bar charts as well.
+            page: Writes the reports to this Markdown file as well.
+            commit: The commit that the page names.
         """
         if name is None:
-            for row in catalogue.MEASUREMENTS.values():
-                print(f'{row.name:24} {row.summary}')
+            print('\n'.join(measuring.list_measurements()))
             return
-        found = catalogue.MEASUREMENTS.get(name)
-        if found is None:
+        found = measuring.find_measurements(name)
+        if not found:
             known = ', '.join(sorted(catalogue.MEASUREMENTS))
             _fail_usage(f'no measurement is called {name!r}: {known}')
         options = measure_base.Options(seconds, seed)
-        _print_report(asyncio.run(found.run(options)), json)
+        reports = []
+        for row in found:
+            report = asyncio.run(row.run(options))
+            _print_report(report, json, plot)
+            reports.append(report)
+        if page is not None:
+            measuring.write_page(pathlib.Path(page), reports, commit)
 
 
 async def _run_trial(
@@ -130,16 +142,17 @@
     await running.stop()
 
 
-def _print_report(report: measure_base.Report, as_json: bool) -> None:
+def _print_report(
+    report: measure_base.Report, as_json: bool, plot: bool
+) -> None:
     if as_json:
-        print(msgspec.json.encode(report).decode())
+        print(msgspec.json.encode(report).decode(), flush=True)
         return
-    for row in report.figures:
-        line = f'{row.name:44} {row.value:14.4f} {row.unit}'
-        if row.target is not None:
-            verdict = 'met' if row.met else 'MISSED'
-            line += f'  ({row.bound.value} {row.target:g}: {verdict})'
-        print(line)
+    print(f'{report.name}, seed {report.options.seed}')
+    for figure in report.figures:
+        print(f'  {measuring.format_figure(figure)}', flush=True)
+    if plot:
+        console.Console().print(measuring.plot_report(report))
 
 
 def _check(outcome: Result):
--- /dev/null
+++ b/waxwingport/commands/measuring.py
@@ -0,0 +1,110 @@
+"""``measure``: runs measurements and shows their reports."""
+
+from collections.abc import Iterable
+import pathlib
+
+from rich import bar
+from rich import console
+from rich import table
+
+from waxwingport.measure import base
+from waxwingport.measure import catalogue
+
+__all__ = [
+    'ALL',
+    'find_measurements',
+    'format_figure',
+    'list_measurements',
+    'plot_report',
+    'write_page',
+]
+
+ALL = 'all'
+"""Names every measurement."""
+
+_PLOT_WIDTH = 40
+
+
+def list_measurements() -> list[str]:
+    """Returns a line for each measurement: its name and what it shows."""
+    return [
+        f'{row.name:24} {row.summary}'
+        for row in catalogue.MEASUREMENTS.values()
+    ]
+
+
+def find_measurements(name: str) -> list[base.Measurement]:
+    """Returns the named measurement or all; none if it is unknown."""
+    if name == ALL:
+        return list(catalogue.MEASUREMENTS.values())
+    found = catalogue.MEASUREMENTS.get(name)
+    return [found] if found else []
+
+
+def format_figure(figure: base.Figure) -> str:
+    """Returns a figure as a line, with its target and whether it is met."""
+    line = f'{figure.name:52} {figure.value:14.4f} {figure.unit}'
+    if figure.target is None:
+        return line
+    return f'{line}  ({_format_target(figure)})'
+
+
+def plot_report(report: base.Report) -> console.Group:
+    """Returns a bar chart for each unit that more than one figure has."""
+    units: dict[str, list[base.Figure]] = {}
+    for figure in report.figures:
+        units.setdefault(figure.unit, []).append(figure)
+    return console.Group(
+        *(_plot(unit, rows) for unit, rows in units.items() if len(rows) > 1)
+    )
+
+
+def write_page(
+    path: pathlib.Path, reports: Iterable[base.Report], commit: str
+) -> None:
+    """Writes the reports as a page of Markdown tables."""
+    parts = [
+        '# Measurements\n\n'
+        'Made by `waxwingport measure all --page FILE --commit COMMIT`'
+        f' at commit `{commit}`.\n'
+    ]
+    parts.extend(_format_section(report) for report in reports)
+    path.write_text('\n'.join(parts), 'utf-8')
+
+
+def _format_target(figure: base.Figure) -> str:
+    verdict = 'met' if figure.met else 'MISSED'
+    return f'{figure.bound.value} {figure.target:g}: {verdict}'
+
+
+def _plot(unit: str, figures: list[base.Figure]) -> table.Table:
+    chart = table.Table('figure', 'value', '', title=unit, box=None)
+    longest = max(figure.value for figure in figures)
+    for figure in figures:
+        drawn = bar.Bar(longest, 0, figure.value, width=_PLOT_WIDTH)
+        chart.add_row(figure.name, f'{figure.value:.4g}', drawn)
+    return chart
+
+
+def _format_section(report: base.Report) -> str:
+    options = report.options
+    command = (
+        f'waxwingport measure {report.name} '
+        f'--seconds {options.seconds:g} --seed {options.seed}'
+    )
+    summary = catalogue.MEASUREMENTS[report.name].summary
+    rows = [
+        f'| {row.name} | {row.value:.4g} {row.unit} | '
+        f'{_format_target(row) if row.target is not None else ""} |'
+        for row in report.figures
+    ]
+    return '\n'.join(
+        [
+            f'## {report.name}\n',
+            f'{summary[0].upper()}{summary[1:]}. `{command}`\n',
+            '| figure | value | target |',
+            '| --- | --- | --- |',
+            *rows,
+            '',
+        ]
+    )
