Resume streams on new connections and bound their retries

Cause: a stalled caller spun the event writer for ever (a flush on an ended handler left its buffer as it was), and a pool with one engine gave up after one transient fault, saying 'no target' for a failed attempt.

Change: the writer stops with its handler; targets that all failed are tried again within the budget; a refusal after an open attempt names that attempt's fault.

--- /dev/null
+++ b/tests/requests/test_streams.py
@@ -0,0 +1,233 @@
+"""Streams over real connections that break, fall silent or repeat.
+
+Holds the invariant of the brief that every caller gets the whole answer to
+its own request.
+"""
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from tests import lone_node
+from tests import raw_engine
+from waxwingport.http import client
+
+FAULT = raw_engine.StreamFault
+PATH = '/v1/completions'
+WHOLE = raw_engine.write_text(0, raw_engine.TOTAL)
+
+
+def write_body(**fields):
+    body = {'model': lone_node.POOL, 'prompt': 'p', 'max_tokens': 12}
+    return json.dumps(body | fields).encode()
+
+
+def read_events(response):
+    events = response.body.split(b'\n\n')
+    assert events.pop() == b''
+    return [row.removeprefix(b'data: ') for row in events]
+
+
+def make_settings():
+    return client.ClientSettings(progress_timeout=0.3, connect_timeout=0.3)
+
+
+@pytest.fixture
+async def make_engine():
+    made = []
+
+    async def make(*arguments, **options):
+        made.append(raw_engine.RawEngine(*arguments, **options))
+        return await made[-1].start()
+
+    yield make
+    for row in made:
+        await row.stop()
+
+
+@pytest.fixture
+async def served(make_node):
+    return make_node(client_settings=make_settings(), probe_timeout=0.3)
+
+
+@pytest.mark.parametrize('position', [0, 4, 10])
+@pytest.mark.parametrize('fault', list(FAULT))
+async def test_an_answer_is_whole_whatever_one_stream_does(
+    served, make_engine, fault, position
+):
+    bad = await make_engine(fault, position)
+    good = await make_engine()
+    good.version = 2
+    served.add_engines(bad.address, good.address)
+    for stream in (True, False):
+        response = await served.fetch('POST', PATH, write_body(stream=stream))
+        assert response.status == 200
+        if not stream:
+            answer = json.loads(response.body)
+            assert answer['choices'][0]['text'] == WHOLE
+            continue
+        *events, done = read_events(response)
+        assert done == b'[DONE]'
+        rows = [json.loads(row) for row in events]
+        assert ''.join(row['choices'][0]['text'] for row in rows) == WHOLE
+        assert set(rows[-1]['weight_versions']) <= {1, 2}
+    assert all(row.in_progress == 0 for row in served.node.targets)
+
+
+async def test_a_silent_connection_resumes_at_the_same_engine(
+    served, make_engine
+):
+    engine = await make_engine(FAULT.CONNECTION_SILENT)
+    served.add_engines(engine.address)
+    response = await served.fetch('POST', PATH, write_body())
+    assert json.loads(response.body)['choices'][0]['text'] == WHOLE
+    assert engine.starts == [0, 4]
+    assert len(engine.cancels) == 1
+
+
+async def test_a_silent_engine_is_left_for_another(served, make_engine):
+    silent = await make_engine(FAULT.ENGINE_SILENT)
+    served.add_engines(silent.address)
+    task = asyncio.create_task(served.fetch('POST', PATH, write_body()))
+    await lone_node.read_until(lambda: silent.starts == [0])
+    other = await make_engine()
+    other.version = 2
+    served.add_engines(other.address)
+    answer = json.loads((await task).body)
+    assert answer['choices'][0]['text'] == WHOLE
+    assert answer['weight_versions'] == [1, 2]
+    assert (silent.starts, other.starts) == ([0], [4])
+
+
+async def test_idle_siblings_of_a_silent_connection_are_dropped(
+    served, make_engine
+):
+    engine = await make_engine()
+    served.add_engines(engine.address)
+    bodies = [served.fetch('POST', PATH, write_body()) for _ in range(4)]
+    await asyncio.gather(*bodies)
+    before = engine.connections
+    engine.stream_fault = FAULT.CONNECTION_SILENT
+    engine.failures = 1
+    await served.fetch('POST', PATH, write_body())
+    assert engine.connections > before
+
+
+@pytest.mark.parametrize('fault', [FAULT.RESET, FAULT.ENGINE_SILENT])
+async def test_a_broken_stream_ends_in_an_error_event(
+    served, make_engine, fault
+):
+    engine = await make_engine(fault, failures=99)
+    served.add_engines(engine.address)
+    response = await served.fetch('POST', PATH, write_body(stream=True))
+    *events, last = read_events(response)
+    assert b'[DONE]' not in events
+    error = json.loads(last)['error']
+    assert error['ran'] == 'unknown'
+    assert error['message']
+
+
+async def test_a_whole_answer_that_breaks_is_a_problem(served, make_engine):
+    engine = await make_engine(FAULT.RESET, failures=99)
+    served.add_engines(engine.address)
+    response = await served.fetch('POST', PATH, write_body())
+    assert response.status == 502
+    assert json.loads(response.body)['ran'] == 'unknown'
+
+
+async def test_parameters_reach_the_engine(served, make_engine):
+    engine = await make_engine()
+    served.add_engines(engine.address)
+    await served.fetch(
+        'POST', PATH, write_body(temperature=0.5, top_k=3, stop=['x'])
+    )
+    assert engine.parameters == [
+        {'temperature': 0.5, 'top_k': 3, 'stop': ['x']}
+    ]
+
+
+async def start_stream(served, **fields):
+    body = write_body(stream=True, **fields)
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', served.port, limit=4096
+    )
+    head = f'POST {PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}'
+    writer.write(head.encode() + b'\r\n\r\n' + body)
+    await reader.readuntil(b'\r\n\r\n')
+    return reader, writer
+
+
+async def test_a_caller_that_goes_away_cancels_at_the_engine(
+    served, make_engine
+):
+    engine = await make_engine()
+    engine.endless = True
+    served.add_engines(engine.address)
+    _, writer = await start_stream(served)
+    writer.transport.abort()
+    await lone_node.read_until(lambda: engine.cancels and engine.dropped)
+    await lone_node.read_until(lambda: not len(served.node.progress))
+    assert all(row.in_progress == 0 for row in served.node.targets)
+
+
+async def test_a_silent_caller_is_cut_and_cancelled(make_node, make_engine):
+    served = make_node(write_timeout=0.3)
+    engine = await make_engine()
+    engine.endless = True
+    served.add_engines(engine.address)
+    _, writer = await start_stream(served)
+    began = time.monotonic()
+    await lone_node.read_until(lambda: engine.cancels, timeout=10.0)
+    assert time.monotonic() - began > 0.3
+    await lone_node.read_until(lambda: not len(served.node.progress))
+    writer.transport.abort()
+
+
+async def test_a_stop_ends_open_streams_by_an_error_event(
+    make_node, make_engine
+):
+    served = make_node(shutdown_timeout=0.1)
+    engine = await make_engine()
+    engine.endless = True
+    served.add_engines(engine.address)
+    reader, writer = await start_stream(served)
+    received = bytearray()
+
+    async def read_all():
+        while data := await reader.read(65536):
+            received.extend(data)
+
+    reading = asyncio.create_task(read_all())
+    await asyncio.sleep(0.05)
+    await served.server.stop()
+    await asyncio.wait_for(reading, 5.0)
+    tail = bytes(received[-600:])
+    assert b'"error":' in tail
+    assert b'[DONE]' not in received
+    assert tail.endswith(b'0\r\n\r\n')
+    await lone_node.read_until(lambda: engine.cancels)
+
+
+async def test_the_only_engine_is_tried_again(served, make_engine):
+    engine = await make_engine(FAULT.ERROR_500)
+    served.add_engines(engine.address)
+    response = await served.fetch('POST', PATH, write_body())
+    assert json.loads(response.body)['choices'][0]['text'] == WHOLE
+
+
+async def test_retries_stay_within_the_budget(served, make_engine):
+    """No storm: attempts stay near the number of requests."""
+    engines = [
+        await make_engine(FAULT.ERROR_500, failures=10**6) for _ in range(3)
+    ]
+    served.add_engines(*(row.address for row in engines))
+    requests = 60
+    bodies = [
+        served.fetch('POST', PATH, write_body()) for _ in range(requests)
+    ]
+    await asyncio.gather(*bodies)
+    share = served.node.retry_budget.retry_share
+    attempts = sum(row.runs for row in engines)
+    assert attempts <= requests * (1 + share) + 4
--- a/waxwingport/api/events.py
+++ b/waxwingport/api/events.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from tornado import iostream
+
 from waxwingport.api import handler
 from waxwingport.http import sse
 from waxwingport.requests import settings
@@ -36,10 +38,10 @@
         """
         self._queue(sse.format_event(data))
         while self._size > self._settings.write_buffer:
-            if self._written is None:
-                self._flush()
-                continue
-            await self._handler.wait_written(self._written)
+            if self._handler.ended:
+                raise iostream.StreamClosedError
+            if self._written is not None:
+                await self._handler.wait_written(self._written)
             self._flush()
 
     def finish(self, last: bytes) -> None:
--- a/waxwingport/requests/attempts.py
+++ b/waxwingport/requests/attempts.py
@@ -34,19 +34,28 @@
 
     total: int = 0
     idle: int = 0
-    sent: bool = False
-    """Whether one of them may have run."""
+    open_fault: base.TargetFault | None = None
+    """The last fault after which the request may have run."""
     failed: frozenset[ids.TargetName] = frozenset()
 
     def note(
-        self, target: ids.TargetName, progressed: bool, sent: bool
+        self,
+        target: ids.TargetName,
+        fault: base.TargetFault,
+        progressed: bool = False,
     ) -> None:
         """Takes a failed attempt at ``target``."""
         self.total += 1
-        self.sent = self.sent or sent
+        if fault.sent:
+            self.open_fault = fault
         self.idle = 0 if progressed else self.idle + 1
         self.failed |= {target}
 
+    def note_preempted(self, fault: base.TargetFault) -> None:
+        """Takes an attempt that gave way, which is no failure."""
+        if fault.sent:
+            self.open_fault = fault
+
     def decide(self, fault: base.TargetFault, idempotent: bool) -> Next:
         """Returns what to do after ``fault``, the last attempt's."""
         if fault.sent and not idempotent:
--- a/waxwingport/requests/completions.py
+++ b/waxwingport/requests/completions.py
@@ -60,8 +60,8 @@
         rng: random.Random | None = None,
         configured: settings.RequestSettings | None = None,
     ) -> None:
-        self._admission = gate
         self._retrying = retrying.Retrying(
+            gate,
             budget or retries.RetryBudget(_RETRY_SHARE),
             rng or random.Random(),
         )
@@ -79,11 +79,11 @@
         work = request.work
         self._retrying.note_request(work.group)
         while True:
-            match await self._admission.acquire(work):
+            match await self._retrying.acquire(work, made):
                 case Result(tag='ok', ok=grant):
                     pass
-                case Result(error=refusal):
-                    yield Error(_note_progress(refusal, made))
+                case refused:
+                    yield refused
                     return
             attempt = running.Attempt(
                 grant,
@@ -98,7 +98,7 @@
             if answer.finished:
                 return
             if attempt.preempted:
-                made.sent = made.sent or attempt.sent
+                made.note_preempted(attempt.fault)
                 _LOG.info(
                     'preempt request=%s target=%s position=%d',
                     work.request_id,
@@ -110,9 +110,6 @@
             if refusal is not None:
                 yield Error(refusal)
                 return
-            work = msgspec.structs.replace(
-                work, excluded=request.work.excluded | made.failed
-            )
 
     async def _judge(
         self,
@@ -122,7 +119,7 @@
     ) -> outcomes.Refusal | None:
         """Returns why to give up, or ``None`` when another try may start."""
         fault = attempt.fault
-        made.note(attempt.target.name, attempt.progressed, attempt.sent)
+        made.note(attempt.target.name, fault, attempt.progressed)
         again = await self._retrying.wait(work, made, fault, idempotent=True)
         _LOG.warning(
             'attempt request=%s target=%s number=%d fault=%s again=%s '
@@ -136,14 +133,7 @@
         )
         if again:
             return None
-        return _note_progress(refusals.refuse_with(fault), made)
-
-
-def _note_progress(
-    refusal: outcomes.Refusal, made: attempts.Attempts
-) -> outcomes.Refusal:
-    """Withdraws ``ran: no`` when an earlier attempt may have run."""
-    return refusals.withdraw_promise(refusal) if made.sent else refusal
+        return refusals.refuse_after(made, refusals.refuse_with(fault))
 
 
 def _plan(
--- a/waxwingport/requests/execution.py
+++ b/waxwingport/requests/execution.py
@@ -6,7 +6,6 @@
 
 from expression import Error
 from expression import Result
-import msgspec
 
 from waxwingport.limits import admission
 from waxwingport.limits import retries
@@ -31,8 +30,7 @@
         budget: retries.RetryBudget,
         rng: random.Random,
     ) -> None:
-        self._admission = gate
-        self._retrying = retrying.Retrying(budget, rng)
+        self._retrying = retrying.Retrying(gate, budget, rng)
 
     async def run(
         self, work: candidates.Work, call: base.ServiceCall
@@ -43,29 +41,27 @@
         byte of it can have reached one.
         """
         made = attempts.Attempts()
-        excluded = work.excluded
         self._retrying.note_request(work.group)
         while True:
-            match await self._admission.acquire(work):
+            match await self._retrying.acquire(work, made):
                 case Result(tag='ok', ok=grant):
                     pass
-                case Result(error=refusal):
-                    return Error(_note_attempts(refusal, made))
+                case refused:
+                    return refused
             match await _send(grant, call, work.deadline):
                 case Result(tag='ok') as answer:
                     return answer
                 case Result(error=fault):
                     pass
-            made.note(grant.target.name, False, fault.sent)
+            made.note(grant.target.name, fault)
             again = await self._retrying.wait(
                 work, made, fault, call.idempotent
             )
             _log_attempt(work, grant, made, fault, again)
             if not again:
-                return Error(_note_attempts(refusals.refuse_with(fault), made))
-            work = msgspec.structs.replace(
-                work, excluded=excluded | made.failed
-            )
+                return Error(
+                    refusals.refuse_after(made, refusals.refuse_with(fault))
+                )
 
 
 async def _send(
@@ -78,12 +74,6 @@
         grant.release()
 
 
-def _note_attempts(
-    refusal: outcomes.Refusal, made: attempts.Attempts
-) -> outcomes.Refusal:
-    return refusals.withdraw_promise(refusal) if made.sent else refusal
-
-
 def _log_attempt(
     work: candidates.Work,
     grant: admission.Grant,
--- a/waxwingport/requests/refusals.py
+++ b/waxwingport/requests/refusals.py
@@ -1,16 +1,15 @@
 """Turns the faults of targets into what a caller is told."""
 
-import msgspec
-
 from waxwingport import outcomes
+from waxwingport.requests import attempts
 from waxwingport.targets import base
 
 __all__ = [
+    'refuse_after',
     'refuse_interrupted',
     'refuse_shutting_down',
     'refuse_unknown',
     'refuse_with',
-    'withdraw_promise',
 ]
 
 _RETRY_AFTER = 1.0
@@ -62,11 +61,17 @@
     )
 
 
-def withdraw_promise(refusal: outcomes.Refusal) -> outcomes.Refusal:
-    """Returns the refusal of a request of which an attempt may have run."""
-    return msgspec.structs.replace(
-        refusal, ran=outcomes.Ran.UNKNOWN, retry_after=None
-    )
+def refuse_after(
+    made: attempts.Attempts, refusal: outcomes.Refusal
+) -> outcomes.Refusal:
+    """Returns what to say when ``refusal`` came after ``made`` attempts.
+
+    The promise that the request did not run is kept back when one of them
+    may have run; its fault then says more than the lack of another target.
+    """
+    if refusal.ran is outcomes.Ran.UNKNOWN or made.open_fault is None:
+        return refusal
+    return refuse_with(made.open_fault)
 
 
 def _find_ran(fault: base.TargetFault) -> outcomes.Ran:
--- a/waxwingport/requests/retrying.py
+++ b/waxwingport/requests/retrying.py
@@ -1,10 +1,17 @@
-"""Waits before a further attempt, if budget and deadline allow one."""
+"""Grants for the attempts of one request, within budget and deadline."""
 
 import asyncio
 import random
 
+from expression import Error
+from expression import Result
+import msgspec
+
+from waxwingport.limits import admission
 from waxwingport.limits import retries
+from waxwingport import outcomes
 from waxwingport.requests import attempts
+from waxwingport.requests import refusals
 from waxwingport.routing import candidates
 from waxwingport.targets import base
 
@@ -12,11 +19,15 @@
 
 
 class Retrying:
-    """The retry rules that completions and service calls share."""
+    """The rules of retries that completions and service calls share."""
 
     def __init__(
-        self, budget: retries.RetryBudget, rng: random.Random
+        self,
+        gate: admission.Admission,
+        budget: retries.RetryBudget,
+        rng: random.Random,
     ) -> None:
+        self._admission = gate
         self._budget = budget
         self._rng = rng
 
@@ -28,6 +39,31 @@
         """Takes one retry from the budget; returns false when it is spent."""
         return self._budget.take(group)
 
+    async def acquire(
+        self, work: candidates.Work, made: attempts.Attempts
+    ) -> Result[admission.Grant, outcomes.Refusal]:
+        """Returns a grant for a target where no attempt has failed.
+
+        When all have failed, they are tried again after a backoff.
+        """
+        if not made.failed:
+            found = await self._admission.acquire(work)
+            return found.map_error(lambda row: _refuse(made, row))
+        spared = work.excluded | made.failed
+        match await self._admission.acquire(
+            msgspec.structs.replace(work, excluded=spared)
+        ):
+            case Result(tag='error', error=refusal) if (
+                refusal.reason is outcomes.Reason.NO_TARGET
+            ):
+                pass
+            case found:
+                return found.map_error(lambda row: _refuse(made, row))
+        if not self.take(work.group) or not await self._back_off(work, made):
+            return Error(_refuse(made, refusal))
+        made.failed = frozenset()
+        return await self.acquire(work, made)
+
     async def wait(
         self,
         work: candidates.Work,
@@ -39,10 +75,15 @@
         match made.decide(fault, idempotent):
             case attempts.Next.GIVE_UP:
                 return False
-            case attempts.Next.RETRY if not self._budget.take(work.group):
+            case attempts.Next.RETRY if not self.take(work.group):
                 return False
             case attempts.Next.MOVE if made.idle <= 1:
                 return _has_time(work, 0.0)
+        return await self._back_off(work, made)
+
+    async def _back_off(
+        self, work: candidates.Work, made: attempts.Attempts
+    ) -> bool:
         delay = retries.compute_backoff(made.idle - 1, self._rng)
         if not _has_time(work, delay):
             return False
@@ -52,3 +93,9 @@
 
 def _has_time(work: candidates.Work, delay: float) -> bool:
     return asyncio.get_running_loop().time() + delay < work.deadline
+
+
+def _refuse(
+    made: attempts.Attempts, refusal: outcomes.Refusal
+) -> outcomes.Refusal:
+    return refusals.refuse_after(made, refusal)
--- a/waxwingport/requests/running.py
+++ b/waxwingport/requests/running.py
@@ -36,8 +36,8 @@
     """Generates on a grant's engine and releases the grant exactly once.
 
     When ``run`` has ended, ``fault`` says why the answer is not whole,
-    ``progressed`` whether this attempt brought a part of it, ``preempted``
-    that it gave way to a live call, and ``sent`` whether it may have run.
+    ``progressed`` whether this attempt brought a part of it, and
+    ``preempted`` that it gave way to a live call.
     """
 
     def __init__(
@@ -50,12 +50,12 @@
         self.fault = _ended_early()
         self.progressed = False
         self.preempted = False
-        self.sent = False
         self._grant = grant
         self._held = True
         self._probe_timeout = probe_timeout
         self._take_retry = take_retry
         self._reconnected_idle = False
+        self._sent = False
 
     async def run(
         self,
@@ -111,8 +111,10 @@
         self._note_fault(_ended_early())
 
     def _note_fault(self, fault: base.TargetFault) -> None:
-        self.fault = fault
-        self.sent = self.sent or fault.sent or self.progressed
+        """Takes the fault; one that came after a sent one stays sent."""
+        sent = fault.sent or self.progressed or self._sent
+        self._sent = sent
+        self.fault = msgspec.structs.replace(fault, sent=sent)
 
     async def _may_reconnect(
         self, generation: base.Generation, answer: assembly.Assembly
