--- /dev/null
+++ b/tests/api/test_callers.py
@@ -0,0 +1,114 @@
+import hashlib
+import json
+
+import pytest
+
+from tests import lone_node
+from waxwingport.configuration import declarations
+
+CALL = f'/v1/services/{lone_node.SERVICE}/x'
+IDS = '/v1/request-ids'
+
+
+def make_caller(name, **fields):
+    digest = hashlib.sha256(f'token-{name}'.encode()).hexdigest()
+    return declarations.Caller(name=name, token_sha256=digest, **fields)
+
+
+def bear(name):
+    return [('Authorization', f'Bearer token-{name}')]
+
+
+@pytest.fixture
+async def served(make_node, make_raw_target):
+    found = make_node()
+    found.add_services((await make_raw_target()).address)
+    found.declare(
+        callers=(
+            make_caller('coop-a'),
+            make_caller('coop-b', allow=(lone_node.POOL,)),
+        )
+    )
+    return found
+
+
+@pytest.mark.parametrize(
+    ('headers', 'status'),
+    [
+        (bear('coop-a'), 200),
+        (bear('coop-b'), 403),
+        (bear('nobody'), 401),
+        ([], 401),
+        ([('Waxwingport-Caller', 'coop-a')], 401),
+        ([('Authorization', 'Basic token-coop-a')], 401),
+        ([('Authorization', 'Bearer \xff\xfe')], 401),
+    ],
+)
+async def test_callers_are_known_by_token(served, headers, status):
+    response = await served.fetch('GET', CALL, headers=headers)
+    assert response.status == status
+    if status != 200:
+        assert json.loads(response.body)['ran'] == 'no'
+
+
+async def test_the_allow_list_covers_completions(served):
+    body = json.dumps({'model': 'other', 'prompt': 'x'}).encode()
+    response = await served.fetch(
+        'POST', '/v1/completions', body, bear('coop-b')
+    )
+    assert response.status == 403
+
+
+async def test_open_paths_need_no_token(served):
+    for path in ('/healthz', '/readyz', '/v1/status'):
+        assert (await served.fetch('GET', path)).status in (200, 503)
+    assert (await served.fetch('POST', IDS, b'{}')).status == 401
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('Waxwingport-Timeout-Ms', '0'),
+        ('Waxwingport-Timeout-Ms', '-5'),
+        ('Waxwingport-Timeout-Ms', '1e3'),
+        ('Waxwingport-Timeout-Ms', '9' * 400),
+        ('Waxwingport-Timeout-Ms', '\u00b2'),
+        ('Waxwingport-Priority', 'high'),
+        ('Waxwingport-Priority', '101'),
+        ('Waxwingport-Idempotent', 'maybe'),
+        ('Waxwingport-Request-Id', 'a b'),
+        ('Waxwingport-Request-Id', 'x' * 300),
+        ('Waxwingport-Caller', 'two words'),
+        ('Waxwingport-Caller', ''),
+        ('Idempotency-Key', 'k' * 300),
+        ('Idempotency-Key', ''),
+    ],
+)
+async def test_a_bad_header_is_a_clear_400(make_node, name, value):
+    served = make_node()
+    response = await served.fetch('POST', CALL, b'x', [(name, value)])
+    assert response.status == 400
+    problem = json.loads(response.body)
+    assert problem['detail'].startswith(name)
+    assert problem['ran'] == 'no'
+
+
+async def test_completions_take_any_request_id_and_keep_it_apart(
+    make_node, make_raw_target
+):
+    """Two callers with one id must not meet at an engine."""
+    served = make_node()
+    headers = [('Waxwingport-Request-Id', 'mine-1')]
+    seen = set()
+    original = served.node.completions.stream
+
+    def spy(request):
+        seen.add(request.work.request_id)
+        return original(request)
+
+    served.node.completions.stream = spy
+    body = json.dumps({'model': lone_node.POOL, 'prompt': 'x'}).encode()
+    for _ in range(2):
+        await served.fetch('POST', '/v1/completions', body, headers)
+    assert len(seen) == 2
+    assert 'mine-1' not in seen
--- a/tests/lone_node.py
+++ b/tests/lone_node.py
@@ -103,6 +103,7 @@
 
     async def stop(self):
         await asyncio.wait_for(self.server.stop(), 20.0)
+        await self.node.stop()
         self.http.close()
         self.caller.close()
 
