--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,410 @@
+import asyncio
+
+import pytest
+
+from tests import bench
+from waxwingport.configuration import declarations
+from waxwingport import ids
+from waxwingport import outcomes
+from waxwingport.platform import base as platform
+from waxwingport.routing import candidates
+from waxwingport.standins import factory
+from waxwingport.targets import base
+
+pytestmark = pytest.mark.looptime
+
+
+def refused(kind=base.TargetFaultKind.REFUSED, sent=False, after=None):
+    return base.TargetFault(kind, 'test', sent, retry_after=after)
+
+
+async def fill(found, count, make=bench.make_work):
+    return [await found.grant(make(index)) for index in range(count)]
+
+
+async def test_a_grant_is_released_once():
+    found = bench.make_bench()
+    grant = await found.grant(bench.make_work())
+    assert grant.target.in_progress == 1
+    grant.finish()
+    grant.release()
+    grant.finish()
+    assert grant.target.in_progress == 0
+
+
+async def test_an_unknown_group_is_refused_as_not_run():
+    found = bench.make_bench()
+    outcome = await found.gate.acquire(bench.make_work(group='nobody'))
+    assert outcome.error.reason is outcomes.Reason.NOT_FOUND
+    assert outcome.error.ran is outcomes.Ran.NO
+
+
+async def test_the_limit_of_a_target_follows_its_capacity():
+    found = bench.make_bench(capacity=4)
+    await found.report()
+    await fill(found, 4)
+    waiting = found.start(bench.make_work(5))
+    await asyncio.sleep(1.0)
+    assert not waiting.done()
+    waiting.cancel()
+
+
+async def test_work_of_others_leaves_this_node_its_own_share():
+    found = bench.make_bench(capacity=4)
+    target = found.targets.find('engine-0')
+    found.targets.set_sharers(2)
+    target.note_load(base.LoadReport(running=4, waiting=0, capacity=4))
+    assert target.limit == 2
+    target.note_load(base.LoadReport(running=1, waiting=0, capacity=4))
+    assert target.limit == 3
+
+
+async def test_a_released_slot_goes_to_the_waiter_at_once():
+    found = bench.make_bench(capacity=1)
+    await found.report()
+    first = await found.grant(bench.make_work())
+    waiting = found.start(bench.make_work(1))
+    await asyncio.sleep(0.5)
+    first.finish()
+    before = asyncio.get_running_loop().time()
+    assert (await waiting).is_ok()
+    assert asyncio.get_running_loop().time() == before
+
+
+async def test_a_cancelled_waiter_leaves_the_queue():
+    found = bench.make_bench(capacity=1)
+    await found.report()
+    first = await found.grant(bench.make_work())
+    waiting = [found.start(bench.make_work(index)) for index in range(3)]
+    await asyncio.sleep(0.1)
+    waiting[0].cancel()
+    await asyncio.sleep(0)
+    assert found.gate.count_waiting('pool') == 2
+    first.finish()
+    assert (await waiting[1]).is_ok()
+
+
+async def test_a_grant_that_meets_a_cancelled_waiter_is_given_back():
+    found = bench.make_bench(capacity=1)
+    await found.report()
+    first = await found.grant(bench.make_work())
+    waiting = found.start(bench.make_work(1))
+    await asyncio.sleep(0.1)
+    first.finish()
+    found.gate._dispatch()
+    waiting.cancel()
+    await asyncio.sleep(0)
+    assert first.target.in_progress == 0
+    assert (await found.grant(bench.make_work(2))) is not None
+
+
+async def test_a_request_that_cannot_meet_its_deadline_is_refused_at_once():
+    found = bench.make_bench(capacity=1)
+    await found.report()
+    for number in range(20):
+        grant = await found.grant(bench.make_work(number))
+        await asyncio.sleep(1.0)
+        grant.finish()
+    await found.grant(bench.make_work())
+    now = asyncio.get_running_loop().time()
+    waiting = [
+        found.start(bench.make_work(number, deadline=now + 5.0))
+        for number in range(8)
+    ]
+    await asyncio.sleep(0)
+    done = [row.result() for row in waiting if row.done()]
+    assert len(done) >= 4
+    for outcome in done:
+        assert outcome.error.reason is outcomes.Reason.DEADLINE
+        assert outcome.error.ran is outcomes.Ran.NO
+        assert 0.1 <= outcome.error.retry_after <= 10.0
+    for row in waiting:
+        row.cancel()
+
+
+async def test_a_waiter_is_refused_as_soon_as_it_cannot_be_answered():
+    found = bench.make_bench(capacity=1)
+    await found.report()
+    for number in range(20):
+        grant = await found.grant(bench.make_work(number))
+        await asyncio.sleep(1.0)
+        grant.finish()
+    await found.grant(bench.make_work())
+    start = asyncio.get_running_loop().time()
+    outcome = await found.gate.acquire(
+        bench.make_work(1, deadline=start + 4.0)
+    )
+    taken = asyncio.get_running_loop().time() - start
+    assert outcome.error.reason is outcomes.Reason.DEADLINE
+    assert taken == pytest.approx(3.0, abs=0.1)
+
+
+async def test_the_queue_is_bounded_and_live_calls_displace_rollouts():
+    limits = declarations.Limits(queue_length=4)
+    declared = declarations.Declarations(pools=(bench.POOL,), limits=(limits,))
+    found = bench.make_bench(capacity=1, declared=declared)
+    await found.report()
+    await found.grant(bench.make_work())
+    rollouts = [found.start(bench.make_rollout(n)) for n in range(4)]
+    await asyncio.sleep(0)
+    refused_rollout = await found.gate.acquire(bench.make_rollout(5))
+    assert refused_rollout.error.reason is outcomes.Reason.OVERLOADED
+    live = [found.start(bench.make_work(n)) for n in range(4)]
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert all(row.result().error.ran is outcomes.Ran.NO for row in rollouts)
+    assert not any(row.done() for row in live)
+    over = await found.gate.acquire(bench.make_work(9))
+    assert over.error.reason is outcomes.Reason.OVERLOADED
+    for row in live:
+        row.cancel()
+
+
+async def test_owners_get_shares_by_weight():
+    found = bench.make_bench(capacity=1)
+    await found.report()
+    current = await found.grant(bench.make_work())
+    served = []
+
+    async def ask(owner, weight, number):
+        work = bench.make_work(number, owner=owner, weight=weight)
+        grant = (await found.gate.acquire(work)).ok
+        served.append(owner)
+        await asyncio.sleep(0.01)
+        grant.finish()
+
+    asked = [
+        asyncio.create_task(ask(owner, weight, number))
+        for owner, weight, count in (('a', 1.0, 90), ('b', 3.0, 90))
+        for number in range(count)
+    ]
+    await asyncio.sleep(0)
+    current.finish()
+    await asyncio.gather(*asked)
+    first = served[:80]
+    assert abs(first.count('b') - 60) <= 2
+
+
+async def test_a_flood_of_one_caller_does_not_hold_up_another():
+    found = bench.make_bench(capacity=2)
+    await found.report()
+    held = await fill(found, 2)
+    flood = [
+        found.start(bench.make_work(number, owner='flood'))
+        for number in range(200)
+    ]
+    await asyncio.sleep(0)
+    other = found.start(bench.make_work(1, owner='other'))
+    await asyncio.sleep(0)
+    held[0].finish()
+    held[1].finish()
+    await asyncio.sleep(0.001)
+    assert other.done()
+    for row in flood:
+        row.cancel()
+
+
+async def test_a_live_call_lets_the_youngest_rollout_give_way():
+    found = bench.make_bench(capacity=2)
+    await found.report()
+    rollouts = await fill(found, 2, bench.make_rollout)
+    live = found.start(bench.make_work(9))
+    await asyncio.sleep(0)
+    assert [row.preempted.is_set() for row in rollouts] == [False, True]
+    rollouts[1].release()
+    assert (await live).is_ok()
+
+
+async def test_no_more_rollouts_give_way_than_live_calls_wait():
+    found = bench.make_bench(capacity=16)
+    await found.report()
+    rollouts = await fill(found, 16, bench.make_rollout)
+    live = [found.start(bench.make_work(n)) for n in range(3)]
+    await asyncio.sleep(0)
+    again = found.start(bench.make_rollout(99))
+    await asyncio.sleep(0.1)
+    preempted = [row for row in rollouts if row.preempted.is_set()]
+    assert len(preempted) == 3
+    for row in preempted:
+        row.release()
+    await asyncio.gather(*live)
+    assert not again.done()
+    again.cancel()
+
+
+async def test_live_calls_do_not_starve_rollouts():
+    found = bench.make_bench(capacity=4)
+    await found.report()
+    done = {'live': 0, 'rollout': 0}
+    stop = asyncio.Event()
+
+    async def run(name, make):
+        number = 0
+        while not stop.is_set():
+            number += 1
+            outcome = await found.gate.acquire(make(number))
+            if outcome.is_error():
+                await asyncio.sleep(outcome.error.retry_after)
+                continue
+            grant = outcome.ok
+            ended = asyncio.create_task(asyncio.sleep(0.1))
+            gone = asyncio.create_task(grant.preempted.wait())
+            await asyncio.wait({ended, gone}, return_when='FIRST_COMPLETED')
+            done[name] += ended.done()
+            gone.cancel()
+            grant.finish()
+
+    tasks = [
+        asyncio.create_task(run('live', bench.make_work)) for _ in range(16)
+    ] + [
+        asyncio.create_task(run('rollout', bench.make_rollout))
+        for _ in range(8)
+    ]
+    await asyncio.sleep(30.0)
+    stop.set()
+    await asyncio.gather(*tasks)
+    total = sum(done.values())
+    assert done['rollout'] >= 0.03 * total
+    assert done['live'] >= 0.9 * total
+
+
+async def test_a_leaving_target_gets_no_new_work_after_the_list_says_so():
+    found = bench.make_bench(2, capacity=1)
+    await found.report()
+    held = await fill(found, 2)
+    waiting = found.start(bench.make_work(5))
+    await asyncio.sleep(0.1)
+    found.list_vms(engine_0=bench.LEAVING)
+    leaving = next(row for row in held if row.target.name == 'engine-0')
+    staying = next(row for row in held if row is not leaving)
+    leaving.finish()
+    await asyncio.sleep(0.1)
+    assert not waiting.done()
+    staying.finish()
+    assert (await waiting).ok.target is staying.target
+
+
+async def test_a_label_that_says_leaving_takes_a_target_out():
+    found = bench.make_bench(2)
+    rule = declarations.LabelRule(
+        'out', 'data_centre = muenchen', {'state': 'leaving'}
+    )
+    held = await found.grant(bench.make_work())
+    found.declare(
+        declarations.Declarations(pools=(bench.POOL,), labels=(rule,))
+    )
+    outcome = await found.gate.acquire(bench.make_work(1))
+    assert outcome.error.reason is outcomes.Reason.NO_TARGET
+    held.finish()
+    found.declare(declarations.Declarations(pools=(bench.POOL,)))
+    await found.grant(bench.make_work(2))
+
+
+async def test_a_selector_that_no_longer_matches_takes_a_target_out():
+    found = bench.make_bench(2, capacity=1)
+    await found.report()
+    await fill(found, 2)
+    waiting = found.start(bench.make_work(5))
+    await asyncio.sleep(0)
+    pool = declarations.Pool(ids.PoolName('pool'), 'kind = service')
+    found.declare(declarations.Declarations(pools=(pool,)))
+    outcome = await waiting
+    assert outcome.error.reason is outcomes.Reason.NO_TARGET
+    assert outcome.error.ran is outcomes.Ran.NO
+
+
+async def test_work_in_progress_at_a_target_that_is_gone_ends_normally():
+    found = bench.make_bench(1)
+    grant = await found.grant(bench.make_work())
+    found.targets.update([])
+    assert grant.target.state is candidates.TargetState.GONE
+    grant.finish()
+    assert grant.target.in_progress == 0
+
+
+async def test_a_target_that_refuses_cools_down_and_comes_back():
+    found = bench.make_bench(2)
+    grant = await found.grant(bench.make_work())
+    grant.finish(refused(after=0.5))
+    other = [await found.grant(bench.make_work(n)) for n in range(4)]
+    assert all(row.target is not grant.target for row in other)
+    assert grant.target.state is candidates.TargetState.SUSPECT
+    await asyncio.sleep(0.6)
+    assert grant.target.state is candidates.TargetState.JOINING
+    await asyncio.sleep(11.0)
+    assert grant.target.state is candidates.TargetState.LIVE
+
+
+async def test_a_pool_out_of_reach_is_refused_at_once_with_its_cool_down():
+    found = bench.make_bench(1)
+    unreachable = refused(base.TargetFaultKind.UNREACHABLE)
+    for expected in (0.5, 1.0, 2.0):
+        grant = await found.grant(bench.make_work())
+        grant.finish(unreachable)
+        target = grant.target
+        now = asyncio.get_running_loop().time()
+        assert target.read_cool_down(now) == pytest.approx(expected)
+    before = asyncio.get_running_loop().time()
+    outcome = await found.gate.acquire(bench.make_work())
+    assert asyncio.get_running_loop().time() == before
+    assert outcome.error.reason is outcomes.Reason.NO_TARGET
+    assert 2.0 <= outcome.error.retry_after <= 2.5
+
+
+async def test_failures_eject_no_more_than_half_of_a_pool():
+    found = bench.make_bench(4)
+    broken = refused(base.TargetFaultKind.BROKEN, sent=True)
+    for number in range(64):
+        outcome = await found.gate.acquire(bench.make_work(number))
+        outcome.ok.finish(broken)
+    suspects = [
+        row
+        for row in found.targets
+        if row.state is candidates.TargetState.SUSPECT
+    ]
+    assert len(suspects) == 2
+
+
+async def test_a_fault_of_the_request_says_nothing_of_the_target():
+    found = bench.make_bench(1)
+    for number in range(10):
+        grant = await found.grant(bench.make_work(number))
+        grant.finish(refused(base.TargetFaultKind.REJECTED, sent=True))
+    assert grant.target.state is candidates.TargetState.LIVE
+
+
+async def test_the_higher_priority_of_two_pools_on_one_engine_goes_first():
+    pools = tuple(
+        declarations.Pool(ids.PoolName(name), 'kind = engine', priority=rank)
+        for name, rank in (('low', 0), ('high', 5))
+    )
+    found = bench.make_bench(
+        1, capacity=1, declared=declarations.Declarations(pools=pools)
+    )
+    await found.report()
+    held = await found.grant(bench.make_work(group='low'))
+    low = found.start(bench.make_work(1, group='low'))
+    high = found.start(bench.make_work(2, group='high'))
+    await asyncio.sleep(0)
+    held.finish()
+    assert (await high).is_ok()
+    assert not low.done()
+    low.cancel()
+
+
+async def test_a_service_that_slows_down_gets_a_lower_limit():
+    vms = factory.list_vms(1, platform.VmKind.SERVICE)
+    found = bench.Bench(vms)
+    target = found.targets.find('service-0')
+
+    async def call(seconds):
+        outcome = await found.gate.acquire(bench.make_work(group='service'))
+        await asyncio.sleep(seconds)
+        outcome.ok.finish()
+
+    for _ in range(20):
+        await asyncio.gather(*(call(0.01) for _ in range(16)))
+    usual = target.limit
+    for _ in range(20):
+        await asyncio.gather(*(call(0.2) for _ in range(8)))
+    assert target.limit < usual / 2
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,238 @@
+import asyncio
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from tests import bench
+from waxwingport.charts import chart
+from waxwingport.configuration import declarations
+from waxwingport import ids
+from waxwingport.routing import candidates
+from waxwingport.routing import choice
+from waxwingport.routing import pools
+from waxwingport.routing import sets
+from waxwingport.standins import factory
+from waxwingport.targets import base
+from waxwingport.targets import health
+from waxwingport.targets import load
+
+VERSIONS = st.none() | st.integers(1, 3)
+CHANGES = st.one_of(
+    st.tuples(st.just('grant'), st.integers(0, 5), st.none()),
+    st.tuples(st.just('release'), st.integers(0, 5), st.none()),
+    st.tuples(st.just('version'), st.integers(0, 5), st.integers(1, 3)),
+    st.tuples(st.just('event'), st.integers(0, 5), st.sampled_from(
+        list(health.TargetEvent)
+    )),
+    st.tuples(st.just('load'), st.integers(0, 5), st.integers(0, 4)),
+)  # fmt: skip
+
+
+def follow(targets, change):
+    kind, index, value = change
+    target = targets[index % len(targets)]
+    match kind:
+        case 'grant':
+            target.start_request()
+        case 'release':
+            if target.in_progress:
+                target.finish_request()
+        case 'version':
+            target.engine_state = base.EngineState(ids.WeightVersion(value))
+        case 'event':
+            target.handle(value)
+        case 'load':
+            target.note_load(base.LoadReport(value, 0, 3))
+
+
+@hypothesis.given(
+    changes=st.lists(CHANGES, max_size=40),
+    pinned=VERSIONS,
+    minimum=VERSIONS,
+    wanted=VERSIONS,
+    excluded=st.sets(st.integers(0, 5), max_size=3),
+    matched=st.dictionaries(st.integers(0, 5), st.integers(1, 4), max_size=3),
+    seed=st.integers(0, 99),
+)
+@pytest.mark.looptime
+async def test_the_view_decides_as_the_naive_router(
+    changes, pinned, minimum, wanted, excluded, matched, seed
+):
+    pool = declarations.Pool(
+        ids.PoolName('pool'),
+        'kind = engine',
+        version=pinned,
+        minimum_version=minimum,
+    )
+    vms = factory.list_vms(6, data_centres=('muenchen', 'nuernberg'))
+    found = bench.Bench(vms, declarations.Declarations(pools=(pool,)))
+    view = found.gate.router.find_view('pool')
+    targets = list(found.targets)
+    for change in changes:
+        follow(targets, change)
+    work = bench.make_work(
+        minimum_version=wanted,
+        blocks=(1, 2, 3, 4),
+        excluded=frozenset(targets[row].name for row in excluded),
+    )
+    matches = {targets[row].name: count for row, count in matched.items()}
+    now = asyncio.get_running_loop().time()
+    rows = {
+        row.name: row.describe(now, matches.get(row.name, 0))
+        for row in targets
+    }
+    naive = choice.choose(
+        view.rules, work, list(rows.values()), random.Random(seed)
+    )
+    fast = view.decide(work, matches, now, random.Random(seed))
+    assert (fast.chosen is None) == (naive.chosen is None)
+    assert fast.considered == naive.considered
+    assert dict(fast.rejected) == dict(naive.rejected)
+    open_rows = [
+        row
+        for row in rows.values()
+        if choice.find_obstacle(view.rules, work, row) in (None, 'limit')
+    ]
+    assert view.is_reachable(work) == bool(open_rows)
+    if fast.chosen is not None:
+        chosen = rows[fast.chosen]
+        assert choice.find_obstacle(view.rules, work, chosen) is None
+        assert fast.score == choice.score(work, chosen)
+
+
+@pytest.mark.looptime
+async def test_a_decision_on_a_large_pool_scores_a_few_targets():
+    found = bench.make_bench(2000)
+    view = found.gate.router.find_view('pool')
+    decision = found.gate.router.decide(view, bench.make_work())
+    assert decision.considered == 2000
+    assert decision.scored <= 8
+
+
+@pytest.mark.looptime
+async def test_own_data_centre_goes_first_until_it_is_busy():
+    vms = factory.list_vms(2, data_centres=('muenchen', 'nuernberg'))
+    found = bench.Bench(vms, capacity=8)
+    await found.report()
+    grants = [await found.grant(bench.make_work(n)) for n in range(14)]
+    centres = [row.target.data_centre for row in grants]
+    assert centres[:2] == ['muenchen'] * 2
+    assert 4 <= centres.count('nuernberg') <= 7
+
+
+@pytest.mark.looptime
+async def test_a_cached_prompt_pulls_a_request_until_the_engine_is_busy():
+    found = bench.make_bench(8, capacity=8)
+    await found.report()
+    blocks = tuple(range(100, 116))
+    first = await found.grant(bench.make_work(blocks=blocks))
+    second = await found.grant(bench.make_work(1, blocks=blocks))
+    assert second.target is first.target
+    used = {first.target.name}
+    for number in range(20):
+        grant = await found.grant(bench.make_work(number, blocks=blocks))
+        used.add(grant.target.name)
+    assert len(used) > 1
+
+
+@pytest.mark.looptime
+async def test_a_slow_target_is_avoided_and_tried_again_later():
+    found = bench.make_bench(4, capacity=16)
+    await found.report()
+
+    async def run(number):
+        grant = await found.grant(bench.make_work(number))
+        slow = grant.target.name == 'engine-0'
+        await asyncio.sleep(1.0 if slow else 0.05)
+        grant.finish()
+        return slow
+
+    tasks = []
+    for number in range(3000):
+        tasks.append(asyncio.create_task(run(number)))
+        await asyncio.sleep(0.01)
+    slow = await asyncio.gather(*tasks)
+    assert 0 < sum(slow[300:]) < 0.02 * len(slow)
+
+
+class TestChart:
+    STATES = candidates.TargetState
+
+    @pytest.mark.parametrize(
+        'state', [STATES.LIVE, STATES.JOINING, STATES.SUSPECT]
+    )
+    def test_every_working_state_can_leave(self, state):
+        found = chart.read_chart(
+            'target', candidates.TargetState, health.TargetEvent
+        )
+        event = health.TargetEvent.LEAVE
+        assert found.next(state, event) is self.STATES.LEAVING
+
+    @pytest.mark.parametrize(
+        'event',
+        [row for row in health.TargetEvent if row.value not in
+         ('return', 'remove')],
+    )  # fmt: skip
+    def test_a_leaving_target_stays_out(self, event):
+        found = chart.read_chart(
+            'target', candidates.TargetState, health.TargetEvent
+        )
+        state = found.next(self.STATES.LEAVING, event)
+        assert state is self.STATES.LEAVING
+
+
+@hypothesis.given(
+    events=st.lists(
+        st.tuples(st.floats(0.01, 0.4), st.sampled_from([-1, 1])), max_size=30
+    ),
+    lag=st.floats(0.0, 2.0),
+    others=st.integers(0, 10),
+)
+def test_a_report_on_time_is_corrected_to_the_work_of_others(
+    events, lag, others
+):
+    estimate = load.LoadEstimate()
+    now, count, history = 10.0, 0, [(0.0, 0)]
+    estimate.note_report(base.LoadReport(others, 0, 16, now), now)
+    for step, change in events:
+        now += step
+        count = max(0, count + change)
+        history.append((now, count))
+        estimate.note_count(count, now)
+    now += 3.0
+    when = now - lag
+    own = [held for at, held in history if at <= when][-1]
+    estimate.note_report(base.LoadReport(own + others, 0, 16, when), now)
+    assert estimate.others == others
+
+
+def test_a_report_that_lags_in_common_shows_by_too_little_work():
+    estimate = load.LoadEstimate()
+    estimate.note_report(base.LoadReport(0, 0, 16, 100.0), 1.0)
+    estimate.note_count(5, 1.2)
+    estimate.note_report(base.LoadReport(0, 0, 16, 100.5), 1.5)
+    assert estimate.others == 0
+    assert estimate.lag >= 0.3
+    estimate.note_count(0, 1.6)
+    estimate.note_report(base.LoadReport(5, 0, 16, 100.8), 1.8)
+    assert estimate.others == 0
+
+
+def test_a_random_set_draws_distinct_members():
+    held = sets.RandomSet()
+    rng = random.Random(3)
+    for number in range(50):
+        held.add(number)
+    for number in range(0, 50, 2):
+        held.discard(number)
+    drawn = held.draw(10, rng)
+    assert len(set(drawn)) == 10
+    assert all(number % 2 for number in drawn)
+    assert sorted(held.draw(99, rng)) == list(range(1, 50, 2))
+
+
+def test_a_view_of_a_bad_selector_is_empty():
+    view = pools.PoolView(candidates.Rules(selector='= nonsense ='))
+    assert not view.has_room
--- /dev/null
+++ b/waxwingport/limits/groups.py
@@ -0,0 +1,122 @@
+"""What admission knows of one pool or service."""
+
+from collections.abc import Iterator
+
+from waxwingport.limits import fairness
+from waxwingport.limits import grants
+from waxwingport.routing import candidates
+
+__all__ = ['Group']
+
+_HOLD_WEIGHT = 0.1
+_ROLLOUT_SHARE = 0.05
+"""Share of the grants that rollouts get while live calls wait."""
+_LONGEST_VICTIMS = 64
+"""Rollouts that are compared when one has to give way."""
+
+_LIVE = candidates.WorkClass.LIVE
+_ROLLOUT = candidates.WorkClass.ROLLOUT
+
+
+class Group:
+    """Waiters, grants and usual times of one pool or service."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.queues = {row: fairness.FairQueue() for row in (_LIVE, _ROLLOUT)}
+        self.in_progress = {_LIVE: 0, _ROLLOUT: 0}
+        self.giving_way = 0
+        self._holds: dict[candidates.WorkClass, float] = {}
+        self._rollouts: dict[grants.Grant, None] = {}
+        self._protected = 0
+        self._credit = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return sum(len(row) for row in self.queues.values())
+
+    @property
+    def total(self) -> int:
+        """Requests in progress."""
+        return sum(self.in_progress.values())
+
+    def has_waiters_before(self, work: candidates.Work) -> bool:
+        """Returns whether ``work`` has to let others go first."""
+        if self.queues[_LIVE]:
+            return True
+        return work.work_class is _ROLLOUT and bool(self.queues[_ROLLOUT])
+
+    def list_classes(self) -> list[candidates.WorkClass]:
+        """Returns the classes that wait, the one to serve first first."""
+        order = (
+            [_ROLLOUT, _LIVE] if self.owes_rollouts() else [_LIVE, _ROLLOUT]
+        )
+        return [row for row in order if self.queues[row]]
+
+    def owes_rollouts(self) -> bool:
+        """Returns whether a rollout goes before the live calls now."""
+        if not self.queues[_ROLLOUT] or not self.queues[_LIVE]:
+            return False
+        most = max(1.0, _ROLLOUT_SHARE * self.total)
+        return self._credit >= 1.0 and self._protected < most
+
+    def read_hold(self, work_class: candidates.WorkClass) -> float:
+        """Returns the usual time in seconds from grant to answer."""
+        return self._holds.get(work_class, 0.0)
+
+    def estimate_wait(self, work: candidates.Work, slots: int) -> float:
+        """Returns the seconds that ``work`` would wait for a target.
+
+        By Little's law: the requests ahead, at the rate at which as many as
+        now in progress finish, or as many as ``slots`` if that is more.
+        """
+        ahead = self.queues[_LIVE].count_ahead(work)
+        if work.work_class is _ROLLOUT:
+            ahead = len(self.queues[_LIVE])
+            ahead += self.queues[_ROLLOUT].count_ahead(work)
+        hold = self.read_hold(work.work_class)
+        return (ahead + 1) * hold / max(1, slots, self.total)
+
+    def note_hold(
+        self, work_class: candidates.WorkClass, taken: float
+    ) -> None:
+        """Takes the time of an answered request."""
+        before = self._holds.get(work_class, taken)
+        self._holds[work_class] = before + _HOLD_WEIGHT * (taken - before)
+
+    def add_grant(self, grant: grants.Grant) -> None:
+        """Takes a new grant."""
+        work = grant.work
+        self.in_progress[work.work_class] += 1
+        self.queues[work.work_class].clock.charge(work.owner, work.weight)
+        if work.work_class is _ROLLOUT:
+            self._rollouts[grant] = None
+            if grant.protected:
+                self._protected += 1
+                self._credit = 0.0
+        elif self.queues[_ROLLOUT]:
+            self._credit = min(1.0, self._credit + _ROLLOUT_SHARE)
+
+    def remove_grant(self, grant: grants.Grant) -> None:
+        """Takes the end of a grant."""
+        self.in_progress[grant.work.work_class] -= 1
+        if grant in self._rollouts:
+            del self._rollouts[grant]
+            self._protected -= grant.protected
+
+    def list_victims(self) -> Iterator[grants.Grant]:
+        """Yields rollouts that may give way, the youngest first.
+
+        The rollouts' own share of what is in progress is left alone.
+        """
+        running = [
+            row
+            for row in self._rollouts
+            if not row.preempted.is_set() and not row.protected
+        ]
+        kept = int(_ROLLOUT_SHARE * self.total)
+        spare = len(running) + self._protected - kept
+        youngest = running[::-1][:_LONGEST_VICTIMS]
+        youngest.sort(key=lambda row: row.work.priority)
+        yield from youngest[: max(0, spare)]
--- /dev/null
+++ b/waxwingport/limits/preemption.py
@@ -0,0 +1,54 @@
+"""Lets rollouts give way to live calls."""
+
+from collections.abc import Mapping
+import itertools
+import logging
+
+from waxwingport.limits import grants
+from waxwingport.limits import groups
+from waxwingport.routing import candidates
+from waxwingport.routing import pools
+
+__all__ = ['Preemption']
+
+_LOG = logging.getLogger(__name__)
+
+
+class Preemption:
+    """Keeps as many rollouts giving way as live calls wait, and no more."""
+
+    def __init__(self, found: Mapping[str, groups.Group]) -> None:
+        self._groups = found
+        self._giving_way: dict[grants.Grant, groups.Group] = {}
+
+    def make_way(
+        self,
+        group: groups.Group,
+        view: pools.PoolView,
+        work: candidates.Work,
+    ) -> None:
+        """Preempts rollouts on targets that could take ``work``."""
+        live = group.queues[candidates.WorkClass.LIVE]
+        wanted = len(live) - group.giving_way
+        if wanted <= 0:
+            return
+        victims = itertools.chain.from_iterable(
+            row.list_victims() for row in self._groups.values()
+        )
+        fitting = (row for row in victims if view.admits(work, row.target))
+        for grant in itertools.islice(fitting, wanted):
+            grant.preempted.set()
+            group.giving_way += 1
+            self._giving_way[grant] = group
+            _LOG.info(
+                'preempt request=%s group=%s target=%s',
+                grant.work.request_id,
+                grant.work.group,
+                grant.target.name,
+            )
+
+    def forget(self, grant: grants.Grant) -> None:
+        """Takes the release of a grant."""
+        asking = self._giving_way.pop(grant, None)
+        if asking is not None:
+            asking.giving_way -= 1
--- a/waxwingport/measure/routing.py
+++ b/waxwingport/measure/routing.py
@@ -1,55 +1,116 @@
 """Measurements of routing decisions."""
 
 import asyncio
+from collections.abc import Callable
 import random
 import time
 
 from waxwingport import ids
 from waxwingport.measure import base
+from waxwingport.measure import fixture
 from waxwingport.routing import candidates
 from waxwingport.routing import choice
+from waxwingport.standins import factory
 from waxwingport.targets import base as targets
 
 __all__ = ['RoutingRate']
 
-_TARGETS = 400
-_BATCH = 100
+_SIZES = (400, 10_000)
+_BATCH = 20
+_BLOCKS = 32
+_PROMPTS = 64
 
 
 class RoutingRate(base.Measurement):
-    """Routing decisions a second on one core at 400 targets."""
+    """Grants a second on one core against choices by the naive router.
+
+    A grant is the whole path: views, prefix match, choice, counts, release.
+    """
 
     name = 'routing-rate'
-    summary = 'routing decisions a second at 400 targets'
+    summary = 'routing decisions a second at 400 and 10,000 targets'
 
     async def run(self, options: base.Options) -> base.Report:
-        """Measures and returns the rate."""
-        rng = random.Random(options.seed)
-        rows = [_make_candidate(index, rng) for index in range(_TARGETS)]
-        work = candidates.Work(
-            request_id=ids.RequestId('r'),
+        """Measures and returns the rates."""
+        figures: list[base.Figure] = []
+        seconds = options.seconds / (2 * len(_SIZES))
+        for size in _SIZES:
+            found = _make_fixture(size, options.seed)
+            works = _make_works(options.seed)
+            figures += [
+                await _measure_grants(found, works, size, seconds),
+                await _measure_naive(found, works, size, seconds),
+            ]
+        return base.Report(self.name, options, tuple(figures))
+
+
+def _make_fixture(size: int, seed: int) -> fixture.Fixture:
+    found = fixture.Fixture(
+        factory.list_vms(size), factory.StandInTargetFactory(), seed
+    )
+    for target in found.targets:
+        load = found.rng.randrange(12)
+        target.note_load(targets.LoadReport(load, 0, 16))
+        target.engine_state = targets.EngineState(ids.WeightVersion(1))
+    return found
+
+
+def _make_works(seed: int) -> list[candidates.Work]:
+    rng = random.Random(seed)
+    deadline = asyncio.get_running_loop().time() + 3600.0
+    return [
+        candidates.Work(
+            request_id=ids.RequestId(f'r{index}'),
             group='pool',
-            owner='caller',
+            owner=f'caller-{index % 16}',
             work_class=candidates.WorkClass.LIVE,
-            deadline=0.0,
+            deadline=deadline,
+            blocks=tuple(rng.getrandbits(64) for _ in range(_BLOCKS)),
         )
-        done = 0
-        start = time.process_time()
-        while time.process_time() - start < options.seconds:
-            for _ in range(_BATCH):
-                choice.choose(work, rows, rng)
-            done += _BATCH
-            await asyncio.sleep(0)
-        rate = done / (time.process_time() - start)
-        figure = base.Figure('decisions', rate, '1/s of one core')
-        return base.Report(self.name, options, (figure,))
-
-
-def _make_candidate(index: int, rng: random.Random) -> candidates.Candidate:
-    return candidates.Candidate(
-        name=ids.TargetName(f'engine-{index}'),
-        data_centre=ids.DataCentre('muenchen'),
-        labels={},
-        state=candidates.TargetState.LIVE,
-        report=targets.LoadReport(rng.randrange(16), 0, 16),
-    )
+        for index in range(_PROMPTS)
+    ]
+
+
+async def _measure_grants(
+    found: fixture.Fixture,
+    works: list[candidates.Work],
+    size: int,
+    seconds: float,
+) -> base.Figure:
+    async def run() -> None:
+        for work in works[:_BATCH]:
+            (await found.gate.acquire(work)).ok.finish()
+
+    rate = await _measure_rate(run, seconds)
+    return base.Figure(f'grants at {size} targets', rate, '1/s of a core')
+
+
+async def _measure_naive(
+    found: fixture.Fixture,
+    works: list[candidates.Work],
+    size: int,
+    seconds: float,
+) -> base.Figure:
+    rules = found.gate.router.find_view('pool').rules
+
+    async def run() -> None:
+        for work in works[: 1 + 400 * _BATCH // (10 * size)]:
+            rows = [row.describe() for row in found.targets.select('')]
+            choice.choose(rules, work, rows, found.rng)
+
+    count = len(works[: 1 + 400 * _BATCH // (10 * size)])
+    rate = await _measure_rate(run, seconds, count)
+    name = f'naive choices at {size} targets'
+    return base.Figure(name, rate, '1/s of a core')
+
+
+async def _measure_rate(
+    run: Callable, seconds: float, count: int = _BATCH
+) -> float:
+    done = 0
+    start = time.process_time()
+    while time.process_time() - start < seconds:
+        await run()
+        done += count
+        await asyncio.sleep(0)
+    return done / (time.process_time() - start)
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -52,7 +52,7 @@
         self.incarnation = ids.mint_incarnation()
         self.rng = rng or random.Random()
         self.configuration = state.ConfigurationState()
-        self.targets = table.TargetTable(outside.targets)
+        self.targets = table.TargetTable(outside.targets, configured.node)
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
         )
--- a/waxwingport/routing/candidates.py
+++ b/waxwingport/routing/candidates.py
@@ -8,7 +8,14 @@
 from waxwingport import ids
 from waxwingport.targets import base
 
-__all__ = ['Candidate', 'Decision', 'TargetState', 'Work', 'WorkClass']
+__all__ = [
+    'Candidate',
+    'Decision',
+    'Rules',
+    'TargetState',
+    'Work',
+    'WorkClass',
+]
 
 
 class TargetState(enum.Enum):
@@ -47,12 +54,25 @@
     excluded: frozenset[ids.TargetName] = frozenset()
 
 
+class Rules(msgspec.Struct, frozen=True):
+    """What a pool or service asks of its targets.
+
+    ``version`` and ``minimum_version`` are those of the declared pool.
+    """
+
+    selector: str
+    version: ids.WeightVersion | None = None
+    minimum_version: ids.WeightVersion | None = None
+    priority: int = 0
+    weight: float = 1.0
+
+
 class Candidate(msgspec.Struct, frozen=True):
     """One target as it stands at the time of a decision.
 
-    ``in_progress`` counts this node's own requests there; ``sent_since`` those
-    sent after the time that ``report`` describes; ``matched_blocks`` how many
-    of the prompt's blocks are in its prefix cache.
+    ``in_progress`` counts this node's own requests there, ``others`` the work
+    of others after the latest report; ``matched_blocks`` how many of the
+    prompt's blocks are in its prefix cache.
     """
 
     name: ids.TargetName
@@ -61,22 +81,29 @@
     state: TargetState
     distance: float = 0.0
     """Seconds one way from this node's data centre."""
+    remote: bool = False
     weight_version: ids.WeightVersion | None = None
     loading: bool = False
     report: base.LoadReport | None = None
     in_progress: int = 0
-    sent_since: int = 0
+    others: int = 0
     limit: float = 1e9
+    ramp: float = 1.0
+    """Share of its capacity that a joining target counts with."""
+    slowness: float = 1.0
+    """Time that it takes for a request over the time usual in its pool."""
     matched_blocks: int = 0
 
 
 class Decision(msgspec.Struct, frozen=True):
     """The outcome of a routing decision and the reasons for it.
 
-    ``rejected`` counts, by reason, the targets that fell out.
+    ``considered`` counts the targets of the pool or service, ``rejected`` by
+    reason those that fell out, ``scored`` those whose score was compared.
     """
 
     chosen: ids.TargetName | None
     score: float
     considered: int
     rejected: Mapping[str, int] = {}
+    scored: int = 0
--- a/waxwingport/routing/choice.py
+++ b/waxwingport/routing/choice.py
@@ -1,4 +1,8 @@
-"""Choice of one target among candidates."""
+"""Filter and score of targets: pure decisions over a snapshot.
+
+``choose`` looks at every target.  ``waxwingport.routing.pools`` comes to a
+choice of the same kind from a few of them.
+"""
 
 import collections
 from collections.abc import Sequence
@@ -6,27 +10,55 @@
 
 from waxwingport.routing import candidates
 
-__all__ = ['choose', 'score']
+__all__ = [
+    'LIMIT',
+    'choose',
+    'compute_remote_cost',
+    'find_obstacle',
+    'find_standing_obstacle',
+    'score',
+]
 
-_BLOCK_VALUE = 0.25
-_DISTANCE_COST = 100.0
+LIMIT = 'limit'
+"""The obstacle that goes away by itself: no room."""
+_REMOTE_COST = 0.25
+"""Share of a target's capacity that a call to another data centre costs."""
+_DISTANCE_COST = 50.0
+"""Share of a target's capacity for each second of distance."""
+_LOADING_COST = 0.5
+_MATCH_VALUE = 0.5
+"""Share of a target's capacity that a wholly cached prompt is worth."""
+_FULL_VALUE_BLOCKS = 8
+"""Blocks from which on a cached prompt has its full value."""
+_ADMISSIBLE = (candidates.TargetState.LIVE, candidates.TargetState.JOINING)
 
 
 def score(work: candidates.Work, candidate: candidates.Candidate) -> float:
-    """Returns the cost of sending ``work`` there; lower is better."""
+    """Returns the cost of sending ``work`` there; lower is better.
+
+    It is in shares of a target's capacity.
+    """
     report = candidate.report
-    capacity = max(1, report.capacity if report else 1)
-    reported = report.running + report.waiting if report else 0
-    load = max(candidate.in_progress, reported + candidate.sent_since)
-    matched = candidate.matched_blocks / max(1, len(work.blocks))
-    return (
-        load / capacity
-        + candidate.distance * _DISTANCE_COST
-        - matched * _BLOCK_VALUE
-    )
+    capacity = report.capacity if report else candidate.limit
+    load = candidate.in_progress + candidate.others + 1
+    pressure = load / (max(1.0, capacity) * candidate.ramp)
+    cost = pressure * candidate.slowness
+    cost += compute_remote_cost(candidate.remote, candidate.distance)
+    if candidate.loading:
+        cost += _LOADING_COST
+    if candidate.matched_blocks:
+        blocks = max(_FULL_VALUE_BLOCKS, len(work.blocks))
+        cost -= _MATCH_VALUE * candidate.matched_blocks / blocks
+    return cost
+
+
+def compute_remote_cost(remote: bool, distance: float) -> float:
+    """Returns the part of the score that the data centre makes."""
+    return _REMOTE_COST + distance * _DISTANCE_COST if remote else 0.0
 
 
 def choose(
+    rules: candidates.Rules,
     work: candidates.Work,
     targets: Sequence[candidates.Candidate],
     rng: random.Random,
@@ -35,7 +67,7 @@
     rejected: collections.Counter[str] = collections.Counter()
     fitting = []
     for target in targets:
-        reason = _find_obstacle(work, target)
+        reason = find_obstacle(rules, work, target)
         if reason is None:
             fitting.append(target)
         else:
@@ -45,25 +77,41 @@
     drawn = rng.sample(fitting, min(2, len(fitting)))
     best = min(drawn, key=lambda target: score(work, target))
     return candidates.Decision(
-        best.name, score(work, best), len(targets), rejected
+        best.name, score(work, best), len(targets), rejected, len(drawn)
     )
 
 
-def _find_obstacle(
-    work: candidates.Work, target: candidates.Candidate
+def find_obstacle(
+    rules: candidates.Rules,
+    work: candidates.Work,
+    target: candidates.Candidate,
 ) -> str | None:
-    if target.state not in (
-        candidates.TargetState.LIVE,
-        candidates.TargetState.JOINING,
-    ):
-        return target.state.value
-    if target.name in work.excluded:
-        return 'excluded'
-    if target.in_progress >= target.limit:
-        return 'limit'
+    """Returns why ``work`` can't go there, or ``None``."""
+    reason = find_standing_obstacle(rules, target)
+    if reason is not None:
+        return reason
     if work.minimum_version is not None and (
         target.weight_version is None
         or target.weight_version < work.minimum_version
     ):
-        return 'weight-version'
-    return None
+        return 'minimum-version'
+    return 'excluded' if target.name in work.excluded else None
+
+
+def find_standing_obstacle(
+    rules: candidates.Rules, target: candidates.Candidate
+) -> str | None:
+    """Returns why no work of the pool can go there, or ``None``.
+
+    Works on anything with the attributes of a candidate.
+    """
+    if target.state not in _ADMISSIBLE:
+        return target.state.value
+    version = target.weight_version
+    if rules.version is not None and version != rules.version:
+        return 'version'
+    if rules.minimum_version is not None and (
+        version is None or version < rules.minimum_version
+    ):
+        return 'version'
+    return LIMIT if target.in_progress >= target.limit else None
--- /dev/null
+++ b/waxwingport/routing/sets.py
@@ -0,0 +1,55 @@
+"""A set from which members can be drawn at random in constant time."""
+
+from collections.abc import Iterator
+import random
+from typing import Generic
+from typing import TypeVar
+
+__all__ = ['RandomSet']
+
+Item = TypeVar('Item')
+
+
+class RandomSet(Generic[Item]):
+    """A set kept as a list, with the position of each member."""
+
+    def __init__(self) -> None:
+        self._items: list[Item] = []
+        self._positions: dict[Item, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __iter__(self) -> Iterator[Item]:
+        return iter(self._items)
+
+    def __contains__(self, item: Item) -> bool:
+        return item in self._positions
+
+    def add(self, item: Item) -> None:
+        """Adds ``item``; does nothing if it is there."""
+        if item not in self._positions:
+            self._positions[item] = len(self._items)
+            self._items.append(item)
+
+    def discard(self, item: Item) -> None:
+        """Removes ``item`` if it is there."""
+        position = self._positions.pop(item, None)
+        if position is None:
+            return
+        last = self._items.pop()
+        if position < len(self._items):
+            self._items[position] = last
+            self._positions[last] = position
+
+    def draw(self, count: int, rng: random.Random) -> list[Item]:
+        """Returns up to ``count`` distinct members drawn at random."""
+        size = len(self._items)
+        if count >= size:
+            return list(self._items)
+        if count == 1:
+            return [self._items[int(rng.random() * size)]]
+        start = {int(rng.random() * size) for _ in range(count)}
+        while len(start) < count:
+            start.add(int(rng.random() * size))
+        return [self._items[index] for index in start]
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -44,6 +44,10 @@
     max_connections: int = 4096
     shutdown_timeout: float = 60.0
     """Seconds that requests in progress get when the node stops."""
+    distances: dict[ids.DataCentre, float] = {}
+    """Seconds one way to other data centres."""
+    default_distance: float = 0.001
+    """Seconds one way to a data centre that ``distances`` does not name."""
 
 
 class PlatformSettings(
--- a/waxwingport/standins/engine.py
+++ b/waxwingport/standins/engine.py
@@ -158,7 +158,7 @@
         first = self._events[0][1].offset if self._events else 0
         after = known[-1].offset + 1 if known else first
         events = tuple(row for row in known if row.offset >= offset)
-        return Ok(base.CacheEvents(events, first, max(offset, after)))
+        return Ok(base.CacheEvents(events, first, after))
 
     async def read_state(self) -> Result[base.EngineState, base.TargetFault]:
         """Returns the versions and role of this engine."""
@@ -227,8 +227,10 @@
         self._kv.clear()
 
     def restart(self) -> None:
-        """Comes back with version 1 and an empty cache."""
+        """Comes back with version 1, an empty cache and no cache events."""
         self.crashed = False
+        self._events.clear()
+        self._next_event = 0
         self.silent = False
         self.state = base.EngineState(
             weight_version=ids.WeightVersion(1),
--- /dev/null
+++ b/waxwingport/targets/listeners.py
@@ -0,0 +1,25 @@
+"""Abstract base of what follows the changes of a table of targets."""
+
+import abc
+import typing
+
+if typing.TYPE_CHECKING:
+    from waxwingport.targets import table
+
+__all__ = ['TableListener']
+
+
+class TableListener(abc.ABC):
+    """Learns of changes in a table of targets."""
+
+    @abc.abstractmethod
+    def relabel(self, target: 'table.Target') -> None:
+        """Takes a target that is new or has other labels."""
+
+    @abc.abstractmethod
+    def refresh(self, target: 'table.Target') -> None:
+        """Takes a change of a target's state, version or room."""
+
+    @abc.abstractmethod
+    def remove(self, target: 'table.Target') -> None:
+        """Takes a target that is gone."""
--- a/waxwingport/targets/table.py
+++ b/waxwingport/targets/table.py
@@ -8,12 +8,26 @@
 from waxwingport.configuration import declarations
 from waxwingport.configuration import selectors
 from waxwingport import ids
+from waxwingport.limits import adaptive
 from waxwingport.platform import base as platform
 from waxwingport.routing import candidates
+from waxwingport import settings
 from waxwingport.targets import base
+from waxwingport.targets import health
+from waxwingport.targets import listeners
+from waxwingport.targets import load
+from waxwingport.targets import pace
 
 __all__ = ['Target', 'TargetFactory', 'TargetTable']
 
+_INITIAL_LIMIT = 16.0
+"""Requests in progress at a target whose capacity is not known yet."""
+_HIGHEST_LIMIT = 1024.0
+_RAMP_TIME = 10.0
+"""Seconds until a target that joins counts with its whole capacity."""
+_LEAST_RAMP = 0.1
+_LEAVING_LABEL = ('state', 'leaving')
+
 
 class TargetFactory(abc.ABC):
     """Makes the adapters by which a node talks to targets."""
@@ -32,72 +46,227 @@
 
 
 class Target:
-    """One target: its adapter, its labels and the latest reports."""
+    """One target: its adapter, its labels, its state and its load."""
 
-    def __init__(self, vm: platform.Vm, factory: TargetFactory) -> None:
+    def __init__(
+        self,
+        vm: platform.Vm,
+        factory: TargetFactory,
+        owner: 'TargetTable | None' = None,
+    ) -> None:
         self.vm = vm
         self.name = ids.TargetName(vm.name)
+        self.data_centre = vm.data_centre
+        self.remote = owner is not None and owner.is_remote(vm.data_centre)
+        self.distance = owner.measure(vm.data_centre) if owner else 0.0
         self.labels: dict[str, str] = dict(vm.labels)
-        self.state = candidates.TargetState.LIVE
         self.engine: base.Engine | None = None
         self.service: base.Service | None = None
         self.scoring: base.ScoringService | None = None
         self.report: base.LoadReport | None = None
         self.reported_at: float | None = None
-        self.engine_state: base.EngineState | None = None
+        self.weight_version: ids.WeightVersion | None = None
         self.in_progress = 0
-        self.sent_since = 0
+        self.limit = _INITIAL_LIMIT
+        self.adaptive = adaptive.AdaptiveLimit(_INITIAL_LIMIT, _HIGHEST_LIMIT)
+        self._owner = owner
+        self._engine_state: base.EngineState | None = None
+        self._health = health.Health()
+        self._load = load.LoadEstimate()
+        self._pace = pace.Pace()
+        self._timer: asyncio.TimerHandle | None = None
+        self._joined_at = 0.0
+        self._had_room = True
         self._make_adapter(factory)
+        self._join()
 
-    def _make_adapter(self, factory: TargetFactory) -> None:
-        match self.vm.kind:
-            case platform.VmKind.ENGINE:
-                self.engine = factory.make_engine(self.vm)
-            case platform.VmKind.SCORING:
-                self.scoring = factory.make_scoring(self.vm)
-            case platform.VmKind.SERVICE:
-                self.service = factory.make_service(self.vm)
-            case platform.VmKind.NODE:
-                raise AssertionError('a node is no target')
+    @property
+    def state(self) -> candidates.TargetState:
+        """State as this node sees it."""
+        return self._health.state
+
+    @property
+    def engine_state(self) -> base.EngineState | None:
+        """What the engine reported of itself last."""
+        return self._engine_state
+
+    @engine_state.setter
+    def engine_state(self, found: base.EngineState | None) -> None:
+        self._engine_state = found
+        version = found.weight_version if found else None
+        if version != self.weight_version:
+            self.weight_version = version
+            self._notify()
 
-    def start_request(self) -> None:
-        """Counts a request that this node sends there."""
+    def start_request(self, usual: float = 0.0) -> None:
+        """Counts a request that this node sends there.
+
+        ``usual`` is the time in seconds that such a request takes.
+        """
+        now = _now()
+        self._pace.note_start(usual, self.in_progress == 0, now)
         self.in_progress += 1
-        self.sent_since += 1
+        self._load.note_count(self.in_progress, now)
+        self._check_room()
 
     def finish_request(self) -> None:
         """Counts the end of a request."""
+        now = _now()
         self.in_progress -= 1
+        self._load.note_count(self.in_progress, now)
+        self._pace.note_end(now)
+        self._check_room()
+
+    def note_success(self, taken: float, usual: float) -> None:
+        """Takes an answered request and its time, both in seconds."""
+        now = _now()
+        self._health.note_success()
+        self._pace.note_time(taken, usual, now)
+        # An engine's time depends on what it generates.
+        latency = taken if self.engine is None else None
+        self.adaptive.note_success(self.in_progress + 1, now, latency)
+        self.update_limit()
+
+    def note_fault(
+        self, fault: base.TargetFault, taken: float, may_eject: bool = True
+    ) -> None:
+        """Takes a failed request; see ``health.Health.note_fault``."""
+        now = _now()
+        if health.judge(fault) is health.Verdict.REFUSING:
+            self.adaptive.note_refusal(now - taken, now)
+            self.update_limit()
+        cool_down = self._health.note_fault(fault, may_eject)
+        if cool_down is None:
+            return
+        if health.judge(fault) is not health.Verdict.REFUSING:
+            self.adaptive.restart()
+        self.update_limit()
+        self._set_timer(cool_down, self._recover)
+        self._notify()
 
     def note_load(self, report: base.LoadReport) -> None:
-        """Takes a load report."""
+        """Takes a load report of the engine."""
+        now = _now()
         self.report = report
-        self.reported_at = asyncio.get_running_loop().time()
-        self.sent_since = 0
+        self.reported_at = now
+        self._load.note_report(report, now)
+        self.adaptive.set_ceiling(max(1.0, report.capacity))
+        self.update_limit()
+
+    def handle(self, event: health.TargetEvent) -> None:
+        """Follows an event of the state chart."""
+        if not self._health.handle(event):
+            return
+        if self.state is candidates.TargetState.JOINING:
+            self._join()
+        elif self.state is not candidates.TargetState.LIVE:
+            self._set_timer(None)
+        self._notify()
 
-    def describe(self) -> candidates.Candidate:
+    def read_cool_down(self, now: float) -> float:
+        """Returns the seconds until a suspect target is tried again."""
+        if self.state is not candidates.TargetState.SUSPECT:
+            return 0.0
+        return max(0.0, self._timer.when() - now) if self._timer else 0.0
+
+    def describe(
+        self, now: float | None = None, matched_blocks: int = 0
+    ) -> candidates.Candidate:
         """Returns this target as a routing candidate."""
-        state = self.engine_state
+        when = _now() if now is None else now
+        state = self._engine_state
         return candidates.Candidate(
-            name=self.name,
-            data_centre=self.vm.data_centre,
-            labels=self.labels,
-            state=self.state,
-            weight_version=state.weight_version if state else None,
-            loading=bool(state and state.loading),
-            report=self.report,
-            in_progress=self.in_progress,
-            sent_since=self.sent_since,
+            self.name,
+            self.data_centre,
+            self.labels,
+            self._health.state,
+            self.distance,
+            self.remote,
+            self.weight_version,
+            state is not None and state.loading is not None,
+            self.report,
+            self.in_progress,
+            self._load.others,
+            self.limit,
+            self._read_ramp(when),
+            self._pace.read(self.in_progress > 0, when),
+            matched_blocks,
         )
 
+    def update_limit(self) -> None:
+        """Computes the limit again after a change that it depends on."""
+        limit = self.adaptive.value
+        if self.report is not None:
+            capacity = self.report.capacity
+            sharers = self._owner.sharers if self._owner else 1
+            own_share = capacity / max(1, sharers)
+            limit = min(limit, max(capacity - self._load.others, own_share))
+        self.limit = max(1.0, limit)
+        self._check_room()
+
+    def _check_room(self) -> None:
+        has_room = self.in_progress < self.limit
+        if has_room is not self._had_room:
+            self._had_room = has_room
+            self._notify()
+
+    def _notify(self) -> None:
+        if self._owner is not None:
+            self._owner.notify(self)
+
+    def _join(self) -> None:
+        self._joined_at = _now()
+        self._set_timer(_RAMP_TIME, self._settle)
+
+    def _settle(self) -> None:
+        self.handle(health.TargetEvent.SETTLE)
+
+    def _recover(self) -> None:
+        self.handle(health.TargetEvent.RECOVER)
+
+    def _read_ramp(self, now: float) -> float:
+        if self._health.state is not candidates.TargetState.JOINING:
+            return 1.0
+        share = (now - self._joined_at) / _RAMP_TIME
+        return min(1.0, max(_LEAST_RAMP, share))
+
+    def _set_timer(self, delay: float | None, callback=None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if delay is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(delay, callback)
+
+    def _make_adapter(self, factory: TargetFactory) -> None:
+        match self.vm.kind:
+            case platform.VmKind.ENGINE:
+                self.engine = factory.make_engine(self.vm)
+            case platform.VmKind.SCORING:
+                self.scoring = factory.make_scoring(self.vm)
+            case platform.VmKind.SERVICE:
+                self.service = factory.make_service(self.vm)
+            case platform.VmKind.NODE:
+                raise AssertionError('a node is no target')
+
 
 class TargetTable:
-    """Targets by name, labelled as declared."""
+    """Targets by name, labelled as declared.
+
+    ``sharers`` is the number of nodes that send work to the same targets.
+    """
 
-    def __init__(self, factory: TargetFactory) -> None:
+    def __init__(
+        self,
+        factory: TargetFactory,
+        node: settings.NodeSettings | None = None,
+    ) -> None:
+        self.sharers = 1
         self._factory = factory
+        self._node = node
         self._targets: dict[ids.TargetName, Target] = {}
         self._rules: tuple[declarations.LabelRule, ...] = ()
+        self._listeners: list[listeners.TableListener] = []
 
     def __iter__(self) -> Iterator[Target]:
         return iter(self._targets.values())
@@ -105,10 +274,26 @@
     def __len__(self) -> int:
         return len(self._targets)
 
+    def listen(self, listener: listeners.TableListener) -> None:
+        """Tells ``listener`` of each change from now on."""
+        self._listeners.append(listener)
+
     def find(self, name: str) -> Target | None:
         """Returns the target called ``name``, or ``None``."""
         return self._targets.get(ids.TargetName(name))
 
+    def is_remote(self, data_centre: ids.DataCentre) -> bool:
+        """Returns whether that is not this node's data centre."""
+        return self._node is not None and self._node.data_centre != data_centre
+
+    def measure(self, data_centre: ids.DataCentre) -> float:
+        """Returns the seconds one way to a data centre."""
+        if not self.is_remote(data_centre):
+            return 0.0
+        return self._node.distances.get(
+            data_centre, self._node.default_distance
+        )
+
     def select(self, selector: str) -> list[Target]:
         """Returns the targets whose labels match, none for a bad selector."""
         parsed = selectors.parse(selector).default_value(None)
@@ -122,29 +307,56 @@
         for target in self:
             self._label(target)
 
+    def set_sharers(self, count: int) -> None:
+        """Takes the number of nodes that send work to the same targets."""
+        if count != self.sharers:
+            self.sharers = count
+            for target in self:
+                target.update_limit()
+
     def update(self, vms: Iterable[platform.Vm]) -> None:
-        """Takes the platform's list; what it no longer names is gone."""
+        """Takes the platform's list; what it no longer names is gone.
+
+        The targets of the first list are live at once.
+        """
         listed = {
             ids.TargetName(vm.name): vm
             for vm in vms
             if vm.kind is not platform.VmKind.NODE
         }
+        known_before = bool(self._targets)
         for name in set(self._targets) - set(listed):
-            self._targets.pop(name).state = candidates.TargetState.GONE
+            self._remove(name)
         for name, vm in listed.items():
             self._take(name, vm)
+        if not known_before:
+            # This node is new, not the targets that it finds.
+            for target in self:
+                target.handle(health.TargetEvent.SETTLE)
+
+    def notify(self, target: Target) -> None:
+        """Tells the listeners of a change of ``target``."""
+        if self._targets.get(target.name) is target:
+            for listener in self._listeners:
+                listener.refresh(target)
+
+    def _remove(self, name: ids.TargetName) -> None:
+        target = self._targets.pop(name)
+        target.handle(health.TargetEvent.REMOVE)
+        for listener in self._listeners:
+            listener.remove(target)
 
     def _take(self, name: ids.TargetName, vm: platform.Vm) -> None:
         target = self._targets.get(name)
-        if target is None or target.vm.address != vm.address:
-            target = self._targets[name] = Target(vm, self._factory)
+        if target is not None and target.vm == vm:
+            return
+        if target is not None and target.vm.address != vm.address:
+            self._remove(name)
+            target = None
+        if target is None:
+            target = self._targets[name] = Target(vm, self._factory, self)
+            target.labels = {}
         target.vm = vm
-        leaving = vm.state is platform.VmState.LEAVING
-        target.state = (
-            candidates.TargetState.LEAVING
-            if leaving
-            else candidates.TargetState.LIVE
-        )
         self._label(target)
 
     def _label(self, target: Target) -> None:
@@ -155,4 +367,23 @@
             parsed = selectors.parse(rule.match).default_value(None)
             if parsed is not None and parsed.matches(labels):
                 labels.update(rule.set)
+        changed = labels != target.labels
         target.labels = labels
+        self._follow_list(target)
+        if changed:
+            for listener in self._listeners:
+                listener.relabel(target)
+
+    def _follow_list(self, target: Target) -> None:
+        key, value = _LEAVING_LABEL
+        leaving = (
+            target.vm.state is platform.VmState.LEAVING
+            or target.labels.get(key) == value
+        )
+        target.handle(
+            health.TargetEvent.LEAVE if leaving else health.TargetEvent.RETURN
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
