Refuse early by wait, width and spread of times

Change: the wait of rollouts follows what live calls leave them, a request needs the mean and two deviations of its time, a timeout counts against a target only when nothing else was answered there.

--- a/waxwingport/limits/admission.py
+++ b/waxwingport/limits/admission.py
@@ -102,6 +102,8 @@
             grant.target.note_success(taken, usual)
             group.note_hold(work.work_class, taken)
             return
+        if fault.kind is base.TargetFaultKind.TIMEOUT:
+            group.note_hold(work.work_class, taken)
         view = self.router.find_view(work.group)
         may_eject = view is not None and (
             view.count_rejected(candidates.TargetState.SUSPECT.value) + 1
@@ -155,8 +157,8 @@
             if cool_down is None or cool_down > _SUSPECT_WAIT:
                 return self._refusals.say_no_target(work, cool_down)
         wait = group.estimate_wait(work, len(view))
-        hold = group.read_hold(work.work_class)
-        late = now + wait + hold - work.deadline
+        longest = group.read_longest(work.work_class)
+        late = now + wait + longest - work.deadline
         if late >= 0.0:
             detail = f'the wait of about {wait:.2f} s is too long'
             return self._refusals.say_no(
@@ -218,7 +220,7 @@
             work, loop.create_future(), next(self._numbers)
         )
         group.queues[work.work_class].add(waiter)
-        last_moment = work.deadline - group.read_hold(work.work_class)
+        last_moment = work.deadline - group.read_longest(work.work_class)
         waiter.timer = loop.call_at(last_moment, self._expire, group, waiter)
         if work.work_class is candidates.WorkClass.LIVE:
             self._preemption.make_way(group, view, work)
--- a/waxwingport/limits/decay.py
+++ b/waxwingport/limits/decay.py
@@ -1,9 +1,9 @@
-"""A count that forgets: each addition fades exponentially."""
+"""Counts and means that forget the past exponentially."""
 
 import asyncio
 import math
 
-__all__ = ['DecayingCount']
+__all__ = ['DecayingCount', 'DecayingMean']
 
 
 class DecayingCount:
@@ -25,3 +25,26 @@
         self._value *= math.exp(-elapsed / self.window)
         self._updated = now
         return self._value
+
+
+class DecayingMean:
+    """Mean of a value over time, with time constant ``window`` (seconds)."""
+
+    def __init__(self, window: float) -> None:
+        self.window = window
+        self._mean = 0.0
+        self._value = 0.0
+        self._updated = 0.0
+
+    def note(self, value: float) -> None:
+        """Takes the value that holds from now on."""
+        self.read()
+        self._value = value
+
+    def read(self) -> float:
+        """Returns the mean up to now."""
+        now = asyncio.get_running_loop().time()
+        fading = math.exp(-max(0.0, now - self._updated) / self.window)
+        self._mean = self._value + (self._mean - self._value) * fading
+        self._updated = now
+        return self._mean
--- a/waxwingport/limits/groups.py
+++ b/waxwingport/limits/groups.py
@@ -1,14 +1,21 @@
 """What admission knows of one pool or service."""
 
 from collections.abc import Iterator
+import math
 
+from waxwingport.limits import decay
 from waxwingport.limits import fairness
 from waxwingport.limits import grants
 from waxwingport.routing import candidates
 
 __all__ = ['Group']
 
-_HOLD_WEIGHT = 0.1
+_HOLD_WEIGHT = 0.05
+_DEVIATIONS = 2.0
+_LONGEST_RATIO = 3.0
+"""Bound on the time of a long request over the mean."""
+_WIDTH_WINDOW = 5.0
+"""Seconds over which the rollouts in progress are averaged."""
 _ROLLOUT_SHARE = 0.05
 """Share of the grants that rollouts get while live calls wait."""
 _LONGEST_VICTIMS = 64
@@ -18,6 +25,33 @@
 _ROLLOUT = candidates.WorkClass.ROLLOUT
 
 
+class _Hold:
+    """Mean and spread of the time from grant to answer, in seconds."""
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self._variance = 0.0
+        self._known = False
+
+    @property
+    def longest(self) -> float:
+        """The mean and two standard deviations, within bounds."""
+        wanted = self.mean + _DEVIATIONS * math.sqrt(self._variance)
+        return min(wanted, _LONGEST_RATIO * self.mean)
+
+    def note(self, taken: float) -> None:
+        """Takes the time of one request."""
+        if not self._known:
+            self._known = True
+            self.mean = taken
+            return
+        difference = taken - self.mean
+        step = _HOLD_WEIGHT * difference
+        self.mean += step
+        kept = 1.0 - _HOLD_WEIGHT
+        self._variance = kept * (self._variance + difference * step)
+
+
 class Group:
     """Waiters, grants and usual times of one pool or service."""
 
@@ -26,8 +60,9 @@
         self.queues = {row: fairness.FairQueue() for row in (_LIVE, _ROLLOUT)}
         self.in_progress = {_LIVE: 0, _ROLLOUT: 0}
         self.giving_way = 0
-        self._holds: dict[candidates.WorkClass, float] = {}
+        self._holds = {row: _Hold() for row in (_LIVE, _ROLLOUT)}
         self._rollouts: dict[grants.Grant, None] = {}
+        self._rollout_width = decay.DecayingMean(_WIDTH_WINDOW)
         self._protected = 0
         self._credit = 0.0
 
@@ -63,27 +98,34 @@
 
     def read_hold(self, work_class: candidates.WorkClass) -> float:
         """Returns the usual time in seconds from grant to answer."""
-        return self._holds.get(work_class, 0.0)
+        return self._holds[work_class].mean
+
+    def read_longest(self, work_class: candidates.WorkClass) -> float:
+        """Returns the time in seconds within which most are answered."""
+        return self._holds[work_class].longest
 
     def estimate_wait(self, work: candidates.Work, slots: int) -> float:
         """Returns the seconds that ``work`` would wait for a target.
 
         By Little's law: the requests ahead, at the rate at which as many as
-        now in progress finish, or as many as ``slots`` if that is more.
+        now in progress finish.  For a live call these are all, ``slots`` at
+        the least, since rollouts give way to it; for a rollout they are what
+        live calls left to rollouts lately.
         """
-        ahead = self.queues[_LIVE].count_ahead(work)
-        if work.work_class is _ROLLOUT:
-            ahead = len(self.queues[_LIVE])
-            ahead += self.queues[_ROLLOUT].count_ahead(work)
+        queue = self.queues[work.work_class]
+        if work.work_class is _LIVE:
+            width = max(slots, self.total)
+        else:
+            running = self.in_progress[_ROLLOUT]
+            width = max(1.0, running, self._rollout_width.read())
         hold = self.read_hold(work.work_class)
-        return (ahead + 1) * hold / max(1, slots, self.total)
+        return (queue.count_ahead(work) + 1) * hold / max(1.0, width)
 
     def note_hold(
         self, work_class: candidates.WorkClass, taken: float
     ) -> None:
         """Takes the time of an answered request."""
-        before = self._holds.get(work_class, taken)
-        self._holds[work_class] = before + _HOLD_WEIGHT * (taken - before)
+        self._holds[work_class].note(taken)
 
     def add_grant(self, grant: grants.Grant) -> None:
         """Takes a new grant."""
@@ -92,6 +134,7 @@
         self.queues[work.work_class].clock.charge(work.owner, work.weight)
         if work.work_class is _ROLLOUT:
             self._rollouts[grant] = None
+            self._rollout_width.note(len(self._rollouts))
             if grant.protected:
                 self._protected += 1
                 self._credit = 0.0
@@ -103,6 +146,7 @@
         self.in_progress[grant.work.work_class] -= 1
         if grant in self._rollouts:
             del self._rollouts[grant]
+            self._rollout_width.note(len(self._rollouts))
             self._protected -= grant.protected
 
     def list_victims(self) -> Iterator[grants.Grant]:
--- /dev/null
+++ b/waxwingport/measure/overload.py
@@ -0,0 +1,188 @@
+"""Measurements of useful throughput under overload, in virtual time."""
+
+import asyncio
+
+import msgspec
+
+from waxwingport.measure import base
+from waxwingport.measure import fixture
+from waxwingport.measure import traffic
+from waxwingport.measure import virtual
+from waxwingport.routing import candidates
+from waxwingport.standins import engine
+from waxwingport.standins import factory
+from waxwingport.targets import table
+
+__all__ = ['Overload']
+
+_ENGINES = 3
+_SLOTS = 8
+_MEAN_TOKENS = 24.0
+_TOKEN_TIME = 0.01
+_MIXED = 0.2
+"""Live calls in the offered load, where rollouts make up the rest."""
+_LIVE_TIMEOUT = 2.5
+_ROLLOUT_TIMEOUT = 15.0
+_FACTORS = (0.5, 1.0, 2.0, 4.0)
+_POLL_INTERVAL = 0.25
+_LIVE = candidates.WorkClass.LIVE
+_ROLLOUT = candidates.WorkClass.ROLLOUT
+
+
+class _Scenario(msgspec.Struct, frozen=True):
+    client: type[traffic.Client]
+    live_share: float
+    factor: float
+
+    @property
+    def gated(self) -> bool:
+        return self.client is traffic.GatedClient
+
+
+class Overload(base.Measurement):
+    """Answers within their timeouts, offered 0.5 to 4 times the capacity."""
+
+    name = 'overload'
+    summary = (
+        'useful throughput and refusals at 0.5 to 4 times the capacity '
+        '(virtual time)'
+    )
+
+    async def run(self, options: base.Options) -> base.Report:
+        """Measures admission and the baseline at each load."""
+        figures = await _compare('mixed', _MIXED, _FACTORS, options)
+        figures += await _compare('live only', 1.0, (1.0, 4.0), options)
+        return base.Report(self.name, options, tuple(figures))
+
+
+async def _compare(
+    load: str,
+    live_share: float,
+    factors: tuple[float, ...],
+    options: base.Options,
+) -> list[base.Figure]:
+    figures: list[base.Figure] = []
+    useful: dict[float, float] = {}
+    for factor in factors:
+        for kind in (traffic.GatedClient, traffic.StraightClient):
+            scenario = _Scenario(kind, live_share, factor)
+            tally = await virtual.run(_measure(scenario, options))
+            in_time = tally.count_useful(until=options.seconds)
+            rate = in_time / options.seconds
+            if scenario.gated:
+                useful[factor] = rate
+            name = 'admission' if scenario.gated else 'baseline'
+            label = f'{load}, {name} at {factor:g}x'
+            figures += _describe(tally, label, rate, scenario)
+    figures.append(
+        base.Figure(
+            f'{load}: useful at 4x over that at capacity',
+            useful[4.0] / useful[1.0],
+            'share',
+            0.9,
+            base.Bound.AT_LEAST,
+        )
+    )
+    return figures
+
+
+def _describe(
+    tally: traffic.Tally, label: str, rate: float, scenario: _Scenario
+) -> list[base.Figure]:
+    live = [row for row in tally.select(_LIVE) if not row.refused]
+    if scenario.live_share < 1.0:
+        # The live calls alone are below the capacity: none needs a refusal.
+        live = tally.select(_LIVE)
+    in_time = tally.count_useful(_LIVE) / max(1, len(live))
+    refused = [row for row in tally.rows if row.refused]
+    waits = [row.ended - row.started for row in refused]
+    goal = 0.99 if scenario.gated else None
+    return [
+        base.Figure(f'{label}: useful', rate, 'answers/s'),
+        base.Figure(
+            f'{label}: live calls answered in time',
+            in_time,
+            'share',
+            goal,
+            base.Bound.AT_LEAST,
+        ),
+        base.Figure(
+            f'{label}: refused', len(refused) / len(tally.rows), 'share'
+        ),
+        base.Figure(
+            f'{label}: neither answered nor refused',
+            1.0
+            - (tally.count_useful() + len(refused)) / max(1, len(tally.rows)),
+            'share',
+        ),
+        base.Figure(
+            f'{label}: time to a refusal, mean',
+            sum(waits) / max(1, len(waits)),
+            's',
+        ),
+    ]
+
+
+async def _measure(
+    scenario: _Scenario, options: base.Options
+) -> traffic.Tally:
+    seed = options.seed
+    made = factory.StandInTargetFactory(
+        lambda name: engine.StandInEngineSettings(
+            capacity=_SLOTS,
+            token_time=_TOKEN_TIME,
+            mean_tokens=_MEAN_TOKENS,
+            seed=seed,
+        )
+    )
+    found = fixture.Fixture(factory.list_vms(_ENGINES), made, seed)
+    polling = asyncio.get_running_loop().create_task(_poll(found.targets))
+    rate = scenario.factor * estimate_capacity()
+    share = scenario.live_share
+    tally = await traffic.drive(
+        scenario.client(found),
+        [
+            row
+            for row in (
+                (rate * share, _make_live),
+                (rate * (1.0 - share), _make_rollout),
+            )
+            if row[0]
+        ],
+        options.seconds,
+        found.rng,
+    )
+    polling.cancel()
+    return tally
+
+
+def estimate_capacity() -> float:
+    """Returns the requests a second that all engines finish when full."""
+    # The mean of the lognormal lengths with spread 0.6 is 1.2 times e^mu.
+    hold = 1.2 * _MEAN_TOKENS * _TOKEN_TIME * 2.0
+    return _ENGINES * _SLOTS / hold
+
+
+def _make_live(number: int, now: float) -> tuple[candidates.Work, str]:
+    name = f'live-{number}'
+    work = traffic.make_work(
+        name, _LIVE, f'caller-{number % 8}', now + _LIVE_TIMEOUT
+    )
+    return work, f'prompt of {name}'
+
+
+def _make_rollout(number: int, now: float) -> tuple[candidates.Work, str]:
+    name = f'rollout-{number}'
+    work = traffic.make_work(
+        name, _ROLLOUT, f'trainer-{number % 2}', now + _ROLLOUT_TIMEOUT
+    )
+    return work, f'prompt of {name}'
+
+
+async def _poll(targets: table.TargetTable) -> None:
+    while True:
+        for target in targets:
+            report = await target.engine.read_load()
+            if report.is_ok():
+                target.note_load(report.ok)
+        await asyncio.sleep(_POLL_INTERVAL)
--- /dev/null
+++ b/waxwingport/measure/traffic.py
@@ -0,0 +1,217 @@
+"""Open-loop traffic of completions on in-memory engines."""
+
+import abc
+import asyncio
+import contextlib
+import math
+import random
+
+from expression import Result
+import msgspec
+
+from waxwingport import ids
+from waxwingport.measure import fixture
+from waxwingport.routing import candidates
+from waxwingport.targets import base
+
+__all__ = [
+    'Answered',
+    'Client',
+    'GatedClient',
+    'StraightClient',
+    'Tally',
+    'drive',
+    'make_work',
+]
+
+_ATTEMPTS = 3
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """How one request ended; times in seconds of the loop's clock."""
+
+    work: candidates.Work
+    started: float
+    ended: float
+    answered: bool
+    refused: bool = False
+
+
+class Tally:
+    """Ends of requests."""
+
+    def __init__(self) -> None:
+        self.rows: list[Answered] = []
+
+    def select(
+        self, work_class: candidates.WorkClass | None = None
+    ) -> list[Answered]:
+        """Returns the ends, of one class or of all."""
+        return [
+            row
+            for row in self.rows
+            if work_class in (None, row.work.work_class)
+        ]
+
+    def count_useful(
+        self,
+        work_class: candidates.WorkClass | None = None,
+        until: float = math.inf,
+    ) -> int:
+        """Returns how many were answered in time, up to a time."""
+        return sum(
+            row.answered and row.ended <= min(until, row.work.deadline)
+            for row in self.select(work_class)
+        )
+
+
+class Client(abc.ABC):
+    """Runs one request to its end."""
+
+    def __init__(self, found: fixture.Fixture) -> None:
+        self.fixture = found
+
+    @abc.abstractmethod
+    async def run(
+        self, work: candidates.Work, prompt: str
+    ) -> tuple[bool, bool]:
+        """Returns whether it was answered whole, and whether refused."""
+
+
+class GatedClient(Client):
+    """Goes by admission, and again after what may be repeated."""
+
+    async def run(
+        self, work: candidates.Work, prompt: str
+    ) -> tuple[bool, bool]:
+        """Returns whether it was answered whole, and whether refused."""
+        generation = base.Generation(work.request_id, prompt, 4096)
+        failed = 0
+        while failed < _ATTEMPTS:
+            outcome = await self.fixture.gate.acquire(work)
+            if outcome.is_error():
+                return False, True
+            grant = outcome.ok
+            generation, fault = await _stream(
+                grant.target.engine, generation, work, grant.preempted
+            )
+            preempted = grant.preempted.is_set()
+            grant.finish(fault)
+            if fault is None:
+                return True, False
+            if not preempted:
+                failed += 1
+                work = msgspec.structs.replace(
+                    work, excluded=work.excluded | {grant.target.name}
+                )
+        return False, False
+
+
+async def _stream(
+    engine: base.Engine,
+    generation: base.Generation,
+    work: candidates.Work,
+    stop: asyncio.Event | None = None,
+) -> tuple[base.Generation, base.TargetFault | None]:
+    """Returns the generation as far as it came, and why it ended early."""
+    timeout = work.deadline - asyncio.get_running_loop().time()
+    stream = engine.stream(generation, timeout)
+    async with contextlib.aclosing(stream):
+        async for outcome in stream:
+            match outcome:
+                case Result(tag='ok', ok=chunk):
+                    generation = msgspec.structs.replace(
+                        generation,
+                        text=generation.text + chunk.text,
+                        position=chunk.position + chunk.tokens,
+                    )
+                    if chunk.finish_reason is not None:
+                        return generation, None
+                case Result(error=fault):
+                    return generation, fault
+            if stop is not None and stop.is_set():
+                break
+    kind = base.TargetFaultKind.CANCELLED
+    return generation, base.TargetFault(kind, 'preempted', sent=True)
+
+
+class StraightClient(Client):
+    """Naive baseline: engines in turn, no limits, no second try."""
+
+    def __init__(self, found: fixture.Fixture) -> None:
+        super().__init__(found)
+        self._turn = 0
+
+    async def run(
+        self, work: candidates.Work, prompt: str
+    ) -> tuple[bool, bool]:
+        """Returns whether it was answered whole, and whether refused."""
+        targets = list(self.fixture.targets)
+        self._turn += 1
+        target = targets[self._turn % len(targets)]
+        generation = base.Generation(work.request_id, prompt, 4096)
+        _, fault = await _stream(target.engine, generation, work)
+        refused = fault is not None and not fault.sent
+        return fault is None, refused
+
+
+async def drive(
+    client: Client,
+    makers,
+    seconds: float,
+    rng: random.Random,
+) -> Tally:
+    """Sends requests at random times and returns how they ended.
+
+    ``makers`` are pairs of a rate in requests a second and a function that
+    makes the work and the prompt of request ``number`` at a time.
+    """
+    tally = Tally()
+    loop = asyncio.get_running_loop()
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def run(work: candidates.Work, prompt: str) -> None:
+        started = loop.time()
+        patience = work.deadline - started + 1.0
+        answered, refused = False, False
+        with contextlib.suppress(TimeoutError):
+            answered, refused = await asyncio.wait_for(
+                client.run(work, prompt), patience
+            )
+        tally.rows.append(
+            Answered(work, started, loop.time(), answered, refused)
+        )
+
+    async def send(rate: float, make) -> None:
+        end = loop.time() + seconds
+        number = 0
+        while loop.time() < end:
+            await asyncio.sleep(rng.expovariate(rate))
+            number += 1
+            work, prompt = make(number, loop.time())
+            task = loop.create_task(run(work, prompt))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+    await asyncio.gather(*(send(rate, make) for rate, make in makers))
+    while tasks:
+        await asyncio.sleep(0.1)
+    return tally
+
+
+def make_work(
+    name: str,
+    work_class: candidates.WorkClass,
+    owner: str,
+    deadline: float,
+    blocks: tuple[int, ...] = (),
+) -> candidates.Work:
+    """Returns the work of one request to the pool."""
+    return candidates.Work(
+        request_id=ids.RequestId(name),
+        group='pool',
+        owner=owner,
+        work_class=work_class,
+        deadline=deadline,
+        blocks=blocks,
+    )
--- a/waxwingport/routing/cache.py
+++ b/waxwingport/routing/cache.py
@@ -23,8 +23,10 @@
 """Seconds for which a prompt sent to an engine is taken as cached there."""
 _SENT_BLOCKS = 256
 """Blocks of one prompt that are noted when it is sent."""
+_TOUCHED_BLOCKS = 8
+"""Known blocks of a prompt that are marked as just used."""
 _POPULAR_BLOCKS = 8_192
-_EXACT_STEPS = 32
+_EXACT_STEPS = 8
 """Blocks from the longest match down that are all looked up."""
 
 
@@ -107,13 +109,15 @@
         """Takes the blocks of a prompt as cached there for a while."""
         self._expire(now)
         found = self._find(engine)
-        for block in blocks[:_SENT_BLOCKS]:
-            key = block & _KEY_MASK
+        keys = [block & _KEY_MASK for block in blocks[:_SENT_BLOCKS]]
+        known = self._count_known(found, keys)
+        for key in keys[known:]:
+            if key not in found.expiries:
+                self._add(found, key, now + lifetime)
+                self._expiring.append((now + lifetime, engine, key))
+        for key in keys[max(0, known - _TOUCHED_BLOCKS) : known]:
             if key in found.expiries:
                 found.expiries.move_to_end(key)
-                continue
-            self._add(found, key, now + lifetime)
-            self._expiring.append((now + lifetime, engine, key))
 
     def note_asked(self, blocks: Sequence[int]) -> list[int]:
         """Takes the blocks of a prompt; returns those newly popular.
@@ -191,6 +195,14 @@
             self._turns.append(found)
         return found
 
+    def _count_known(self, found: _EngineBlocks, keys: list[int]) -> int:
+        """Returns how many leading keys the engine holds, by its last one."""
+        for index in range(len(keys) - 1, -1, -1):
+            if keys[index] in found.expiries:
+                # A block is stored after those before it.
+                return index + 1
+        return 0
+
     def _follow(self, found: _EngineBlocks, event: base.CacheEvent) -> None:
         key = event.block & _KEY_MASK
         match event.kind:
--- a/waxwingport/targets/table.py
+++ b/waxwingport/targets/table.py
@@ -76,6 +76,7 @@
         self._pace = pace.Pace()
         self._timer: asyncio.TimerHandle | None = None
         self._joined_at = 0.0
+        self._answered_at = float('-inf')
         self._had_room = True
         self._make_adapter(factory)
         self._join()
@@ -120,6 +121,7 @@
     def note_success(self, taken: float, usual: float) -> None:
         """Takes an answered request and its time, both in seconds."""
         now = _now()
+        self._answered_at = now
         self._health.note_success()
         self._pace.note_time(taken, usual, now)
         # An engine's time depends on what it generates.
@@ -132,6 +134,10 @@
     ) -> None:
         """Takes a failed request; see ``health.Health.note_fault``."""
         now = _now()
+        timed_out = fault.kind is base.TargetFaultKind.TIMEOUT
+        if timed_out and self._answered_at >= now - taken:
+            # The target works; the request came too late or was too long.
+            return
         if health.judge(fault) is health.Verdict.REFUSING:
             self.adaptive.note_refusal(now - taken, now)
             self.update_limit()
