--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -5,6 +5,7 @@
 ``waxwingport.configuration.declarations``.
 """
 
+import ipaddress
 import pathlib
 
 from expression import Error
@@ -14,6 +15,8 @@
 
 from waxwingport.http import client as http_client
 from waxwingport import ids
+from waxwingport.peers import base as peer_base
+from waxwingport.requests import settings as request_settings
 
 __all__ = [
     'LogSettings',
@@ -24,6 +27,8 @@
     'read_settings',
 ]
 
+_SECRET_LENGTH = 16
+
 
 class TlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Certificate of the port for callers and operators."""
@@ -74,8 +79,23 @@
     node: NodeSettings
     platform: PlatformSettings
     client: http_client.ClientSettings = http_client.ClientSettings()
+    requests: request_settings.RequestSettings = (
+        request_settings.RequestSettings()
+    )
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
+    peers: peer_base.PeerSettings = peer_base.PeerSettings()
+
+    def __post_init__(self) -> None:
+        host = self.node.peer_listen.rpartition(':')[0].strip('[]')
+        address = ipaddress.ip_address(host)
+        if address.is_unspecified:
+            raise ValueError('peer_listen has to name the address itself')
+        short = len(self.peers.secret) < _SECRET_LENGTH
+        if short and not address.is_loopback:
+            raise ValueError(
+                f'peers.secret needs {_SECRET_LENGTH} characters or more'
+            )
 
 
 def read_settings(path: pathlib.Path) -> Result[Settings, str]:
