--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -71,7 +71,7 @@
         self.peers = joined or self._join_peers()
         self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
-        self.targets = table.TargetTable(outside.targets)
+        self.targets = table.TargetTable(outside.targets, configured.node)
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
         )
