Follow members by heartbeats and digests

Cause: a node knew only itself. Two gateways for each pair of data centres exchange digests; tables are fetched when their checksum differs. Small growing numbers spread as hints. The platform's list, heartbeats and tables feed it. Conclusion: tests under a virtual clock hold crash, false suspicion, new life, leave, list outage, cut-off data centre and its healing. They found a stale cache after healing and tables that were never fetched from a gateway that the receiver did not know; both are mended.

--- /dev/null
+++ b/tests/membership/conftest.py
@@ -0,0 +1,93 @@
+import asyncio
+import random
+
+import pytest
+
+from waxwingport import ids
+from waxwingport.membership import base
+from waxwingport.membership import live
+from waxwingport.peers import memory
+from waxwingport.platform import base as platform
+
+HOMES = ('muenchen', 'nuernberg', 'augsburg')
+
+
+class World:
+    """Nodes of several data centres in memory, and the platform's list."""
+
+    def __init__(self):
+        self.network = memory.MemoryNetwork()
+        self.nodes = {}
+        self.listed = {}
+        self.list_down = False
+        self._tasks = {}
+        self._incarnation = 0
+
+    def address(self, name):
+        centre, _, number = name.rpartition('-')
+        return f'10.{sorted(HOMES).index(centre)}.0.{number}:1'
+
+    def start(self, name, listed=True, ready=lambda: True):
+        self._incarnation += 1
+        address = self.address(name)
+        centre = name.rpartition('-')[0]
+        end = self.network.join(name, address, self._incarnation)
+        own = base.Member(
+            ids.NodeName(name), centre, address, self._incarnation
+        )
+        rng = random.Random(self._incarnation)
+        node = live.LiveMembership(own, end, rng, is_ready=ready)
+        self.nodes[name] = node
+        self._tasks[name] = asyncio.ensure_future(self._run(node))
+        if listed:
+            self.listed[name] = platform.Vm(
+                name,
+                platform.VmKind.NODE,
+                centre,
+                '10.0.0.0:80',
+                peer_address=address,
+            )
+        return node
+
+    async def _run(self, node):
+        running = asyncio.ensure_future(node.run())
+        try:
+            while True:
+                if not self.list_down:
+                    node.update(tuple(self.listed.values()))
+                await asyncio.sleep(0.5)
+        finally:
+            running.cancel()
+
+    def start_all(self, homes=HOMES, size=4):
+        for home in homes:
+            for number in range(1, size + 1):
+                self.start(f'{home}-{number}')
+
+    def crash(self, name, listed=False):
+        self._tasks.pop(name).cancel()
+        self.network.leave(self.address(name))
+        if not listed:
+            self.listed.pop(name, None)
+        return self.nodes.pop(name)
+
+    def cut(self, home):
+        inside = {self.address(n) for n in self.nodes if n.startswith(home)}
+        outside = {self.address(n) for n in self.nodes} - inside
+        self.network.separate(inside, outside)
+
+    def states(self, observer, home=None):
+        rows = self.nodes[observer].list_members(home)
+        return {row.name: row.state.value for row in rows}
+
+    async def stop(self):
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+
+@pytest.fixture
+async def world():
+    made = World()
+    yield made
+    await made.stop()
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -14,6 +14,7 @@
 from waxwingport.leases import base as leases
 from waxwingport.limits import admission
 from waxwingport.membership import base as membership
+from waxwingport.membership import live
 from waxwingport import metrics
 from waxwingport import outcomes
 from waxwingport.peers import base as peers
@@ -70,6 +71,11 @@
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
         )
+        self.configuration.listen(
+            lambda _: self.membership.publish(
+                'configuration', self.configuration.revision
+            )
+        )
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
@@ -102,6 +108,7 @@
             self.outside.log, self.configuration
         )
         self._spawn(source.run())
+        self._spawn(self.membership.run())
         self._spawn(self._follow_vms())
         self._spawn(self._poll_engines())
         self._spawn(self.version_exchange.run())
@@ -109,6 +116,7 @@
 
     async def stop(self) -> None:
         """Stops the node's background work."""
+        self.membership.leave()
         for trainer in self._collectors.values():
             trainer.close()
         for task in self._tasks:
@@ -163,7 +171,18 @@
                 self._describe_trainer(row) for row in declared.trainers
             ],
             'targets': [_describe_target(row) for row in self.targets],
-            'nodes': [{'name': self.settings.node.name, 'state': 'live'}],
+            'nodes': [
+                self._describe_member(row)
+                for row in self.membership.list_members()
+            ],
+        }
+
+    def _describe_member(self, row: membership.Member) -> dict[str, object]:
+        return {
+            'name': row.name,
+            'data_centre': row.data_centre,
+            'state': row.state.value,
+            'revision': self.membership.find_hint(row.name, 'configuration'),
         }
 
     def _describe_trainer(self, declared) -> dict[str, object]:
@@ -183,15 +202,16 @@
             configured.peers,
         )
 
-    def _join_members(self) -> membership.Membership:
+    def _join_members(self) -> live.LiveMembership:
         configured = self.settings.node
-        return membership.StaticMembership(
-            membership.Member(
-                configured.name,
-                configured.data_centre,
-                self.peers.address,
-                self.incarnation,
-            )
+        own = membership.Member(
+            configured.name,
+            configured.data_centre,
+            self.peers.address,
+            self.incarnation,
+        )
+        return live.LiveMembership(
+            own, self.peers, self.rng, is_ready=self.is_ready
         )
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -202,6 +222,7 @@
             match await self.outside.vm_list.read():
                 case Result(tag='ok', ok=vms):
                     self.targets.update(vms)
+                    self.membership.update(vms)
                 case Result(error=fault):
                     _LOG.warning('VM list: %s', fault.detail)
             await asyncio.sleep(_LIST_INTERVAL)
--- a/waxwingport/peers/base.py
+++ b/waxwingport/peers/base.py
@@ -145,6 +145,12 @@
     def receive(self, kind: MessageKind, receiver: Receiver) -> None:
         """Lets ``receiver`` take the one-way messages of ``kind``."""
 
+    def renew(self, peer: Peer) -> None:  # noqa: B027
+        """Replaces the connection to a peer that does not hear us."""
+
+    def allow(self, hosts: frozenset[str] | None) -> None:  # noqa: B027
+        """Takes connections from these hosts only; ``None`` for all."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes every connection."""
--- a/waxwingport/peers/channel.py
+++ b/waxwingport/peers/channel.py
@@ -98,6 +98,11 @@
         with contextlib.suppress(RuntimeError):
             self._loop.call_soon_threadsafe(function)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the peer has answered the greeting."""
+        return self.state is ChannelState.OPEN
+
     def greet(self, item: Outgoing) -> None:
         """Sends a greeting, or keeps it until the connection stands."""
         if self.state is ChannelState.CONNECTING:
--- a/waxwingport/peers/transport.py
+++ b/waxwingport/peers/transport.py
@@ -86,6 +86,12 @@
         socket.listen(f'{scheme}://{address}')
         return socket
 
+    def renew(self, peer: base.Peer) -> None:
+        """Replaces the connection to a peer that does not hear us."""
+        record = self._records.find(peer.address)
+        if record.channel is not None and record.channel.is_open:
+            self._renew(peer.address, record)
+
     def allow(self, hosts: frozenset[str] | None) -> None:
         """Takes connections from these hosts only; ``None`` for all."""
         self._hosts = hosts
