--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -1,6 +1,7 @@
 """All measurements by name."""
 
 from waxwingport.measure import base
+from waxwingport.measure import dissemination
 from waxwingport.measure import routing
 from waxwingport.measure import weights
 
@@ -9,6 +10,7 @@
 _ALL: tuple[base.Measurement, ...] = (
     routing.RoutingRate(),
     weights.WeightPlan(),
+    dissemination.Dissemination(),
 )
 
 MEASUREMENTS = {row.name: row for row in _ALL}
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -1,6 +1,7 @@
 """An entry node: its subsystems, their start and their stop."""
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 import logging
 import random
@@ -8,11 +9,13 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import declarations
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.leases import base as leases
 from waxwingport.limits import admission
+from waxwingport.limits import retries
 from waxwingport.membership import base as membership
 from waxwingport.membership import live
 from waxwingport import metrics
@@ -21,7 +24,9 @@
 from waxwingport.peers import transport
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
+from waxwingport.requests import progress
 from waxwingport.requests import services
+from waxwingport.routing import candidates
 from waxwingport.samples import collector
 from waxwingport import settings
 from waxwingport.targets import table
@@ -79,8 +84,23 @@
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
-        self.completions = completions.CompletionRunner(self.admission)
-        self.services = services.ServiceRunner(self.admission)
+        self.progress = progress.Progress(configured.requests.body_memory)
+        self.retry_budget = retries.RetryBudget(
+            self.configuration.declarations.limit.retry_share
+        )
+        self.configuration.listen(self._set_limits)
+        self.completions = completions.CompletionRunner(
+            self.admission, self.retry_budget, self.rng, configured.requests
+        )
+        self.services = services.ServiceRunner(
+            self.admission,
+            configured.node.name,
+            self.incarnation,
+            self.retry_budget,
+            self.rng,
+            configured.requests,
+        )
+        self.services.connect(self.peers, self.membership)
         self.versions = versions.VersionBook()
         self.version_exchange = versions.VersionExchange(
             self.versions,
@@ -126,7 +146,11 @@
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
-        return self.configuration.revision >= 0 and len(self.targets) > 0
+        return (
+            self.progress.ready
+            and self.configuration.revision >= 0
+            and len(self.targets) > 0
+        )
 
     def find_collector(
         self, name: ids.TrainerName
@@ -159,6 +183,23 @@
             versions.Publication(trainer, version, reference)
         )
 
+    def update_gauges(self) -> None:
+        """Sets the gauges that are read off the node's state."""
+        revision = self.configuration.revision
+        self.metrics.set(
+            'waxwingport_configuration_revision',
+            'Offset of the last configuration record in force',
+            revision,
+        )
+        states = collections.Counter(row.state for row in self.targets)
+        for found in candidates.TargetState:
+            self.metrics.set(
+                'waxwingport_targets',
+                'Targets by state',
+                states[found],
+                state=found.value,
+            )
+
     def describe(self) -> dict[str, object]:
         """Returns what holds at this node, for ``/v1/status``."""
         declared = self.configuration.declarations
@@ -185,6 +226,9 @@
             'revision': self.membership.find_hint(row.name, 'configuration'),
         }
 
+    def _set_limits(self, declared: declarations.Declarations) -> None:
+        self.retry_budget.retry_share = declared.limit.retry_share
+
     def _describe_trainer(self, declared) -> dict[str, object]:
         latest = self.versions.find_latest(declared.name)
         return {
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -16,6 +16,7 @@
 from waxwingport.http import client as http_client
 from waxwingport import ids
 from waxwingport.peers import base as peer_base
+from waxwingport.requests import settings as request_settings
 
 __all__ = [
     'LogSettings',
@@ -74,6 +75,9 @@
     node: NodeSettings
     platform: PlatformSettings
     client: http_client.ClientSettings = http_client.ClientSettings()
+    requests: request_settings.RequestSettings = (
+        request_settings.RequestSettings()
+    )
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
     peers: peer_base.PeerSettings = peer_base.PeerSettings()
