Stop the process on a broken invariant

Cause: a background task that ended with an exception went unnoticed, and the node served on without it. Change: Background watches its tasks; serve and trial stop with exit code 1. Status and gauges move out of the node.

--- a/waxwingport/api/status.py
+++ b/waxwingport/api/status.py
@@ -1,6 +1,7 @@
 """``/v1/status``, ``/healthz``, ``/readyz`` and ``/metrics``."""
 
 from waxwingport.api import handler
+from waxwingport.api import overview
 
 __all__ = ['Health', 'MetricsResource', 'Readiness', 'Status']
 
@@ -10,7 +11,7 @@
 
     async def get(self) -> None:
         """Answers with what holds at this node."""
-        self.send_json(self.node.describe())
+        self.send_json(overview.describe(self.node))
 
 
 class Health(handler.Handler):
@@ -26,7 +27,7 @@
 
     async def get(self) -> None:
         """Answers with the metrics of this process."""
-        self.node.update_gauges()
+        overview.update_gauges(self.node)
         accept = self.request.headers.get('Accept', '')
         body, headers = self.node.metrics.render(accept)
         for name, value in headers.items():
--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -138,8 +138,11 @@
     running = stage.Stage(deployment, port)
     await running.start()
     print(f'ready {running.url}', flush=True)
-    await serving.wait_for_signal(seconds)
+    failed = running.node.background.failed
+    cause = await serving.wait_for_stop(failed, seconds)
     await running.stop()
+    if cause is serving.StopCause.FAILURE:
+        _fail('stopped because of a broken invariant; see the log')
 
 
 def _print_report(
--- a/waxwingport/commands/serving.py
+++ b/waxwingport/commands/serving.py
@@ -1,7 +1,7 @@
 """``serve``: runs an entry node until it is told to stop."""
 
 import asyncio
-import contextlib
+import enum
 import logging
 import signal
 
@@ -16,27 +16,45 @@
 from waxwingport import settings
 from waxwingport import tls
 
-__all__ = ['serve', 'wait_for_signal']
+__all__ = ['StopCause', 'serve', 'wait_for_stop']
 
 _RELOAD_INTERVAL = 10.0
 _LOG = logging.getLogger(__name__)
 
 
-async def wait_for_signal(seconds: float | None = None) -> None:
-    """Returns at SIGINT, at SIGTERM, or after ``seconds``."""
-    stopped = asyncio.Event()
+class StopCause(enum.Enum):
+    """Why a process stops."""
+
+    FAILURE = 'failure'
+    SIGNAL = 'signal'
+    TIME = 'time'
+
+
+async def wait_for_stop(
+    failed: asyncio.Future[None], seconds: float | None = None
+) -> StopCause:
+    """Waits for SIGINT, SIGTERM, a failure or the end of ``seconds``."""
     loop = asyncio.get_running_loop()
+    signalled = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(stopped.wait(), seconds)
+        loop.add_signal_handler(number, signalled.set)
+    waiting = asyncio.ensure_future(signalled.wait())
+    await asyncio.wait(
+        {waiting, failed},
+        timeout=seconds,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    waiting.cancel()
+    if failed.done():
+        return StopCause.FAILURE
+    return StopCause.SIGNAL if signalled.is_set() else StopCause.TIME
 
 
 async def serve(configured: settings.Settings) -> Result[None, str]:
     """Runs a node until SIGTERM, then shuts it down gracefully.
 
-    Fails at once when the certificate cannot be read or the address not be
-    bound.
+    Fails when the certificate cannot be read, the address cannot be bound, or
+    a broken invariant stopped the node.
     """
     certificate = None
     if configured.tls is not None:
@@ -57,12 +75,14 @@
     _LOG.info(
         'serve node=%s address=%s', configured.node.name, listener.address
     )
-    await wait_for_signal()
-    _LOG.info('stopping node=%s', configured.node.name)
+    cause = await wait_for_stop(served.background.failed)
+    _LOG.info('stop node=%s cause=%s', configured.node.name, cause.value)
     reloading.cancel()
     await listener.stop()
     await served.stop()
     http.close()
+    if cause is StopCause.FAILURE:
+        return Error('stopped because of a broken invariant; see the log')
     return Ok(None)
 
 
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import collections
-from collections.abc import Coroutine
 import logging
 import random
 
 from expression import Result
 import msgspec
 
+from waxwingport import background
 from waxwingport.configuration import declarations
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
@@ -26,7 +26,6 @@
 from waxwingport.requests import completions
 from waxwingport.requests import progress
 from waxwingport.requests import services
-from waxwingport.routing import candidates
 from waxwingport.samples import collector
 from waxwingport import settings
 from waxwingport.targets import table
@@ -119,32 +118,30 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
-        self._refusals: collections.Counter[
+        self.refusals: collections.Counter[
             tuple[outcomes.Reason, outcomes.Ran]
         ] = collections.Counter()
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self.background = background.Background()
 
     async def start(self) -> None:
         """Starts the node's background work."""
         source = reader.ConfigurationReader(
             self.outside.log, self.configuration
         )
-        self._spawn(source.run())
-        self._spawn(self.membership.run())
-        self._spawn(self._follow_vms())
-        self._spawn(self._poll_engines())
-        self._spawn(self.version_exchange.run())
-        self._spawn(self.weights.run())
+        self.background.spawn(source.run())
+        self.background.spawn(self.membership.run())
+        self.background.spawn(self._follow_vms())
+        self.background.spawn(self._poll_engines())
+        self.background.spawn(self.version_exchange.run())
+        self.background.spawn(self.weights.run())
 
     async def stop(self) -> None:
         """Stops the node's background work."""
         self.membership.leave()
         for trainer in self._collectors.values():
             trainer.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.background.stop()
         await self.peers.close()
 
     def is_ready(self) -> bool:
@@ -188,72 +185,17 @@
 
     def note_refusal(self, refusal: outcomes.Refusal) -> None:
         """Counts a refusal by its reason."""
-        self._refusals[refusal.reason, refusal.ran] += 1
+        self.refusals[refusal.reason, refusal.ran] += 1
         self.metrics.count(
-            'waxwingport_refusals_total',
+            'waxwingportrefusals_total',
             'Refused requests by reason, and whether they may have run',
             reason=refusal.reason.value,
             ran=refusal.ran.value,
         )
 
-    def update_gauges(self) -> None:
-        """Sets the gauges that are read off the node's state."""
-        revision = self.configuration.revision
-        self.metrics.set(
-            'waxwingport_configuration_revision',
-            'Offset of the last configuration record in force',
-            revision,
-        )
-        states = collections.Counter(row.state for row in self.targets)
-        for found in candidates.TargetState:
-            self.metrics.set(
-                'waxwingport_targets',
-                'Targets by state',
-                states[found],
-                state=found.value,
-            )
-
-    def describe(self) -> dict[str, object]:
-        """Returns what holds at this node, for ``/v1/status``."""
-        declared = self.configuration.declarations
-        return {
-            'node': self.settings.node.name,
-            'revision': self.configuration.revision,
-            'pools': [{'name': row.name} for row in declared.pools],
-            'services': [{'name': row.name} for row in declared.services],
-            'trainers': [
-                self._describe_trainer(row) for row in declared.trainers
-            ],
-            'targets': [_describe_target(row) for row in self.targets],
-            'refusals': [
-                {'reason': reason.value, 'ran': ran.value, 'count': count}
-                for (reason, ran), count in self._refusals.items()
-            ],
-            'nodes': [
-                self._describe_member(row)
-                for row in self.membership.list_members()
-            ],
-        }
-
-    def _describe_member(self, row: membership.Member) -> dict[str, object]:
-        return {
-            'name': row.name,
-            'data_centre': row.data_centre,
-            'state': row.state.value,
-            'revision': self.membership.find_hint(row.name, 'configuration'),
-        }
-
     def _set_limits(self, declared: declarations.Declarations) -> None:
         self.retry_budget.retry_share = declared.limit.retry_share
 
-    def _describe_trainer(self, declared) -> dict[str, object]:
-        latest = self.versions.find_latest(declared.name)
-        return {
-            'name': declared.name,
-            'staleness_bound': declared.staleness_bound,
-            'version': latest.version if latest else 1,
-        }
-
     def _join_peers(self) -> peers.Peers:
         configured = self.settings
         return transport.PynngPeers(
@@ -275,9 +217,6 @@
             own, self.peers, self.rng, is_ready=self.is_ready
         )
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
-
     async def _follow_vms(self) -> None:
         while True:
             match await self.outside.vm_list.read():
@@ -307,15 +246,3 @@
             target.engine_state = found
         case Result(error=fault):
             _LOG.info('state of %s: %s', target.name, fault.detail)
-
-
-def _describe_target(target: table.Target) -> dict[str, object]:
-    found = target.engine_state
-    return {
-        'name': target.name,
-        'data_centre': target.vm.data_centre,
-        'state': target.state.value,
-        'weight_version': found.weight_version if found else None,
-        'in_progress': target.in_progress,
-        'labels': target.labels,
-    }
