--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -187,7 +187,7 @@
         """Counts a refusal by its reason."""
         self.refusals[refusal.reason, refusal.ran] += 1
         self.metrics.count(
-            'waxwingportrefusals_total',
+            'waxwingport_refusals_total',
             'Refused requests by reason, and whether they may have run',
             reason=refusal.reason.value,
             ran=refusal.ran.value,
