--- a/tests/bench.py
+++ b/tests/bench.py
@@ -11,9 +11,11 @@
 from waxwingport.limits import admission
 from waxwingport.platform import base as platform
 from waxwingport.routing import candidates
+from waxwingport.routing import prefixes
 from waxwingport import settings
 from waxwingport.standins import engine
 from waxwingport.standins import factory
+from waxwingport.targets import base
 from waxwingport.targets import table
 
 POOL = declarations.Pool(ids.PoolName('pool'), 'kind = engine')
@@ -100,4 +102,13 @@
     return Bench(factory.list_vms(count), capacity=capacity, **changes)
 
 
+def base_generation(name, prompt):
+    return base.Generation(ids.RequestId(name), prompt, 64)
+
+
+def encode(message):
+    return msgspec.msgpack.encode(message)
+
+
+hash_blocks = prefixes.hash_blocks
 LEAVING = platform.VmState.LEAVING
--- a/waxwingport/peers/base.py
+++ b/waxwingport/peers/base.py
@@ -34,6 +34,7 @@
     DIGEST = 'digest'
     HEARTBEAT = 'heartbeat'
     INTENT = 'intent'
+    LOAD = 'load'
     PULL = 'pull'
     SERVICE_CALL = 'service-call'
     STEP = 'step'
--- a/waxwingport/routing/cache.py
+++ b/waxwingport/routing/cache.py
@@ -5,8 +5,10 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import heapq
 import math
 import random
 
@@ -35,6 +37,9 @@
     return block & _KEY_MASK
 
 
+Follower = Callable[[ids.TargetName, int], None]
+
+
 class _EngineBlocks:
     """Blocks of one engine, the one used longest ago first.
 
@@ -62,16 +67,17 @@
         self._names: dict[int, ids.TargetName] = {}
         self._free: list[int] = []
         self._masks: dict[int, int] = {}
-        self._popular: collections.OrderedDict[int, None] = (
-            collections.OrderedDict()
-        )
-        self._expiring: collections.deque[
-            tuple[float, ids.TargetName, int]
-        ] = collections.deque()
+        self._popular: dict[int, None] = {}
+        self._follower: Follower | None = None
+        self._expiring: list[tuple[float, ids.TargetName, int]] = []
 
     def __len__(self) -> int:
         return self._size
 
+    def follow_popular(self, follower: Follower) -> None:
+        """Tells ``follower`` of popular blocks that engines hold."""
+        self._follower = follower
+
     def find_next_offset(self, engine: ids.TargetName) -> int:
         """Returns the offset from which to read the engine's events."""
         found = self._engines.get(engine)
@@ -100,46 +106,52 @@
         return whole
 
     def note_sent(
-        self,
-        engine: ids.TargetName,
-        blocks: Sequence[int],
-        now: float,
-        lifetime: float = _SENT_LIFETIME,
+        self, engine: ids.TargetName, blocks: Sequence[int], now: float
     ) -> None:
         """Takes the blocks of a prompt as cached there for a while."""
-        self._expire(now)
         found = self._find(engine)
         keys = [block & _KEY_MASK for block in blocks[:_SENT_BLOCKS]]
         known = self._count_known(found, keys)
-        for key in keys[known:]:
-            if key not in found.expiries:
-                self._add(found, key, now + lifetime)
-                self._expiring.append((now + lifetime, engine, key))
+        self.note_told(engine, keys[known:], now, _SENT_LIFETIME)
         for key in keys[max(0, known - _TOUCHED_BLOCKS) : known]:
             if key in found.expiries:
                 found.expiries.move_to_end(key)
 
-    def note_asked(self, blocks: Sequence[int]) -> list[int]:
-        """Takes the blocks of a prompt; returns those newly popular.
+    def note_told(
+        self,
+        engine: ids.TargetName,
+        keys: Sequence[int],
+        now: float,
+        lifetime: float,
+    ) -> None:
+        """Takes blocks as cached there for ``lifetime`` seconds."""
+        self._expire(now)
+        found = self._find(engine)
+        for key in keys:
+            if key not in found.expiries:
+                self._add(found, key, now + lifetime)
+                heapq.heappush(self._expiring, (now + lifetime, engine, key))
+
+    def clear(self, engine: ids.TargetName) -> None:
+        """Forgets the blocks of an engine."""
+        found = self._engines.get(engine)
+        if found is not None:
+            self._clear(found)
+
+    def note_asked(self, blocks: Sequence[int]) -> None:
+        """Takes the blocks of a prompt that is asked for.
 
         A block is popular once it is asked for while an engine holds it.
         """
-        fresh = []
         for block in blocks[:_SENT_BLOCKS]:
             key = block & _KEY_MASK
             if key not in self._masks:
                 break
             if key not in self._popular:
-                fresh.append(key)
-            self._popular[key] = None
-            self._popular.move_to_end(key)
+                self._popular[key] = None
+                self._tell_holders(key)
         while len(self._popular) > _POPULAR_BLOCKS:
-            self._popular.popitem(last=False)
-        return fresh
-
-    def is_popular(self, key: int) -> bool:
-        """Returns whether the block is shared by several prompts."""
-        return key in self._popular
+            del self._popular[next(iter(self._popular))]
 
     def holds(self, engine: ids.TargetName, key: int) -> bool:
         """Returns whether an event said that the engine holds the block."""
@@ -186,6 +198,13 @@
             del self._names[found.number]
             self._free.append(found.number)
 
+    def _tell_holders(self, key: int) -> None:
+        if self._follower is None:
+            return
+        for engine in self.list_holders(key):
+            if self.holds(engine, key):
+                self._follower(engine, key)
+
     def _find(self, engine: ids.TargetName) -> _EngineBlocks:
         found = self._engines.get(engine)
         if found is None:
@@ -208,6 +227,8 @@
         match event.kind:
             case base.CacheEventKind.STORED:
                 self._add(found, key, math.inf)
+                if key in self._popular and self._follower is not None:
+                    self._follower(self._names[found.number], key)
             case base.CacheEventKind.REMOVED:
                 self._remove(found, key)
             case base.CacheEventKind.CLEARED:
@@ -252,7 +273,7 @@
 
     def _expire(self, now: float) -> None:
         while self._expiring and self._expiring[0][0] <= now:
-            expiry, engine, key = self._expiring.popleft()
+            expiry, engine, key = heapq.heappop(self._expiring)
             found = self._engines.get(engine)
             if found is not None and found.expiries.get(key) == expiry:
                 self._remove(found, key)
--- a/waxwingport/routing/router.py
+++ b/waxwingport/routing/router.py
@@ -95,6 +95,7 @@
         """Takes the prompt of ``work`` as cached at ``target`` soon."""
         if work.blocks and target.engine is not None:
             now = asyncio.get_running_loop().time()
+            self.index.note_asked(work.blocks)
             self.index.note_sent(target.name, work.blocks, now)
 
     def relabel(self, target: table.Target) -> None:
--- a/waxwingport/targets/health.py
+++ b/waxwingport/targets/health.py
@@ -69,6 +69,7 @@
         self.state = self._chart.initial
         self.failures = 0
         self._faults = 0
+        self._cool_down = _FAULT_COOL_DOWN
 
     def handle(self, event: TargetEvent) -> bool:
         """Follows the chart; returns whether the state changed."""
@@ -93,6 +94,10 @@
         verdict = judge(fault)
         if verdict is Verdict.NEUTRAL:
             return None
+        if self.state is candidates.TargetState.SUSPECT:
+            if verdict is not Verdict.UNREACHABLE:
+                return None
+            return max(self._cool_down, fault.retry_after or 0.0)
         if verdict is Verdict.FAILING:
             self._faults += 1
             if self._faults < _FAULTS_IN_A_ROW or not may_eject:
@@ -106,4 +111,7 @@
             return min(max(wanted, _REFUSAL_COOL_DOWN), _LONGEST_COOL_DOWN)
         doublings = min(self.failures, _LAST_DOUBLING)
         self.failures += 1
-        return min(_FAULT_COOL_DOWN * 2**doublings, _LONGEST_COOL_DOWN)
+        self._cool_down = min(
+            _FAULT_COOL_DOWN * 2**doublings, _LONGEST_COOL_DOWN
+        )
+        return max(self._cool_down, fault.retry_after or 0.0)
