Let two nodes of a data centre read the VM list for all

Cause: every node read the whole list twice a second. Change: two readers by rendezvous hashing pass changes on; a node that hears nothing for 2 s or missed a change reads the list itself.

--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 from collections.abc import Coroutine
-import logging
 import random
 
 from expression import Result
@@ -28,16 +27,14 @@
 from waxwingport.routing import candidates
 from waxwingport.samples import collector
 from waxwingport import settings
+from waxwingport.targets import listing
+from waxwingport.targets import poller
 from waxwingport.targets import table
 from waxwingport.weights import controller
 from waxwingport.weights import versions
 
 __all__ = ['Node', 'Outside']
 
-_LIST_INTERVAL = 0.5
-_POLL_INTERVAL = 0.25
-_LOG = logging.getLogger(__name__)
-
 
 class Outside(msgspec.Struct, frozen=True):
     """The outside systems that a node uses."""
@@ -78,6 +75,18 @@
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
+        self.vms = listing.VmFollower(
+            outside.vm_list,
+            [self.targets.update],
+            self.membership,
+            self.peers,
+        )
+        self.poller = poller.EnginePoller(
+            self.targets,
+            self.admission.router.index,
+            self.membership,
+            self.peers,
+        )
         self.progress = progress.Progress(configured.requests.body_memory)
         self.retry_budget = retries.RetryBudget(
             self.configuration.declarations.limit.retry_share
@@ -122,8 +131,8 @@
             self.outside.log, self.configuration
         )
         self._spawn(source.run())
-        self._spawn(self._follow_vms())
-        self._spawn(self._poll_engines())
+        self._spawn(self.vms.run())
+        self._spawn(self.poller.run())
         self._spawn(self.version_exchange.run())
         self._spawn(self.weights.run())
 
@@ -241,35 +250,6 @@
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
-    async def _follow_vms(self) -> None:
-        while True:
-            match await self.outside.vm_list.read():
-                case Result(tag='ok', ok=vms):
-                    self.targets.update(vms)
-                case Result(error=fault):
-                    _LOG.warning('VM list: %s', fault.detail)
-            await asyncio.sleep(_LIST_INTERVAL)
-
-    async def _poll_engines(self) -> None:
-        while True:
-            engines = [row for row in self.targets if row.engine is not None]
-            await asyncio.gather(*(_poll(row) for row in engines))
-            await asyncio.sleep(_POLL_INTERVAL)
-
-
-async def _poll(target: table.Target) -> None:
-    match await target.engine.read_load():
-        case Result(tag='ok', ok=report):
-            target.note_load(report)
-        case Result(error=fault):
-            _LOG.info('load of %s: %s', target.name, fault.detail)
-            return
-    match await target.engine.read_state():
-        case Result(tag='ok', ok=found):
-            target.engine_state = found
-        case Result(error=fault):
-            _LOG.info('state of %s: %s', target.name, fault.detail)
-
 
 def _describe_target(target: table.Target) -> dict[str, object]:
     found = target.engine_state
--- a/waxwingport/peers/base.py
+++ b/waxwingport/peers/base.py
@@ -39,6 +39,7 @@
     SERVICE_CALL = 'service-call'
     STEP = 'step'
     VERSION = 'version'
+    VMS = 'vms'
 
 
 class Peer(msgspec.Struct, frozen=True):
