--- a/waxwingport/peers/base.py
+++ b/waxwingport/peers/base.py
@@ -34,10 +34,12 @@
     DIGEST = 'digest'
     HEARTBEAT = 'heartbeat'
     INTENT = 'intent'
+    LOAD = 'load'
     PULL = 'pull'
     SERVICE_CALL = 'service-call'
     STEP = 'step'
     VERSION = 'version'
+    VMS = 'vms'
 
 
 class Peer(msgspec.Struct, frozen=True):
