--- /dev/null
+++ b/waxwingport/trial/surroundings.py
@@ -0,0 +1,99 @@
+"""Stand-ins of everything outside one deployment, served on loopback."""
+
+from waxwingport.platform import base as platform
+from waxwingport import settings
+from waxwingport.standins import engine
+from waxwingport.standins import platform as standin_platform
+from waxwingport.standins import servers
+from waxwingport.standins import services
+from waxwingport.trial import deployments
+
+__all__ = ['Surroundings']
+
+
+class Surroundings:
+    """The platform and the targets of a deployment, in its real sizes.
+
+    ``start`` it, and ``stop`` it.  The stand-ins' switches cause faults.
+    """
+
+    def __init__(self, deployment: deployments.Deployment) -> None:
+        self.deployment = deployment
+        self.log = standin_platform.StandInLog()
+        self.vm_list = standin_platform.StandInVmList()
+        self.weight_store = standin_platform.StandInWeightStore()
+        self.engines: list[engine.StandInEngine] = []
+        self.services: list[services.StandInService] = []
+        self.scoring = services.StandInScoringService()
+        self.platform: settings.PlatformSettings | None = None
+        self._servers: list[servers.Server] = []
+
+    def start(self) -> settings.PlatformSettings:
+        """Serves everything; returns the platform's addresses."""
+        self.vm_list.replace(self._start_targets())
+        self.platform = settings.PlatformSettings(
+            log=self._serve(servers.serve_log(self.log)),
+            vm_list=self._serve(servers.serve_vm_list(self.vm_list)),
+            weight_store=self._serve(
+                servers.serve_weight_store(self.weight_store)
+            ),
+        )
+        return self.platform
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        for found in self._servers:
+            await found.stop()
+
+    def _serve(self, found: servers.Server) -> str:
+        self._servers.append(found)
+        return found.address
+
+    def _start_targets(self) -> list[platform.Vm]:
+        deployment = self.deployment
+        vms = []
+        for index in range(deployment.engines):
+            name = f'{deployment.model}-{index + 1}'
+            made = engine.StandInEngine(
+                name, engine.StandInEngineSettings(seed=index)
+            )
+            self.engines.append(made)
+            address = self._serve(servers.serve_engine(made))
+            labels = {'model': deployment.model}
+            vms.append(
+                self._list(
+                    name, platform.VmKind.ENGINE, index, address, labels
+                )
+            )
+        for index in range(deployment.services):
+            name = f'{deployment.application}-{index + 1}'
+            service = services.StandInService(deployment.service, name)
+            self.services.append(service)
+            address = self._serve(servers.serve_service(service))
+            labels = {'application': deployment.application}
+            vms.append(
+                self._list(
+                    name, platform.VmKind.SERVICE, index, address, labels
+                )
+            )
+        address = self._serve(servers.serve_scoring(self.scoring))
+        name = f'{deployment.scoring}-1'
+        vms.append(self._list(name, platform.VmKind.SCORING, 0, address, {}))
+        return vms
+
+    def _list(
+        self,
+        name: str,
+        kind: platform.VmKind,
+        index: int,
+        address: str,
+        labels: dict[str, str],
+    ) -> platform.Vm:
+        centres = self.deployment.data_centres
+        return platform.Vm(
+            name=name,
+            kind=kind,
+            data_centre=centres[index % len(centres)],
+            address=address,
+            labels=labels,
+        )
