--- a/waxwingport/requests/execution.py
+++ b/waxwingport/requests/execution.py
@@ -69,7 +69,9 @@
 ) -> Result[base.ServiceAnswer, base.TargetFault]:
     timeout = deadline - asyncio.get_running_loop().time()
     try:
-        return await grant.target.service.call(call, timeout)
+        answer = await grant.target.service.call(call, timeout)
+        grant.finish(answer.swap().default_value(None))
+        return answer
     finally:
         grant.release()
 
--- a/waxwingport/requests/running.py
+++ b/waxwingport/requests/running.py
@@ -73,12 +73,13 @@
                         yield chunk
                 self.preempted = self._grant.preempted.is_set()
                 if answer.finished or self.preempted:
-                    return
+                    break
                 if not await self._may_reconnect(generation, answer):
-                    return
+                    break
                 generation = msgspec.structs.replace(
                     generation, text=answer.text, position=answer.position
                 )
+            self._finish(None if answer.finished else self.fault)
         finally:
             if watcher is not None:
                 watcher.cancel()
@@ -170,6 +171,11 @@
         await self._cancel(generation)
         self._release()
 
+    def _finish(self, fault: base.TargetFault | None) -> None:
+        if self._held:
+            self._held = False
+            self._grant.finish(fault)
+
     def _release(self) -> None:
         if self._held:
             self._held = False
--- a/waxwingport/server.py
+++ b/waxwingport/server.py
@@ -86,6 +86,10 @@
         with contextlib.suppress(TimeoutError):
             left = max(started + timeout - loop.time(), limits.final_timeout)
             await asyncio.wait_for(self._node.services.settle(), left)
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes every connection at once."""
         self._server.stop()
         await self._server.close_all_connections()
 
