Fold configuration changes key by key

Cause: the log carried whole declarations, so racing operators overwrote each other and a reader that met an expired offset stopped for good.

--- a/waxwingport/configuration/declarations.py
+++ b/waxwingport/configuration/declarations.py
@@ -1,9 +1,10 @@
 """What operators declare: labels, pools, trainers, services and callers.
 
-Each declaration is a TOML table; its name is the key by which a change in
-the log names it.
+Each declaration is a TOML table; its kind and name are the key by which a
+change in the log names it.
 """
 
+import functools
 from typing import Annotated
 
 import msgspec
@@ -26,7 +27,11 @@
 
 
 class LabelRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Sets labels on the targets whose fixed labels match a selector."""
+    """Sets labels on the targets whose labels match a selector.
+
+    Rules apply in the order of their names; a later one sees and overrides
+    the labels that earlier ones set.
+    """
 
     name: str
     match: str
@@ -110,7 +115,9 @@
     """Seconds for which an idempotency key is known."""
 
 
-class Declarations(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Declarations(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, dict=True
+):
     """Everything that operators have declared."""
 
     labels: tuple[LabelRule, ...] = ()
@@ -127,16 +134,32 @@
 
     def pool(self, name: str) -> Pool | None:
         """Returns the pool called ``name``, or ``None``."""
-        return _find(self.pools, name)
+        return self._pools.get(name)
 
     def trainer(self, name: str) -> Trainer | None:
         """Returns the trainer called ``name``, or ``None``."""
-        return _find(self.trainers, name)
+        return self._trainers.get(name)
 
     def service(self, name: str) -> Service | None:
         """Returns the service called ``name``, or ``None``."""
-        return _find(self.services, name)
+        return self._services.get(name)
+
+    def caller(self, token_sha256: str) -> Caller | None:
+        """Returns the caller whose token has this digest, or ``None``."""
+        return self._callers.get(token_sha256)
+
+    @functools.cached_property
+    def _pools(self) -> dict[str, Pool]:
+        return {row.name: row for row in self.pools}
+
+    @functools.cached_property
+    def _trainers(self) -> dict[str, Trainer]:
+        return {row.name: row for row in self.trainers}
 
+    @functools.cached_property
+    def _services(self) -> dict[str, Service]:
+        return {row.name: row for row in self.services}
 
-def _find(rows: tuple, name: str):
-    return next((row for row in rows if row.name == name), None)
+    @functools.cached_property
+    def _callers(self) -> dict[str, Caller]:
+        return {row.token_sha256: row for row in self.callers}
--- /dev/null
+++ b/waxwingport/configuration/keys.py
@@ -0,0 +1,96 @@
+"""Keys of declarations: ``kind/name``."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from typing import NewType
+from typing import TypeVar
+
+import msgspec
+
+from waxwingport.configuration import declarations
+
+__all__ = [
+    'KINDS',
+    'Declared',
+    'Key',
+    'assemble',
+    'make_key',
+    'split',
+    'split_key',
+    'strip_defaults',
+]
+
+Key = NewType('Key', str)
+"""``kind/name``, such as ``pools/redactor``."""
+
+Declared = (
+    declarations.Caller
+    | declarations.LabelRule
+    | declarations.Limits
+    | declarations.Pool
+    | declarations.Service
+    | declarations.Trainer
+)
+
+Row = TypeVar('Row')
+
+
+def _find_kinds() -> dict[str, type]:
+    fields = msgspec.structs.fields(declarations.Declarations)
+    return {
+        row.encode_name: msgspec.inspect.type_info(row.type).item_type.cls
+        for row in fields
+    }
+
+
+KINDS: dict[str, type] = _find_kinds()
+"""The struct of each kind, by the name of its table."""
+
+
+def make_key(kind: str, name: str) -> Key:
+    """Returns the key of a declaration."""
+    return Key(f'{kind}/{name}')
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Returns kind and name; the kind is empty in a malformed key."""
+    kind, _, name = key.partition('/')
+    return (kind, name) if kind in KINDS and name else ('', key)
+
+
+def split(declared: declarations.Declarations) -> dict[Key, Declared]:
+    """Returns the declarations by key."""
+    return {
+        make_key(kind, row.name): row
+        for kind in KINDS
+        for row in getattr(declared, kind)
+    }
+
+
+def assemble(
+    rows: Mapping[Key, Declared],
+) -> declarations.Declarations:
+    """Returns the declarations under ``rows``, ordered by name."""
+    grouped: dict[str, list[Declared]] = {kind: [] for kind in KINDS}
+    for kind, value in _list_sorted(rows):
+        grouped[kind].append(value)
+    return declarations.Declarations(
+        **{kind: tuple(found) for kind, found in grouped.items()}
+    )
+
+
+def _list_sorted(
+    rows: Mapping[Key, Declared],
+) -> Iterator[tuple[str, Declared]]:
+    for key in sorted(rows):
+        yield split_key(key)[0], rows[key]
+
+
+def strip_defaults(value: Declared) -> dict[str, object]:
+    """Returns a declaration as plain data with its defaults left out."""
+    plain = msgspec.to_builtins(value)
+    for field in msgspec.structs.fields(type(value)):
+        given = getattr(value, field.name)
+        if not field.required and given == field.default:
+            del plain[field.encode_name]
+    return plain
--- a/waxwingport/configuration/reader.py
+++ b/waxwingport/configuration/reader.py
@@ -3,10 +3,12 @@
 import asyncio
 import logging
 
+from expression import Error
+from expression import Ok
 from expression import Result
-import msgspec
 
-from waxwingport.configuration import declarations
+from waxwingport.configuration import fold
+from waxwingport.configuration import records
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.platform import base
@@ -17,33 +19,156 @@
 
 _WAIT = 1.0
 _RETRY_DELAY = 0.2
+_SEARCH_WINDOW = 256
+"""Records of the first look back for a snapshot; doubled each time."""
 _LOG = logging.getLogger(__name__)
 
 
 class ConfigurationReader:
-    """Applies each record of the stream in offset order."""
+    """Applies the records of the stream in offset order.
+
+    ``behind`` is set while the log ends below the revision in force, and
+    until it is seen to hold the same last record again: it was wiped or
+    restored to an earlier state.  The configuration in force stays.
+    """
 
     def __init__(
         self, log: base.Log, configuration: state.ConfigurationState
     ) -> None:
+        self.behind = False
+        self.oldest = ids.Offset(0)
         self._log = log
         self._configuration = configuration
-        self._next = ids.Offset(0)
 
     async def run(self) -> None:
         """Follows the stream until cancelled."""
         while True:
-            match await self._log.read(STREAM, self._next, wait=_WAIT):
-                case Result(tag='ok', ok=page):
-                    self._fold(page)
-                case Result(error=fault):
+            match await self.step(_WAIT):
+                case Result(tag='error', error=fault):
                     _LOG.warning('configuration log: %s', fault.detail)
                     await asyncio.sleep(_RETRY_DELAY)
 
-    def _fold(self, page: base.LogPage) -> None:
-        for record in page.records:
-            declared = msgspec.json.decode(
-                record.body, type=declarations.Declarations
-            )
-            self._configuration.apply(ids.Revision(record.offset), declared)
-        self._next = page.next
+    async def step(self, wait: float) -> Result[int, base.LogFault]:
+        """Reads once and folds what came; returns the number of records.
+
+        Waits up to ``wait`` seconds for the first record.
+        """
+        if self.behind and not await self._holds_last_record():
+            detail = 'the log does not hold the configuration in force'
+            return Error(base.LogFault(base.LogFaultKind.UNKNOWN, detail))
+        self.behind = False
+        offset = ids.Offset(self._configuration.revision + 1)
+        match await self._log.read(STREAM, offset, wait=wait):
+            case Result(tag='ok', ok=page):
+                return self._take(page, offset)
+            case Result(error=fault):
+                pass
+        if fault.kind is not base.LogFaultKind.EXPIRED:
+            return Error(fault)
+        return await self._start_from_snapshot(fault)
+
+    async def catch_up(self) -> Result[None, base.LogFault]:
+        """Reads until the end of the stream."""
+        while True:
+            match await self.step(0.0):
+                case Result(tag='ok', ok=0):
+                    return Ok(None)
+                case Result(tag='error', error=fault):
+                    return Error(fault)
+
+    def _take(
+        self, page: base.LogPage, offset: ids.Offset
+    ) -> Result[int, base.LogFault]:
+        self.oldest = page.oldest
+        if page.end is not None and page.end < offset:
+            return Error(self._note_behind(page.end))
+        return Ok(self._configuration.advance(page.records))
+
+    def _note_behind(self, end: ids.Offset) -> base.LogFault:
+        self.behind = True
+        detail = (
+            f'the log ends at {end}, below revision '
+            f'{self._configuration.revision}; the configuration stays'
+        )
+        _LOG.error('configuration log behind: %s', detail)
+        return base.LogFault(base.LogFaultKind.UNKNOWN, detail)
+
+    async def _holds_last_record(self) -> bool:
+        """Returns whether the log's record at the revision is the known one.
+
+        Offsets alone cannot tell: a wiped log grows past them again.
+        """
+        offset = ids.Offset(self._configuration.revision)
+        known = self._configuration.find_recent(offset)
+        if known is None:
+            return False
+        match await self._log.read(STREAM, offset, limit=1):
+            case Result(tag='ok', ok=page) if page.records:
+                return page.records[0].body == known.body
+        return False
+
+    async def _start_from_snapshot(
+        self, expired: base.LogFault
+    ) -> Result[int, base.LogFault]:
+        """Puts the last usable snapshot in force.
+
+        Usable is one whose next record the log still holds, so no change
+        between it and the end of the stream can be missed.
+        """
+        oldest = expired.oldest or ids.Offset(0)
+        match await self._log.read(STREAM, oldest, limit=1):
+            case Result(tag='ok', ok=page):
+                end = page.next if page.end is None else page.end
+            case Result(error=fault):
+                return Error(fault)
+        window = _SEARCH_WINDOW
+        while True:
+            first = ids.Offset(max(oldest, end - window))
+            match await self._search(first, end, page.oldest):
+                case Result(tag='ok', ok=None):
+                    pass
+                case Result(tag='ok', ok=found):
+                    return Ok(int(self._configuration.take(found)))
+                case Result(error=fault):
+                    return Error(fault)
+            if first == oldest:
+                detail = f'no snapshot since {oldest}, the oldest record held'
+                kind = base.LogFaultKind.EXPIRED
+                return Error(base.LogFault(kind, detail, oldest))
+            window *= 2
+
+    async def _search(
+        self, first: ids.Offset, end: ids.Offset, oldest: ids.Offset
+    ) -> Result[fold.Folded | None, base.LogFault]:
+        """Returns the last usable snapshot between two offsets."""
+        found: fold.Folded | None = None
+        while first < end:
+            match await self._log.read(STREAM, first):
+                case Result(tag='ok', ok=page):
+                    pass
+                case Result(error=fault):
+                    return Error(fault)
+            for row in page.records:
+                found = _read_snapshot(row, oldest) or found
+            if not page.records:
+                break
+            first = page.next
+        return Ok(found)
+
+
+def _read_snapshot(
+    row: base.LogRecord, oldest: ids.Offset
+) -> fold.Folded | None:
+    match records.decode(row.body):
+        case Result(tag='ok', ok=records.Snapshot() as snapshot):
+            pass
+        case _:
+            return None
+    if not oldest - 1 <= snapshot.covers < row.offset:
+        return None
+    match fold.restore(snapshot):
+        case Result(tag='ok', ok=folded):
+            return folded
+        case Result(error=reason):
+            _LOG.warning('snapshot offset=%d unusable: %s', row.offset, reason)
+    return None
--- a/waxwingport/platform/adapters.py
+++ b/waxwingport/platform/adapters.py
@@ -3,9 +3,11 @@
 The log's interface: ``POST /v1/streams/{stream}`` with the record as its body
 answers ``{"offset": n}``; ``GET /v1/streams/{stream}?offset=&limit=&wait=``
 answers a page, 410 with the oldest offset when the asked one has expired.
+429 and 503 say that nothing was appended.
 """
 
 from collections.abc import Sequence
+from typing import TypeVar
 
 from expression import Error
 from expression import Ok
@@ -18,6 +20,8 @@
 
 __all__ = ['HttpLog', 'HttpVmList', 'HttpWeightStore']
 
+T = TypeVar('T')
+
 _TIMEOUT = 5.0
 _BINARY = ('Content-Type', 'application/octet-stream')
 
@@ -65,7 +69,7 @@
         timeout = wait + _TIMEOUT
         match await self._http.fetch(self._address, request, timeout):
             case Result(tag='ok', ok=response):
-                return _read_page(response)
+                return _read_page(response, offset)
             case Result(error=fault):
                 return Error(_from_transport(fault))
 
@@ -82,36 +86,57 @@
 def _read_append(
     response: client.WholeResponse,
 ) -> Result[ids.Offset, base.LogFault]:
-    if response.status == 200:
-        try:
-            answer = msgspec.json.decode(response.body, type=_Appended)
-            return Ok(answer.offset)
-        except msgspec.DecodeError as error:
-            return Error(base.LogFault(base.LogFaultKind.UNKNOWN, str(error)))
-    return Error(_from_status(response))
+    if response.status != 200:
+        return Error(_from_status(response))
+    answer = _decode(response, _Appended)
+    return answer.map(lambda found: found.offset)
 
 
 def _read_page(
-    response: client.WholeResponse,
+    response: client.WholeResponse, offset: ids.Offset
 ) -> Result[base.LogPage, base.LogFault]:
     if response.status != 200:
         return Error(_from_status(response))
+    return _decode(response, base.LogPage).bind(
+        lambda page: _check_page(page, offset)
+    )
+
+
+def _check_page(
+    page: base.LogPage, offset: ids.Offset
+) -> Result[base.LogPage, base.LogFault]:
+    expected = range(offset, offset + len(page.records))
+    offsets = [row.offset for row in page.records]
+    if offsets != list(expected) or page.next != expected.stop:
+        detail = f'page of other records than those from {offset} on'
+        return Error(base.LogFault(base.LogFaultKind.UNKNOWN, detail))
+    return Ok(page)
+
+
+def _decode(
+    response: client.WholeResponse, expected: type[T]
+) -> Result[T, base.LogFault]:
     try:
-        return Ok(msgspec.json.decode(response.body, type=base.LogPage))
+        return Ok(msgspec.json.decode(response.body, type=expected))
     except msgspec.DecodeError as error:
         return Error(base.LogFault(base.LogFaultKind.UNKNOWN, str(error)))
 
 
 def _from_status(response: client.WholeResponse) -> base.LogFault:
     detail = f'log answered {response.status}'
-    if response.status == 410:
-        answer = msgspec.json.decode(response.body, type=_Expired)
-        return base.LogFault(base.LogFaultKind.EXPIRED, detail, answer.oldest)
-    if response.status == 429:
-        return base.LogFault(base.LogFaultKind.RATE_LIMITED, detail)
-    if response.status == 503:
-        return base.LogFault(base.LogFaultKind.UNAVAILABLE, detail)
-    return base.LogFault(base.LogFaultKind.UNKNOWN, detail)
+    match response.status:
+        case 410:
+            kind = base.LogFaultKind.EXPIRED
+            found = _decode(response, _Expired).map(
+                lambda row: base.LogFault(kind, detail, row.oldest)
+            )
+            return found.merge()
+        case 429:
+            return base.LogFault(base.LogFaultKind.RATE_LIMITED, detail)
+        case 503:
+            return base.LogFault(base.LogFaultKind.UNAVAILABLE, detail)
+        case _:
+            return base.LogFault(base.LogFaultKind.UNKNOWN, detail)
 
 
 class HttpVmList(base.VmList):
--- a/waxwingport/platform/base.py
+++ b/waxwingport/platform/base.py
@@ -61,12 +61,14 @@
     """Consecutive records of a stream.
 
     ``next`` is the offset to read from next; ``oldest`` is the oldest offset
-    that the log still holds.
+    that the log still holds; ``end`` is the offset that the next append gets,
+    or ``None`` if the log does not say.
     """
 
     records: tuple[LogRecord, ...]
     oldest: ids.Offset
     next: ids.Offset
+    end: ids.Offset | None = None
 
 
 class Log(abc.ABC):
@@ -89,7 +91,8 @@
         """Returns up to ``limit`` records from ``offset`` on.
 
         Waits up to ``wait`` seconds for the first one; the page is empty when
-        none came.  Fails with ``EXPIRED`` when ``offset`` is no longer held.
+        none came, also for an offset beyond the end.  Fails with ``EXPIRED``
+        when ``offset`` is no longer held, also if it expires meanwhile.
         """
 
 
--- a/waxwingport/standins/platform.py
+++ b/waxwingport/standins/platform.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 from collections.abc import Sequence
+import contextlib
+import itertools
 
 from expression import Error
 from expression import Ok
@@ -46,7 +48,7 @@
 
     ``down`` refuses everything, ``delay`` slows every operation, and
     ``lost_answers`` counts the appends to come whose answers get lost after
-    they took effect.
+    they took effect.  ``reads`` and ``appends`` count what was asked.
     """
 
     def __init__(self, settings: StandInLogSettings | None = None) -> None:
@@ -55,6 +57,7 @@
         self.delay = self.settings.delay
         self.lost_answers = 0
         self.appends = 0
+        self.reads = 0
         self._streams: dict[ids.StreamName, _Stream] = {}
         self._recent: collections.deque[float] = collections.deque()
 
@@ -87,6 +90,9 @@
     ) -> Result[base.LogPage, base.LogFault]:
         """Returns up to ``limit`` records from ``offset`` on."""
         await asyncio.sleep(self.delay)
+        self.reads += 1
+        if not self.down and wait > 0:
+            await self._wait(stream, offset, wait)
         if self.down:
             return Error(_log_fault(base.LogFaultKind.UNAVAILABLE))
         rows = self._stream(stream)
@@ -99,10 +105,6 @@
                     ids.Offset(rows.first),
                 )
             )
-        if offset >= rows.next and wait > 0:
-            await self._wait(rows, wait)
-        if self.down:
-            return Error(_log_fault(base.LogFaultKind.UNAVAILABLE))
         return Ok(_make_page(rows, offset, limit))
 
     def expire_before(
@@ -114,6 +116,10 @@
             rows.records.popleft()
             rows.first += 1
 
+    def wipe(self, stream: ids.StreamName) -> None:
+        """Loses every record of ``stream``; offsets begin at 0 again."""
+        self._streams.pop(stream, None)
+
     def _stream(self, name: ids.StreamName) -> _Stream:
         return self._streams.setdefault(name, _Stream())
 
@@ -132,25 +138,30 @@
             rows.records.popleft()
             rows.first += 1
 
-    async def _wait(self, rows: _Stream, wait: float) -> None:
-        try:
-            await asyncio.wait_for(rows.grown.wait(), wait)
-        except TimeoutError:
-            return
+    async def _wait(
+        self, stream: ids.StreamName, offset: ids.Offset, wait: float
+    ) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait):
+                while offset >= self._stream(stream).next:
+                    await self._stream(stream).grown.wait()
 
 
 def _make_page(rows: _Stream, offset: int, limit: int) -> base.LogPage:
-    start = max(0, offset - rows.first)
+    start = offset - rows.first
     bodies = [
-        rows.records[index][1]
-        for index in range(start, min(start + limit, len(rows.records)))
+        body
+        for _, body in itertools.islice(rows.records, start, start + limit)
     ]
     records = tuple(
         base.LogRecord(ids.Offset(offset + index), body)
         for index, body in enumerate(bodies)
     )
     return base.LogPage(
-        records, ids.Offset(rows.first), ids.Offset(offset + len(records))
+        records,
+        ids.Offset(rows.first),
+        ids.Offset(offset + len(records)),
+        ids.Offset(rows.next),
     )
 
 
--- a/waxwingport/trial/deployments.py
+++ b/waxwingport/trial/deployments.py
@@ -1,13 +1,22 @@
 """The two deployments that the trial can run, in their real sizes."""
 
 import importlib.resources
+from importlib.resources import abc as traversable
 
 import msgspec
 
 from waxwingport.configuration import declarations
+from waxwingport.configuration import keys
+from waxwingport.configuration import records
 from waxwingport import ids
 
-__all__ = ['DEPLOYMENTS', 'Deployment', 'read_declarations']
+__all__ = [
+    'DEPLOYMENTS',
+    'Deployment',
+    'find_examples',
+    'make_first_change',
+    'read_declarations',
+]
 
 
 class Deployment(msgspec.Struct, frozen=True):
@@ -59,10 +68,22 @@
 }
 
 
+def find_examples(deployment: Deployment) -> traversable.Traversable:
+    """Returns the directory of a deployment's declarations."""
+    folder = importlib.resources.files('waxwingport.examples')
+    return folder / deployment.name
+
+
 def read_declarations(deployment: Deployment) -> declarations.Declarations:
     """Returns the declarations that ship with a deployment."""
-    folder = importlib.resources.files('waxwingport.examples')
-    path = folder / deployment.name / 'declarations.toml'
+    path = find_examples(deployment) / 'declarations.toml'
     return msgspec.toml.decode(
         path.read_bytes(), type=declarations.Declarations
     )
+
+
+def make_first_change(deployment: Deployment) -> records.Change:
+    """Returns the change that publishes a deployment's declarations."""
+    values = keys.split(read_declarations(deployment))
+    record_id = ids.RecordId(f'first-{deployment.name}')
+    return records.make_change(record_id, 'trial', ids.Revision(-1), values)
--- a/waxwingport/trial/stage.py
+++ b/waxwingport/trial/stage.py
@@ -2,9 +2,8 @@
 
 import asyncio
 
-import msgspec
-
 from waxwingport.configuration import reader
+from waxwingport.configuration import records
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import node
@@ -51,12 +50,8 @@
     async def start(self) -> None:
         """Starts everything and waits until the node is ready."""
         self.vm_list.replace(self._start_targets())
-        await self.log.append(
-            reader.STREAM,
-            msgspec.json.encode(
-                deployments.read_declarations(self.deployment)
-            ),
-        )
+        change = deployments.make_first_change(self.deployment)
+        await self.log.append(reader.STREAM, records.encode(change))
         self._start_node()
         await self.node.start()
         while not self.node.is_ready():
