--- a/waxwingport/api/application.py
+++ b/waxwingport/api/application.py
@@ -5,6 +5,7 @@
 from tornado import web
 
 from waxwingport.api import completions
+from waxwingport.api import configuration
 from waxwingport.api import handler
 from waxwingport.api import services
 from waxwingport.api import status
@@ -39,6 +40,7 @@
             '/v1/trainers/([^/]+)/versions/([0-9]+)',
             trainers.VersionResource,
         ),
+        ('/v1/configuration', configuration.Configuration),
         ('/v1/status', status.Status),
         ('/healthz', status.Health),
         ('/readyz', status.Readiness),
--- /dev/null
+++ b/waxwingport/api/configuration.py
@@ -0,0 +1,160 @@
+"""``/v1/configuration`` for operators.
+
+It only publishes to the platform's log; what is in force comes from there.
+"""
+
+import hashlib
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.api import handler
+from waxwingport.api import problems
+from waxwingport.configuration import fold
+from waxwingport.configuration import keys
+from waxwingport.configuration import publisher
+from waxwingport.configuration import records
+from waxwingport import ids
+from waxwingport import outcomes
+
+__all__ = [
+    'Configuration',
+    'ConfigurationAnswer',
+    'ConflictProblem',
+    'Proposal',
+    'PublishAnswer',
+]
+
+_TIMEOUT = 15.0
+_BEARER = 'Bearer '
+_REASONS = {
+    publisher.PublishFaultKind.CONFLICT: outcomes.Reason.CONFLICT,
+    publisher.PublishFaultKind.INVALID: outcomes.Reason.BAD_REQUEST,
+    publisher.PublishFaultKind.UNAVAILABLE: outcomes.Reason.LOG_UNAVAILABLE,
+    publisher.PublishFaultKind.UNCOVERED: outcomes.Reason.BAD_REQUEST,
+    publisher.PublishFaultKind.UNKNOWN: outcomes.Reason.UNKNOWN_OUTCOME,
+}
+
+
+class ConfigurationAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``GET``: what is in force at this node, by key."""
+
+    revision: ids.Revision
+    values: dict[keys.Key, msgspec.Raw]
+
+
+class Proposal(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST``: a change, JSON ``null`` removing a key.
+
+    A repeat under the same ``id`` has the outcome of the first.  ``check``
+    asks what would happen and publishes nothing.  ``force`` lets trainers and
+    callers be left without any target.
+    """
+
+    based_on: ids.Revision
+    values: dict[keys.Key, msgspec.Raw]
+    id: ids.RecordId | None = None
+    author: str = ''
+    check: bool = False
+    force: bool = False
+
+
+class PublishAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``POST``: the revision in force with the change."""
+
+    revision: ids.Revision
+
+
+class ConflictProblem(problems.Problem):
+    """Problem that names the change that came first."""
+
+    conflict: fold.Conflict | None = None
+
+
+class Configuration(handler.Handler):
+    """``GET`` and ``POST /v1/configuration``."""
+
+    async def get(self) -> None:
+        """Answers with the configuration in force at this node."""
+        match self._find_operator(''):
+            case Result(tag='error', error=refusal):
+                self.send_refusal(refusal)
+                return
+        folded = self.node.configuration.folded
+        values = {
+            key: records.write_value(value)
+            for key, value in sorted(folded.rows.items())
+        }
+        self.send_json(ConfigurationAnswer(folded.revision, values))
+
+    async def post(self) -> None:
+        """Publishes a change and answers once it is in force here."""
+        match handler.read_json(self.request.body, Proposal):
+            case Result(tag='ok', ok=proposal):
+                pass
+            case Result(error=refusal):
+                self.send_refusal(refusal)
+                return
+        match self._find_operator(proposal.author):
+            case Result(tag='ok', ok=author):
+                await self._publish(proposal, author)
+            case Result(error=refusal):
+                self.send_refusal(refusal)
+
+    async def _publish(self, proposal: Proposal, author: str) -> None:
+        change = records.Change(
+            proposal.id or ids.mint_record_id(),
+            author,
+            proposal.based_on,
+            proposal.values,
+        )
+        desk = self.node.publisher
+        if proposal.check:
+            checked = await desk.check(change, proposal.force)
+            outcome = checked.map(lambda _: self.node.configuration.revision)
+        else:
+            outcome = await desk.publish(change, _TIMEOUT, proposal.force)
+        match outcome:
+            case Result(tag='ok', ok=revision):
+                self.send_json(PublishAnswer(revision))
+            case Result(error=fault):
+                self._send_fault(fault)
+
+    def _send_fault(self, fault: publisher.PublishFault) -> None:
+        unknown = fault.kind is publisher.PublishFaultKind.UNKNOWN
+        refusal = outcomes.Refusal(
+            _REASONS[fault.kind],
+            f'{fault.kind.value}: {fault.detail}',
+            outcomes.Ran.UNKNOWN if unknown else outcomes.Ran.NO,
+        )
+        if fault.conflict is None:
+            self.send_refusal(refusal)
+            return
+        problem = msgspec.structs.asdict(problems.describe(refusal))
+        self.set_status(problem['status'])
+        self.set_header('Content-Type', problems.CONTENT_TYPE)
+        found = ConflictProblem(**problem, conflict=fault.conflict)
+        self.finish(msgspec.json.encode(found))
+
+    def _find_operator(self, given: str) -> Result[str, outcomes.Refusal]:
+        """Returns the operator's name, or a refusal.
+
+        While no caller is declared, nobody is known and anyone may act under
+        the name given.
+        """
+        declared = self.node.configuration.declarations
+        if not declared.callers:
+            return Ok(given or 'anonymous')
+        header = self.request.headers.get('Authorization', '')
+        token = header.removeprefix(_BEARER).encode()
+        caller = declared.caller(hashlib.sha256(token).hexdigest())
+        if caller is None or not header.startswith(_BEARER):
+            reason = outcomes.Reason.UNAUTHENTICATED
+            return Error(outcomes.Refusal(reason, 'no known bearer token'))
+        if not caller.operator:
+            reason = outcomes.Reason.FORBIDDEN
+            detail = f'caller {caller.name!r} is no operator'
+            return Error(outcomes.Refusal(reason, detail))
+        return Ok(caller.name)
--- a/waxwingport/configuration/fold.py
+++ b/waxwingport/configuration/fold.py
@@ -36,10 +36,11 @@
     'Verdict',
     'VerdictKind',
     'fold',
-    'judge',
     'make_snapshot',
+    'preview',
     'restore',
     'start_from',
+    'take_run',
 ]
 
 WINDOW = 2048
@@ -128,19 +129,34 @@
     Records at or below the revision are passed over; the fold stops before a
     gap, so its revision says how far it came.
     """
+    run = take_run(rows, folded.revision)
+    if not run:
+        return folded, ()
     work = _Work(folded)
-    verdicts = []
+    verdicts = tuple(work.take(row) for row in run)
+    return work.finish(), verdicts
+
+
+def take_run(
+    rows: Iterable[base.LogRecord], revision: ids.Revision
+) -> list[base.LogRecord]:
+    """Returns the rows that follow ``revision`` without a gap."""
+    run: list[base.LogRecord] = []
     for row in rows:
-        if row.offset == work.revision + 1:
-            verdicts.append(work.take(row))
-    return (work.finish() if verdicts else folded), tuple(verdicts)
+        if row.offset == revision + len(run) + 1:
+            run.append(row)
+    return run
 
 
-def judge(folded: Folded, change: records.Change) -> Verdict:
-    """Returns what would become of ``change`` as the next record."""
+def preview(
+    folded: Folded, change: records.Change
+) -> Result[declarations.Declarations, Verdict]:
+    """Returns the declarations after ``change``, or why it would be void."""
     work = _Work(folded)
-    offset = ids.Offset(folded.revision + 1)
-    return work.take_change(change, offset)
+    verdict = work.take_change(change, ids.Offset(folded.revision + 1))
+    if verdict.kind is VerdictKind.APPLIED:
+        return Ok(work.finish().declarations)
+    return Error(verdict)
 
 
 class _Work:
--- a/waxwingport/configuration/reader.py
+++ b/waxwingport/configuration/reader.py
@@ -27,9 +27,9 @@
 class ConfigurationReader:
     """Applies the records of the stream in offset order.
 
-    ``behind`` is set while the log ends below the revision in force, and
-    until it is seen to hold the same last record again: it was wiped or
-    restored to an earlier state.  The configuration in force stays.
+    ``behind`` is set when the log ends below the revision in force, and until
+    it is seen to hold the last change again: it was wiped or restored to an
+    earlier state.  The configuration in force stays meanwhile.
     """
 
     def __init__(
@@ -37,6 +37,7 @@
     ) -> None:
         self.behind = False
         self.oldest = ids.Offset(0)
+        self._verified = False
         self._log = log
         self._configuration = configuration
 
@@ -53,10 +54,10 @@
 
         Waits up to ``wait`` seconds for the first record.
         """
-        if self.behind and not await self._holds_last_record():
-            detail = 'the log does not hold the configuration in force'
-            return Error(base.LogFault(base.LogFaultKind.UNKNOWN, detail))
-        self.behind = False
+        if not self._verified:
+            match await self._verify():
+                case Result(tag='error', error=fault):
+                    return Error(fault)
         offset = ids.Offset(self._configuration.revision + 1)
         match await self._log.read(STREAM, offset, wait=wait):
             case Result(tag='ok', ok=page):
@@ -85,6 +86,7 @@
         return Ok(self._configuration.advance(page.records))
 
     def _note_behind(self, end: ids.Offset) -> base.LogFault:
+        self._verified = False
         self.behind = True
         detail = (
             f'the log ends at {end}, below revision '
@@ -93,19 +95,26 @@
         _LOG.error('configuration log behind: %s', detail)
         return base.LogFault(base.LogFaultKind.UNKNOWN, detail)
 
-    async def _holds_last_record(self) -> bool:
-        """Returns whether the log's record at the revision is the known one.
+    async def _verify(self) -> Result[None, base.LogFault]:
+        """Fails unless the log holds the last change known here.
 
         Offsets alone cannot tell: a wiped log grows past them again.
         """
-        offset = ids.Offset(self._configuration.revision)
-        known = self._configuration.find_recent(offset)
-        if known is None:
-            return False
-        match await self._log.read(STREAM, offset, limit=1):
-            case Result(tag='ok', ok=page) if page.records:
-                return page.records[0].body == known.body
-        return False
+        seen = self._configuration.folded.seen
+        if seen:
+            last = max(seen, key=seen.__getitem__)
+            match await self._log.read(STREAM, seen[last], limit=1):
+                case Result(tag='ok', ok=page):
+                    self.behind = not _holds(page, last)
+                case Result(tag='error', error=fault):
+                    if fault.kind is not base.LogFaultKind.EXPIRED:
+                        return Error(fault)
+                    self.behind = False
+        if self.behind:
+            detail = 'the log does not hold the last change in force'
+            return Error(base.LogFault(base.LogFaultKind.UNKNOWN, detail))
+        self._verified = True
+        return Ok(None)
 
     async def _start_from_snapshot(
         self, expired: base.LogFault
@@ -141,34 +150,49 @@
         self, first: ids.Offset, end: ids.Offset, oldest: ids.Offset
     ) -> Result[fold.Folded | None, base.LogFault]:
         """Returns the last usable snapshot between two offsets."""
-        found: fold.Folded | None = None
+        candidates: list[records.Snapshot] = []
         while first < end:
             match await self._log.read(STREAM, first):
                 case Result(tag='ok', ok=page):
                     pass
                 case Result(error=fault):
                     return Error(fault)
-            for row in page.records:
-                found = _read_snapshot(row, oldest) or found
+            candidates += _list_usable(page, oldest)
             if not page.records:
                 break
             first = page.next
-        return Ok(found)
+        return Ok(_restore_last(candidates))
+
+
+def _holds(page: base.LogPage, record_id: ids.RecordId) -> bool:
+    for row in page.records:
+        match records.decode(row.body):
+            case Result(tag='ok', ok=records.Change(id=found)):
+                return found == record_id
+    return False
+
+
+def _list_usable(
+    page: base.LogPage, oldest: ids.Offset
+) -> list[records.Snapshot]:
+    found = []
+    for row in page.records:
+        match records.decode(row.body):
+            case Result(tag='ok', ok=records.Snapshot() as snapshot):
+                if oldest - 1 <= snapshot.covers < row.offset:
+                    found.append(snapshot)
+    return found
 
 
-def _read_snapshot(
-    row: base.LogRecord, oldest: ids.Offset
+def _restore_last(
+    candidates: list[records.Snapshot],
 ) -> fold.Folded | None:
-    match records.decode(row.body):
-        case Result(tag='ok', ok=records.Snapshot() as snapshot):
-            pass
-        case _:
-            return None
-    if not oldest - 1 <= snapshot.covers < row.offset:
-        return None
-    match fold.restore(snapshot):
-        case Result(tag='ok', ok=folded):
-            return folded
-        case Result(error=reason):
-            _LOG.warning('snapshot offset=%d unusable: %s', row.offset, reason)
+    for snapshot in reversed(candidates):
+        match fold.restore(snapshot):
+            case Result(tag='ok', ok=folded):
+                return folded
+            case Result(error=reason):
+                _LOG.warning(
+                    'snapshot covers=%d unusable: %s', snapshot.covers, reason
+                )
     return None
--- a/waxwingport/configuration/records.py
+++ b/waxwingport/configuration/records.py
@@ -130,9 +130,15 @@
         return Error(Unreadable(str(error), newer=False))
 
 
-def shorten(snapshot: Snapshot) -> bytes:
-    """Returns what a node that folded up to a snapshot needs of it."""
-    return encode(Snapshot(snapshot.covers))
+def shorten(body: bytes) -> bytes:
+    """Returns what a node that folded all earlier records needs of this one.
+
+    That is all of a change, and of a snapshot the offset that it covers.
+    """
+    match decode(body):
+        case Result(tag='ok', ok=Snapshot(covers=covers)):
+            return encode(Snapshot(covers))
+    return body
 
 
 def read_value(
--- a/waxwingport/configuration/state.py
+++ b/waxwingport/configuration/state.py
@@ -8,8 +8,6 @@
 import contextlib
 import logging
 
-from expression import Result
-
 from waxwingport.configuration import declarations
 from waxwingport.configuration import fold
 from waxwingport.configuration import records
@@ -74,13 +72,13 @@
 
         Returns how many there were; the others are passed over.
         """
-        rows = [row for row in rows if row.offset > self.revision]
+        rows = fold.take_run(rows, self.revision)
         folded, verdicts = fold.fold(self.folded, rows)
         if not verdicts:
             return 0
         self._recent.extend(
-            _shorten(row, verdict)
-            for row, verdict in zip(rows, verdicts, strict=False)
+            base.LogRecord(row.offset, records.shorten(row.body))
+            for row in rows
         )
         for verdict in verdicts:
             self._note(verdict)
@@ -104,11 +102,6 @@
         start = len(self._recent) - missing
         return [self._recent[i] for i in range(start, len(self._recent))]
 
-    def find_recent(self, offset: ids.Offset) -> base.LogRecord | None:
-        """Returns the remembered record at ``offset``, or ``None``."""
-        index = len(self._recent) - 1 - (self.revision - offset)
-        return self._recent[index] if index >= 0 else None
-
     async def wait_beyond(
         self, revision: ids.Revision, timeout: float
     ) -> bool:
@@ -159,12 +152,3 @@
             return
         for listener in self._listeners:
             listener(folded.declarations)
-
-
-def _shorten(row: base.LogRecord, verdict: fold.Verdict) -> base.LogRecord:
-    if verdict.kind is not fold.VerdictKind.SNAPSHOT:
-        return row
-    match records.decode(row.body):
-        case Result(tag='ok', ok=records.Snapshot() as snapshot):
-            return base.LogRecord(row.offset, records.shorten(snapshot))
-    return row
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -8,6 +8,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import publisher
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
@@ -52,6 +53,15 @@
         self.incarnation = ids.mint_incarnation()
         self.rng = rng or random.Random()
         self.configuration = state.ConfigurationState()
+        self.configuration_source = reader.ConfigurationReader(
+            outside.log, self.configuration
+        )
+        self.publisher = publisher.Publisher(
+            outside.log,
+            outside.vm_list,
+            self.configuration,
+            self.configuration_source,
+        )
         self.targets = table.TargetTable(outside.targets)
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
@@ -66,10 +76,7 @@
 
     async def start(self) -> None:
         """Starts the node's background work."""
-        source = reader.ConfigurationReader(
-            self.outside.log, self.configuration
-        )
-        self._spawn(source.run())
+        self._spawn(self.configuration_source.run())
         self._spawn(self._follow_vms())
         self._spawn(self._poll_engines())
 
