Test the fold, the log's contract and publishing

Failures found: a page read while retention passed bore wrong offsets, an empty name stopped check, msgspec reads Raw | None as null only.

--- /dev/null
+++ b/waxwingport/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the commands of the command line do."""
--- /dev/null
+++ b/waxwingport/commands/publish.py
@@ -0,0 +1,130 @@
+"""``plan`` and ``apply``: compare declarations and publish the difference."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import getpass
+import pathlib
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.commands import channel
+from waxwingport.configuration import declarations
+from waxwingport.configuration import difference
+from waxwingport.configuration import files
+from waxwingport.configuration import records
+from waxwingport.http import client
+from waxwingport import ids
+from waxwingport.platform import adapters
+from waxwingport import settings
+
+__all__ = ['Options', 'apply', 'open_channel', 'plan']
+
+
+class Options(msgspec.Struct, frozen=True):
+    """What an operator asked for."""
+
+    folder: pathlib.Path
+    based_on: ids.Revision | None = None
+    force: bool = False
+    author: str | None = None
+
+
+@contextlib.asynccontextmanager
+async def open_channel(
+    settings_file: pathlib.Path | None, node: str | None
+) -> AsyncIterator[Result[channel.Channel, str]]:
+    """Gives the channel to a node, or to the log that settings name."""
+    if node is not None:
+        yield Ok(channel.NodeChannel(node))
+        return
+    match settings.read_settings(settings_file):
+        case Result(tag='error', error=reason):
+            yield Error(reason)
+            return
+        case Result(ok=found):
+            pass
+    http = client.HttpClient(found.client)
+    try:
+        yield Ok(
+            channel.LogChannel(
+                adapters.HttpLog(http, found.platform.log),
+                adapters.HttpVmList(http, found.platform.vm_list),
+            )
+        )
+    finally:
+        http.close()
+
+
+async def plan(
+    options: Options, way: channel.Channel
+) -> Result[list[str], str]:
+    """Returns the lines that describe what ``apply`` would do.
+
+    Fails if ``apply`` would be refused; the message ends with the reason.
+    """
+    match await _compare(options, way):
+        case Result(tag='ok', ok=(current, change, lines)):
+            pass
+        case Result(error=reason):
+            return Error(reason)
+    if not change.values:
+        return Ok([f'no change against revision {current.revision}'])
+    lines.append(f'based on revision {change.based_on}')
+    match await way.check(change, options.force):
+        case Result(tag='error', error=reason):
+            return Error('\n'.join([*lines, f'would be refused: {reason}']))
+    return Ok(lines)
+
+
+async def apply(
+    options: Options, way: channel.Channel
+) -> Result[list[str], str]:
+    """Publishes the difference; returns lines with the revision in force."""
+    match await _compare(options, way):
+        case Result(tag='ok', ok=(current, change, lines)):
+            pass
+        case Result(error=reason):
+            return Error(reason)
+    if not change.values:
+        return Ok([f'no change; revision {current.revision}'])
+    published = await way.publish(change, options.force)
+    return published.map(
+        lambda revision: [*lines, f'in force at revision {revision}']
+    )
+
+
+async def _compare(
+    options: Options, way: channel.Channel
+) -> Result[tuple[channel.Current, records.Change, list[str]], str]:
+    """Returns what is in force, the change and its description."""
+    match files.read_directory(options.folder):
+        case Result(tag='ok', ok=wanted):
+            pass
+        case Result(error=found):
+            return Error('\n'.join(str(fault) for fault in found))
+    match await way.read():
+        case Result(tag='ok', ok=current):
+            pass
+        case Result(error=reason):
+            return Error(reason)
+    return Ok(_make_change(options, current, wanted))
+
+
+def _make_change(
+    options: Options,
+    current: channel.Current,
+    wanted: declarations.Declarations,
+) -> tuple[channel.Current, records.Change, list[str]]:
+    values = difference.compare(current.declarations, wanted)
+    based_on = options.based_on
+    change = records.make_change(
+        ids.mint_record_id(),
+        options.author or getpass.getuser(),
+        current.revision if based_on is None else based_on,
+        values,
+    )
+    lines = difference.describe(current.declarations, values)
+    return current, change, lines
--- a/waxwingport/configuration/consistency.py
+++ b/waxwingport/configuration/consistency.py
@@ -53,7 +53,7 @@
 
     def check(self, key: keys.Key) -> Iterator[tuple[str, str]]:
         value = self._rows.get(key)
-        kind, name = keys.split_key(key)
+        kind, _, name = key.partition('/')
         if value is not None:
             yield from _check_spelling(key, kind, name)
         match value:
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -8,8 +8,9 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import distribution
 from waxwingport.configuration import publisher
-from waxwingport.configuration import reader
+from waxwingport.configuration import snapshots
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.leases import base as leases
@@ -64,14 +65,26 @@
         self.peers = self._join_peers()
         self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
-        self.configuration_source = reader.ConfigurationReader(
-            outside.log, self.configuration
+        self.distribution = distribution.Distribution(
+            outside.log,
+            self.configuration,
+            self.membership,
+            self.peers,
+            configured.distribution,
+            self.rng,
+        )
+        self.snapshots = snapshots.SnapshotWriter(
+            outside.log,
+            self.configuration,
+            self.distribution.reader,
+            self.membership,
+            configured.snapshots,
         )
         self.publisher = publisher.Publisher(
             outside.log,
             outside.vm_list,
             self.configuration,
-            self.configuration_source,
+            self.distribution.reader,
         )
         self.targets = table.TargetTable(outside.targets)
         self.configuration.listen(
@@ -105,7 +118,8 @@
 
     async def start(self) -> None:
         """Starts the node's background work."""
-        self._spawn(self.configuration_source.run())
+        self._spawn(self.distribution.run())
+        self._spawn(self.snapshots.run())
         self._spawn(self._follow_vms())
         self._spawn(self._poll_engines())
         self._spawn(self.version_exchange.run())
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -5,6 +5,7 @@
 ``waxwingport.configuration.declarations``.
 """
 
+import ipaddress
 import pathlib
 
 from expression import Error
@@ -12,6 +13,11 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import checking
+from waxwingport.configuration import distribution as spreading
+from waxwingport.configuration import faults
+from waxwingport.configuration import files
+from waxwingport.configuration import snapshots as snapshot_writer
 from waxwingport.http import client as http_client
 from waxwingport import ids
 
@@ -21,6 +27,7 @@
     'PlatformSettings',
     'Settings',
     'TlsSettings',
+    'check_settings',
     'read_settings',
 ]
 
@@ -72,15 +79,60 @@
     client: http_client.ClientSettings = http_client.ClientSettings()
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
+    distribution: spreading.DistributionSettings = (
+        spreading.DistributionSettings()
+    )
+    snapshots: snapshot_writer.SnapshotSettings = (
+        snapshot_writer.SnapshotSettings()
+    )
+
+
+_ADDRESSES = {
+    'node': ('listen', 'peer_listen'),
+    'platform': ('log', 'vm_list', 'weight_store'),
+}
+_MAX_PORT = 65535
+
+
+def check_settings(
+    path: pathlib.Path,
+) -> Result[Settings, list[faults.Fault]]:
+    """Returns the settings, or every fault of the file."""
+    match files.read_toml(path):
+        case Result(tag='ok', ok=data):
+            pass
+        case Result(error=fault):
+            return Error([fault])
+    found = checking.check(data, Settings, str(path))
+    found += _check_addresses(data, str(path))
+    if found:
+        return Error(sorted(found))
+    return Ok(msgspec.convert(data, Settings))
 
 
 def read_settings(path: pathlib.Path) -> Result[Settings, str]:
-    """Returns the settings, or ``file: key: what is wrong``."""
+    """Returns the settings, or a line ``file: key: what is wrong`` each."""
+    return check_settings(path).map_error(
+        lambda found: '\n'.join(str(fault) for fault in found)
+    )
+
+
+def _check_addresses(data: dict[str, object], file: str) -> list[faults.Fault]:
+    found = []
+    for table, keys in _ADDRESSES.items():
+        values = data.get(table)
+        for key in keys if isinstance(values, dict) else ():
+            value = values.get(key)
+            if isinstance(value, str) and not _is_address(value):
+                what = f'{value!r} is no ip:port'
+                found.append(faults.Fault(file, f'{table}.{key}', what))
+    return found
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
     try:
-        data = path.read_bytes()
-    except OSError as error:
-        return Error(f'{path}: {error.strerror}')
-    try:
-        return Ok(msgspec.toml.decode(data, type=Settings))
-    except msgspec.DecodeError as error:
-        return Error(f'{path}: {error}')
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return port.isdecimal() and int(port) <= _MAX_PORT
--- a/waxwingport/targets/table.py
+++ b/waxwingport/targets/table.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from waxwingport.configuration import declarations
+from waxwingport.configuration import labelling
 from waxwingport.configuration import selectors
 from waxwingport import ids
 from waxwingport.platform import base as platform
@@ -148,11 +149,4 @@
         self._label(target)
 
     def _label(self, target: Target) -> None:
-        labels = dict(target.vm.labels)
-        labels['kind'] = target.vm.kind.value
-        labels['data_centre'] = target.vm.data_centre
-        for rule in self._rules:
-            parsed = selectors.parse(rule.match).default_value(None)
-            if parsed is not None and parsed.matches(labels):
-                labels.update(rule.set)
-        target.labels = labels
+        target.labels = labelling.label(target.vm, self._rules)
