--- a/waxwingport/api/configuration.py
+++ b/waxwingport/api/configuration.py
@@ -3,13 +3,12 @@
 It only publishes to the platform's log; what is in force comes from there.
 """
 
-import hashlib
-
 from expression import Error
 from expression import Ok
 from expression import Result
 import msgspec
 
+from waxwingport.api import callers
 from waxwingport.api import handler
 from waxwingport.api import problems
 from waxwingport.configuration import fold
@@ -28,7 +27,6 @@
 ]
 
 _TIMEOUT = 15.0
-_BEARER = 'Bearer '
 _REASONS = {
     publisher.PublishFaultKind.CONFLICT: outcomes.Reason.CONFLICT,
     publisher.PublishFaultKind.INVALID: outcomes.Reason.BAD_REQUEST,
@@ -141,20 +139,15 @@
     def _find_operator(self, given: str) -> Result[str, outcomes.Refusal]:
         """Returns the operator's name, or a refusal.
 
-        While no caller is declared, nobody is known and anyone may act under
-        the name given.
+        While no caller is declared, anyone may act under the name given.
         """
-        declared = self.node.configuration.declarations
-        if not declared.callers:
-            return Ok(given or 'anonymous')
-        header = self.request.headers.get('Authorization', '')
-        token = header.removeprefix(_BEARER).encode()
-        caller = declared.caller(hashlib.sha256(token).hexdigest())
-        if caller is None or not header.startswith(_BEARER):
-            reason = outcomes.Reason.UNAUTHENTICATED
-            return Error(outcomes.Refusal(reason, 'no known bearer token'))
-        if not caller.operator:
-            reason = outcomes.Reason.FORBIDDEN
-            detail = f'caller {caller.name!r} is no operator'
-            return Error(outcomes.Refusal(reason, detail))
-        return Ok(caller.name)
+        declared = self.node.configuration.declarations.callers
+        match callers.identify(self.request.headers, declared):
+            case Result(tag='ok', ok=caller):
+                pass
+            case Result(error=refusal):
+                return Error(refusal)
+        refusal = callers.check_operator(caller)
+        if refusal is not None:
+            return Error(refusal)
+        return Ok(caller.name if declared else given or caller.name)
--- a/waxwingport/commands/publish.py
+++ b/waxwingport/commands/publish.py
@@ -1,6 +1,8 @@
 """``plan`` and ``apply``: compare declarations and publish the difference."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import getpass
 import pathlib
@@ -20,7 +22,7 @@
 from waxwingport.platform import adapters
 from waxwingport import settings
 
-__all__ = ['Options', 'apply', 'open_channel', 'plan']
+__all__ = ['Action', 'Options', 'apply', 'open_channel', 'plan', 'run']
 
 
 class Options(msgspec.Struct, frozen=True):
@@ -58,6 +60,27 @@
         http.close()
 
 
+Action = Callable[
+    [Options, channel.Channel], Awaitable[Result[list[str], str]]
+]
+"""``plan`` or ``apply``."""
+
+
+async def run(
+    action: Action,
+    options: Options,
+    settings_file: pathlib.Path | None,
+    node: str | None,
+) -> Result[list[str], str]:
+    """Returns the lines that ``action`` prints, or why it was refused."""
+    async with open_channel(settings_file, node) as opened:
+        match opened:
+            case Result(tag='ok', ok=way):
+                return await action(options, way)
+            case Result(error=reason):
+                return Error(reason)
+
+
 async def plan(
     options: Options, way: channel.Channel
 ) -> Result[list[str], str]:
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -1,6 +1,7 @@
 """An entry node: its subsystems, their start and their stop."""
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 import logging
 import random
@@ -8,6 +9,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import declarations
 from waxwingport.configuration import distribution
 from waxwingport.configuration import publisher
 from waxwingport.configuration import snapshots
@@ -15,14 +17,17 @@
 from waxwingport import ids
 from waxwingport.leases import base as leases
 from waxwingport.limits import admission
+from waxwingport.limits import retries
 from waxwingport.membership import base as membership
 from waxwingport import metrics
 from waxwingport import outcomes
 from waxwingport.peers import base as peers
-from waxwingport.peers import memory
+from waxwingport.peers import transport
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
+from waxwingport.requests import progress
 from waxwingport.requests import services
+from waxwingport.routing import candidates
 from waxwingport.samples import collector
 from waxwingport import settings
 from waxwingport.targets import table
@@ -49,6 +54,7 @@
     """One entry node.
 
     Construct it inside a running loop, ``start`` it, and ``stop`` it.
+    ``joined`` with its ``incarnation`` replaces the transport in tests.
     """
 
     def __init__(
@@ -56,13 +62,15 @@
         configured: settings.Settings,
         outside: Outside,
         rng: random.Random | None = None,
+        joined: peers.Peers | None = None,
+        incarnation: ids.Incarnation | None = None,
     ) -> None:
         self.settings = configured
         self.outside = outside
-        self.incarnation = ids.mint_incarnation()
+        self.incarnation = incarnation or ids.mint_incarnation()
         self.rng = rng or random.Random()
         self.metrics = metrics.Metrics()
-        self.peers = self._join_peers()
+        self.peers = joined or self._join_peers()
         self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
         self.distribution = distribution.Distribution(
@@ -86,15 +94,30 @@
             self.configuration,
             self.distribution.reader,
         )
-        self.targets = table.TargetTable(outside.targets)
+        self.targets = table.TargetTable(outside.targets, configured.node)
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
         )
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
-        self.completions = completions.CompletionRunner(self.admission)
-        self.services = services.ServiceRunner(self.admission)
+        self.progress = progress.Progress(configured.requests.body_memory)
+        self.retry_budget = retries.RetryBudget(
+            self.configuration.declarations.limit.retry_share
+        )
+        self.configuration.listen(self._set_limits)
+        self.completions = completions.CompletionRunner(
+            self.admission, self.retry_budget, self.rng, configured.requests
+        )
+        self.services = services.ServiceRunner(
+            self.admission,
+            configured.node.name,
+            self.incarnation,
+            self.retry_budget,
+            self.rng,
+            configured.requests,
+        )
+        self.services.connect(self.peers, self.membership)
         self.versions = versions.VersionBook()
         self.version_exchange = versions.VersionExchange(
             self.versions,
@@ -113,6 +136,9 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
+        self._refusals: collections.Counter[
+            tuple[outcomes.Reason, outcomes.Ran]
+        ] = collections.Counter()
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -132,10 +158,15 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.close()
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
-        return self.configuration.revision >= 0 and len(self.targets) > 0
+        return (
+            self.progress.ready
+            and self.configuration.revision >= 0
+            and len(self.targets) > 0
+        )
 
     def find_collector(
         self, name: ids.TrainerName
@@ -168,6 +199,33 @@
             versions.Publication(trainer, version, reference)
         )
 
+    def note_refusal(self, refusal: outcomes.Refusal) -> None:
+        """Counts a refusal by its reason."""
+        self._refusals[refusal.reason, refusal.ran] += 1
+        self.metrics.count(
+            'waxwingport_refusals_total',
+            'Refused requests by reason, and whether they may have run',
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+        )
+
+    def update_gauges(self) -> None:
+        """Sets the gauges that are read off the node's state."""
+        revision = self.configuration.revision
+        self.metrics.set(
+            'waxwingport_configuration_revision',
+            'Offset of the last configuration record in force',
+            revision,
+        )
+        states = collections.Counter(row.state for row in self.targets)
+        for found in candidates.TargetState:
+            self.metrics.set(
+                'waxwingport_targets',
+                'Targets by state',
+                states[found],
+                state=found.value,
+            )
+
     def describe(self) -> dict[str, object]:
         """Returns what holds at this node, for ``/v1/status``."""
         declared = self.configuration.declarations
@@ -180,9 +238,16 @@
                 self._describe_trainer(row) for row in declared.trainers
             ],
             'targets': [_describe_target(row) for row in self.targets],
+            'refusals': [
+                {'reason': reason.value, 'ran': ran.value, 'count': count}
+                for (reason, ran), count in self._refusals.items()
+            ],
             'nodes': [{'name': self.settings.node.name, 'state': 'live'}],
         }
 
+    def _set_limits(self, declared: declarations.Declarations) -> None:
+        self.retry_budget.retry_share = declared.limit.retry_share
+
     def _describe_trainer(self, declared) -> dict[str, object]:
         latest = self.versions.find_latest(declared.name)
         return {
@@ -192,9 +257,12 @@
         }
 
     def _join_peers(self) -> peers.Peers:
-        configured = self.settings.node
-        return memory.MemoryNetwork().join(
-            configured.name, configured.peer_listen, self.incarnation
+        configured = self.settings
+        return transport.PynngPeers(
+            configured.node.name,
+            configured.node.peer_listen,
+            self.incarnation,
+            configured.peers,
         )
 
     def _join_members(self) -> membership.Membership:
@@ -203,7 +271,7 @@
             membership.Member(
                 configured.name,
                 configured.data_centre,
-                configured.peer_listen,
+                self.peers.address,
                 self.incarnation,
             )
         )
