--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -12,8 +12,11 @@
 from rich import console
 
 import waxwingport
+from waxwingport.commands import check
+from waxwingport.commands import example
 from waxwingport.commands import measuring
 from waxwingport.commands import observing
+from waxwingport.commands import publish
 from waxwingport.commands import serving
 from waxwingport import logs
 from waxwingport.measure import base as measure_base
@@ -87,13 +90,82 @@
             port: Port of the node; 0 takes a free one.
             seconds: Stops after this time; runs until a signal otherwise.
         """
-        found = deployments.DEPLOYMENTS.get(deployment)
-        if found is None:
-            known = ', '.join(sorted(deployments.DEPLOYMENTS))
-            _fail_usage(f'no deployment is called {deployment!r}: {known}')
+        found = _find_deployment(deployment)
         logs.configure(node_settings.LogSettings())
         asyncio.run(_run_trial(found, port, seconds))
 
+    def check(
+        self, settings: str | None = None, declarations: str | None = None
+    ) -> None:
+        """Prints each fault of settings and declarations; exit 1 on any.
+
+        Args:
+            settings: A node's settings file.
+            declarations: Directory of the declarations' TOML files.
+        """
+        if settings is None and declarations is None:
+            _fail_usage('check needs --settings or --declarations')
+        found = check.find_faults(_to_path(settings), _to_path(declarations))
+        if found:
+            _fail('\n'.join(str(fault) for fault in found))
+
+    def plan(
+        self,
+        declarations: str,
+        settings: str | None = None,
+        node: str | None = None,
+        based_on: int | None = None,
+        force: bool = False,
+    ) -> None:
+        """Prints what apply would change; exit 1 if it would be refused.
+
+        Args:
+            declarations: Directory of the declarations' TOML files.
+            settings: Settings file that names the platform's log.
+            node: URL of a node to go through instead.
+            based_on: Revision that the change is based on.
+            force: Allows to leave trainers or callers without a target.
+        """
+        options = publish.Options(pathlib.Path(declarations), based_on, force)
+        _operate(publish.plan, options, settings, node)
+
+    def apply(
+        self,
+        declarations: str,
+        settings: str | None = None,
+        node: str | None = None,
+        based_on: int | None = None,
+        force: bool = False,
+        author: str | None = None,
+    ) -> None:
+        """Publishes the declarations; prints the revision in force.
+
+        Args:
+            declarations: Directory of the declarations' TOML files.
+            settings: Settings file that names the platform's log.
+            node: URL of a node to go through instead.
+            based_on: Revision that the change is based on; what is in force
+                now without it.
+            force: Allows to leave trainers or callers without a target.
+            author: Who changes; the user's name without it.
+        """
+        options = publish.Options(
+            pathlib.Path(declarations), based_on, force, author
+        )
+        _operate(publish.apply, options, settings, node)
+
+    def example(self, deployment: str, directory: str) -> None:
+        """Writes a deployment's declarations and a node's settings.
+
+        Args:
+            deployment: bavaria or occidente.
+            directory: Where to write; existing files are kept.
+        """
+        written = example.write_example(
+            _find_deployment(deployment), pathlib.Path(directory)
+        )
+        print('\n'.join(str(path) for path in _check(written)))
+
     def measure(
         self,
         name: str | None = None,
@@ -132,6 +204,31 @@
             measuring.write_page(pathlib.Path(page), reports, commit)
 
 
+def _find_deployment(name: str) -> deployments.Deployment:
+    found = deployments.DEPLOYMENTS.get(name)
+    if found is None:
+        known = ', '.join(sorted(deployments.DEPLOYMENTS))
+        _fail_usage(f'no deployment is called {name!r}: {known}')
+    return found
+
+
+def _operate(
+    action: publish.Action,
+    options: publish.Options,
+    settings: str | None,
+    node: str | None,
+) -> None:
+    """Runs ``plan`` or ``apply`` and prints what comes of it."""
+    if (settings is None) == (node is None):
+        _fail_usage('give either --settings or --node')
+    work = publish.run(action, options, _to_path(settings), node)
+    print('\n'.join(_check(asyncio.run(work))))
+
+
+def _to_path(text: str | None) -> pathlib.Path | None:
+    return None if text is None else pathlib.Path(text)
+
+
 async def _run_trial(
     deployment: deployments.Deployment, port: int, seconds: float | None
 ) -> None:
