Show status and metrics only to those who may see them

Cause: rival cooperatives share the roof, and /v1/status told anybody every pool, trainer and refusal, /metrics likewise.

--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,6 +1,12 @@
+import hashlib
+
+import msgspec
+import pytest
 from tornado import httpclient
 
 from tests import test_trial
+from waxwingport.configuration import declarations
+from waxwingport import ids
 
 
 async def test_status_and_metrics_count_refusals(running_stage):
@@ -25,3 +31,61 @@
     keys = {'name', 'staleness_bound', 'version'}
     assert keys <= set(status['trainers'][0])
     assert {'name', 'state', 'weight_version'} <= set(status['targets'][0])
+
+
+TOKENS = {'tenant': 'a', 'operator': 'b', 'stranger': 'c'}
+
+
+@pytest.fixture
+async def shared_stage(running_stage):
+    """Declares one restricted tenant and one operator."""
+    configuration = running_stage.node.configuration
+    declared = msgspec.structs.replace(
+        configuration.declarations,
+        callers=(
+            make_caller('tenant', allow=(running_stage.deployment.pool,)),
+            make_caller('operator', operator=True),
+        ),
+    )
+    revision = ids.Revision(configuration.revision + 1)
+    assert configuration.apply(revision, declared)
+    return running_stage
+
+
+def make_caller(name, **changes):
+    digest = hashlib.sha256(TOKENS[name].encode()).hexdigest()
+    return declarations.Caller(ids.CallerName(name), digest, **changes)
+
+
+async def fetch_as(stage, name, path):
+    client = httpclient.AsyncHTTPClient()
+    headers = {'Authorization': f'Bearer {TOKENS[name]}'} if name else {}
+    return await client.fetch(
+        stage.url + path, headers=headers, raise_error=False
+    )
+
+
+@pytest.mark.parametrize(
+    ('name', 'path', 'status'),
+    [
+        (None, '/v1/status', 401),
+        ('stranger', '/v1/status', 401),
+        ('tenant', '/v1/status', 200),
+        ('operator', '/v1/status', 200),
+        (None, '/metrics', 401),
+        ('tenant', '/metrics', 403),
+        ('operator', '/metrics', 200),
+        (None, '/healthz', 200),
+    ],
+)
+async def test_who_may_see_what(shared_stage, name, path, status):
+    assert (await fetch_as(shared_stage, name, path)).code == status
+
+
+async def test_tenant_sees_nothing_of_the_others(shared_stage):
+    response = await fetch_as(shared_stage, 'tenant', '/v1/status')
+    shown = msgspec.json.decode(response.body)
+    pool = shared_stage.deployment.pool
+    assert [row['name'] for row in shown['pools']] == [pool]
+    for hidden in ('services', 'trainers', 'targets', 'nodes', 'refusals'):
+        assert shown[hidden] == []
--- a/waxwingport/api/handler.py
+++ b/waxwingport/api/handler.py
@@ -29,7 +29,7 @@
 T = TypeVar('T')
 
 _OPEN_PATHS = ('/healthz', '/readyz', '/metrics', '/v1/status')
-"""Served without a token, and while the node shuts down."""
+"""Served while the node shuts down; these check tokens themselves."""
 _PIECE_SIZE = 256 * 1024
 """Bytes of a body that are written at a time."""
 _LOG = logging.getLogger(__name__)
@@ -239,6 +239,10 @@
                 self.terms = found
             case Result(error=refusal):
                 return refusal
+        return self.identify()
+
+    def identify(self) -> outcomes.Refusal | None:
+        """Finds out who the caller is; returns a refusal if it cannot."""
         declared = self.node.configuration.declarations.callers
         match callers.identify(self.request.headers, declared):
             case Result(tag='ok', ok=caller):
--- a/waxwingport/api/overview.py
+++ b/waxwingport/api/overview.py
@@ -1,14 +1,16 @@
 """What holds at a node, as status and metrics show it."""
 
 import collections
+from collections.abc import Mapping
 
+from waxwingport.api import callers
 from waxwingport.configuration import declarations
 from waxwingport.membership import base as membership
 from waxwingport import node
 from waxwingport.routing import candidates
 from waxwingport.targets import table
 
-__all__ = ['describe', 'update_gauges']
+__all__ = ['describe', 'restrict', 'update_gauges']
 
 
 def describe(shown: node.Node) -> dict[str, object]:
@@ -34,6 +36,20 @@
     }
 
 
+def restrict(
+    shown: Mapping[str, object], caller: declarations.Caller
+) -> dict[str, object]:
+    """Returns the part of a status that ``caller`` may see."""
+    kept = {name: shown[name] for name in ('node', 'revision')}
+    for name in ('pools', 'services', 'trainers'):
+        kept[name] = [
+            row
+            for row in shown[name]
+            if callers.check_allowed(caller, row['name']) is None
+        ]
+    return {**kept, 'targets': [], 'nodes': [], 'refusals': []}
+
+
 def update_gauges(shown: node.Node) -> None:
     """Sets the gauges that are read off a node's state."""
     shown.metrics.set(
--- a/waxwingport/api/status.py
+++ b/waxwingport/api/status.py
@@ -10,8 +10,19 @@
     """``GET /v1/status``."""
 
     async def get(self) -> None:
-        """Answers with what holds at this node."""
-        self.send_json(overview.describe(self.node))
+        """Answers with what holds at this node, as far as the caller may see.
+
+        Where callers are declared, one with an ``allow`` list sees what it may
+        use and nothing of targets, nodes or others' refusals.
+        """
+        refusal = self.identify()
+        if refusal is not None:
+            self.send_refusal(refusal)
+            return
+        shown = overview.describe(self.node)
+        if self.declared_caller.allow and not self.declared_caller.operator:
+            shown = overview.restrict(shown, self.declared_caller)
+        self.send_json(shown)
 
 
 class Health(handler.Handler):
@@ -26,7 +37,17 @@
     """``GET /metrics``, for a scraper."""
 
     async def get(self) -> None:
-        """Answers with the metrics of this process."""
+        """Answers with the metrics of this process.
+
+        Needs an operator's token where callers are declared.
+        """
+        refusal = self.identify()
+        if refusal is not None:
+            self.send_refusal(refusal)
+            return
+        declared = self.node.configuration.declarations.callers
+        if declared and not self.require_operator():
+            return
         overview.update_gauges(self.node)
         accept = self.request.headers.get('Accept', '')
         body, headers = self.node.metrics.render(accept)
