Keep each pool's engines at hand for weight plans

Change: Fleet follows the target table; a plan views its own data centre and counts the others every 2 s. New measurement of a whole node's control.

--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -1,6 +1,7 @@
 """All measurements by name."""
 
 from waxwingport.measure import base
+from waxwingport.measure import control
 from waxwingport.measure import dissemination
 from waxwingport.measure import overload
 from waxwingport.measure import routing
@@ -11,6 +12,7 @@
 _ALL: tuple[base.Measurement, ...] = (
     routing.RoutingRate(),
     weights.WeightPlan(),
+    control.ControlCost(),
     dissemination.Dissemination(),
     overload.Overload(),
 )
--- a/waxwingport/weights/controller.py
+++ b/waxwingport/weights/controller.py
@@ -18,6 +18,7 @@
 from waxwingport.routing import candidates
 from waxwingport.targets import base
 from waxwingport.targets import table
+from waxwingport.weights import fleet
 from waxwingport.weights import orders
 from waxwingport.weights import plan
 from waxwingport.weights import versions
@@ -31,6 +32,7 @@
 
 _INTERVAL = 0.25
 _RATE_INTERVAL = 5.0
+_AWAY_INTERVAL = 2.0
 _FIRST_BACKOFF = 1.0
 _LONGEST_BACKOFF = 60.0
 _SETTLING_TIME = 1.0
@@ -59,6 +61,20 @@
         self.at = at
 
 
+class _Away:
+    """Counts of a pool's engines in other data centres, and their time."""
+
+    def __init__(
+        self,
+        wish: plan.PoolWish,
+        counts: list[plan.CentreSummary],
+        at: float,
+    ) -> None:
+        self.wish = wish
+        self.counts = counts
+        self.at = at
+
+
 class WeightController:
     """Sends orders under the leases of this data centre.
 
@@ -89,6 +105,11 @@
         self._is_log_down = is_log_down
         self._rate = 1
         self._rate_at = float('-inf')
+        self._fleet = fleet.Fleet(targets, members.own.data_centre)
+        configuration.listen(
+            lambda declared: self._fleet.set_pools(declared.pools)
+        )
+        self._away: dict[ids.PoolName, _Away] = {}
         self._failures: dict[ids.TargetName, _Failures] = {}
         self._ordered: dict[ids.TargetName, _Ordered] = {}
 
@@ -104,7 +125,7 @@
         if not pools:
             return
         await self._refresh_rate()
-        loads = self._plan(self._view_engines())
+        loads = self._plan()
         await asyncio.gather(
             *(self._load(row) for row in loads if row.pool in pools),
             self._send_labelled(pools),
@@ -152,41 +173,43 @@
             or (self._is_log_down() and self._is_deputy(pool.name))
         }
 
-    def _plan(self, engines: list[plan.EngineView]) -> list[plan.Load]:
+    def _plan(self) -> list[plan.Load]:
+        now = asyncio.get_running_loop().time()
         own = self._members.own.data_centre
-        wishes = []
-        summaries: list[plan.CentreSummary] = []
+        wishes: list[plan.PoolWish] = []
+        views: list[plan.EngineView] = []
+        centres: list[plan.CentreSummary] = []
         for pool in self._configuration.declarations.pools:
             wish = self.find_wanted(pool)
             if wish is None:
                 continue
-            rows = [row for row in engines if row.pool == pool.name]
+            rows = [
+                self._view(pool.name, target, now)
+                for target in self._fleet.list_here(pool.name)
+            ]
+            counts = plan.summarise(wish, rows) + self._count_away(wish, now)
             allowed = plan.count_loads_at_once(
                 pool.serving_share,
-                len(rows),
+                self._fleet.count(pool.name),
                 sum(row.blocked for row in rows),
             )
-            centres = plan.summarise(wish, rows)
-            summaries.extend(centres)
-            share = plan.share_rate(allowed, centres, own)
+            share = plan.share_rate(allowed, counts, own)
             wishes.append(msgspec.structs.replace(wish, loads_at_once=share))
-        rate = plan.share_rate(self._rate, summaries, own)
-        here = [row for row in engines if row.data_centre == own]
-        return plan.plan_loads(wishes, here, rate)
-
-    def _view_engines(self) -> list[plan.EngineView]:
-        """Returns each engine once, under the first pool that selects it."""
-        now = asyncio.get_running_loop().time()
-        views: dict[ids.TargetName, plan.EngineView] = {}
-        pools = sorted(
-            self._configuration.declarations.pools,
-            key=lambda pool: (-pool.priority, pool.name),
-        )
-        for pool in pools:
-            for target in self._targets.select(pool.selector):
-                if target.engine is not None and target.name not in views:
-                    views[target.name] = self._view(pool.name, target, now)
-        return list(views.values())
+            views.extend(rows)
+            centres.extend(counts)
+        rate = plan.share_rate(self._rate, centres, own)
+        return plan.plan_loads(wishes, views, rate)
+
+    def _count_away(
+        self, wish: plan.PoolWish, now: float
+    ) -> list[plan.CentreSummary]:
+        """Returns the counts of other data centres, taken now and then."""
+        kept = self._away.get(wish.pool)
+        fresh = kept is not None and now - kept.at < _AWAY_INTERVAL
+        if not fresh or kept.wish != wish:
+            counts = self._fleet.summarise_away(wish)
+            kept = self._away[wish.pool] = _Away(wish, counts, now)
+        return kept.counts
 
     def _view(
         self, pool: ids.PoolName, target: table.Target, now: float
--- a/waxwingport/weights/plan.py
+++ b/waxwingport/weights/plan.py
@@ -22,6 +22,7 @@
     'PoolWish',
     'compute_need',
     'count_loads_at_once',
+    'is_outdated',
     'needs_load',
     'plan_loads',
     'share_rate',
@@ -181,9 +182,14 @@
     """Returns whether an engine should get an order to load now."""
     if engine.blocked or engine.loading is not None:
         return False
-    if engine.version is None or engine.version < wish.version:
+    return is_outdated(wish, engine.version)
+
+
+def is_outdated(wish: PoolWish, version: ids.WeightVersion | None) -> bool:
+    """Returns whether an engine at ``version`` should load the wish's."""
+    if version is None or version < wish.version:
         return True
-    return wish.rollback and engine.version > wish.version
+    return wish.rollback and version > wish.version
 
 
 def _rank(engine: EngineView) -> tuple[int, int, str]:
