Merge waiting chunks and measure the path of a request

Change: chunks that wait in one read come merged when they follow each other under one weight version; one result for each chunk; events of one turn leave in one write; reads take 8 KiB buffers.

--- a/tests/requests/test_assembly.py
+++ b/tests/requests/test_assembly.py
@@ -1,6 +1,5 @@
 """Differential test of the assembly against a naive one."""
 
-from expression import Result
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -62,13 +61,10 @@
     found = assembly.Assembly()
     emitted = ''
     for chunk in chunks:
-        match found.take(chunk):
-            case Result(tag='ok', ok=None):
-                continue
-            case Result(tag='ok', ok=new):
-                emitted += new.text
-            case _:
-                break
+        new = found.take(chunk)
+        if isinstance(new, base.TargetFault):
+            break
+        emitted += new.text if new is not None else ''
         if found.finished:
             break
     assert (emitted, found.finished) == assemble_naively(chunks)
--- a/waxwingport/api/events.py
+++ b/waxwingport/api/events.py
@@ -28,6 +28,7 @@
         self._waiting: list[bytes] = []
         self._size = 0
         self._scheduled = False
+        self._started = False
         self._written: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -65,8 +66,7 @@
         if self._written is not None and not self._written.done():
             return
         self._stop_timer()
-        self._handler.write(self._take())
-        self._written = self._handler.flush()
+        self._written = self._write(self._take())
         if self._written.done():
             self._written = None
             return
@@ -75,6 +75,13 @@
             self._settings.write_timeout, self._handler.close_connection
         )
 
+    def _write(self, data: bytes) -> 'asyncio.Future[None]':
+        if self._started:
+            return self._handler.request.connection.write(data)
+        self._started = True
+        self._handler.write(data)
+        return self._handler.flush()
+
     def _note_written(self, written: 'asyncio.Future[None]') -> None:
         if self._written is written:
             self._written = None
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -33,6 +33,8 @@
 ]
 
 _CHUNK_SIZE = 65536
+_READ_SIZE = 8192
+"""Bytes of one read: tornado clears a buffer of this size for each."""
 _BODILESS = ('GET', 'HEAD', 'DELETE', 'OPTIONS')
 
 ClientSettings = messages.ClientSettings
@@ -58,19 +60,22 @@
         """Response headers."""
         return self._exchange.headers
 
-    async def read(self) -> Result[bytes | None, TransportFault]:
-        """Returns the next piece of the body, or ``None`` at its end."""
-        return await self._exchange.read()
+    async def read_piece(self) -> bytes | TransportFault | None:
+        """Returns the next piece of the body, or ``None`` at its end.
+
+        No ``Result``: one for each piece of a stream costs too much.
+        """
+        return await self._exchange.read_piece()
 
     async def chunks(self) -> AsyncIterator[Result[bytes, TransportFault]]:
         """Yields the pieces of the body; an ``Error`` is the last."""
         while True:
-            match await self._exchange.read():
-                case Result(tag='ok', ok=None):
+            match await self._exchange.read_piece():
+                case None:
                     return
-                case Result(tag='ok', ok=data):
+                case bytes() as data:
                     yield Ok(data)
-                case Result(error=fault):
+                case fault:
                     yield Error(fault)
                     return
 
@@ -170,6 +175,7 @@
                 )
             )
         stream.set_nodelay(True)
+        stream.read_chunk_size = _READ_SIZE
         return Ok(stream)
 
     def _start(
--- a/waxwingport/http/exchange.py
+++ b/waxwingport/http/exchange.py
@@ -4,9 +4,6 @@
 import collections
 from collections.abc import Callable
 
-from expression import Error
-from expression import Ok
-from expression import Result
 from tornado import httputil
 from tornado import iostream
 
@@ -95,15 +92,13 @@
         while not self.status and not self.done:
             await self._wait()
 
-    async def read(self) -> Result[bytes | None, messages.TransportFault]:
+    async def read_piece(self) -> bytes | messages.TransportFault | None:
         """Returns the next piece of the body, or ``None`` at its end."""
         while True:
             if self._chunks:
-                return Ok(self._take())
-            if self.fault is not None:
-                return Error(self.fault)
+                return self._take()
             if self.done:
-                return Ok(None)
+                return self.fault
             await self._wait()
 
     def _take(self) -> bytes:
--- a/waxwingport/http/sse.py
+++ b/waxwingport/http/sse.py
@@ -20,12 +20,16 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the data of the events that ``data`` completes."""
-        whole = (self._rest + data).replace(b'\r\n', b'\n')
+        whole = self._rest + data if self._rest else data
+        if b'\r' in whole:
+            whole = whole.replace(b'\r\n', b'\n')
         *blocks, self._rest = whole.split(b'\n\n')
         return [event for event in map(_read_block, blocks) if event]
 
 
 def _read_block(block: bytes) -> bytes:
+    if block.startswith(_PREFIX) and b'\n' not in block:
+        return block[len(_PREFIX) :].strip()
     lines = [
         line[len(_PREFIX) :].strip()
         for line in block.split(b'\n')
--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -3,6 +3,7 @@
 from waxwingport.measure import base
 from waxwingport.measure import dissemination
 from waxwingport.measure import overload
+from waxwingport.measure import requests
 from waxwingport.measure import routing
 from waxwingport.measure import weights
 
@@ -10,6 +11,9 @@
 
 _ALL: tuple[base.Measurement, ...] = (
     routing.RoutingRate(),
+    requests.AddedTime(),
+    requests.TokenRate(),
+    requests.RequestCost(),
     weights.WeightPlan(),
     dissemination.Dissemination(),
     overload.Overload(),
--- a/waxwingport/measure/loopback.py
+++ b/waxwingport/measure/loopback.py
@@ -18,7 +18,14 @@
 from waxwingport.standins import platform as standin_platform
 from waxwingport.targets import adapters
 
-__all__ = ['Caller', 'LoopbackNode', 'PacedEngine', 'POOL', 'SERVICE']
+__all__ = [
+    'Caller',
+    'LoopbackNode',
+    'POOL',
+    'PacedEngine',
+    'PlainService',
+    'SERVICE',
+]
 
 POOL = ids.PoolName('measured')
 SERVICE = ids.ServiceName('measured-service')
@@ -34,6 +41,11 @@
     b'data: {"choices":[{"text":"@%.6f;","index":0,"finish_reason":%s}],'
     b'"position":%d,"tokens":%d,"weight_version":3}\n\n'
 )
+_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+    b'Content-Length: 12\r\n\r\n{"ok": true}'
+)
+_LENGTH = re.compile(rb'content-length: (\d+)', re.IGNORECASE)
 _STAMP = re.compile(rb'@([0-9.]+);')
 
 
@@ -54,11 +66,9 @@
 
     def data_received(self, data: bytes) -> None:
         self._received += data
-        head, mark, body = self._received.partition(b'\r\n\r\n')
-        length = re.search(rb'content-length: (\d+)', head, re.IGNORECASE)
-        if not mark or len(body) < int(length[1] if length else 0):
+        if not _is_whole(self._received):
             return
-        self._received = b''
+        head, self._received = self._received, b''
         if b'/v1/completions' not in head:
             self.transport.write(
                 b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull'
@@ -112,9 +122,12 @@
         self._server.close()
 
     def add(self, stream: _Stream) -> None:
-        """Starts a stream; its first chunk leaves at the next turn."""
-        slot = min(self._slots, key=len)
-        slot.add(stream)
+        """Starts a stream; its first chunk leaves at once."""
+        now = asyncio.get_running_loop().time()
+        last = self._chunk_tokens >= self._total
+        stream.emit(now, self._chunk_tokens, last)
+        if not last:
+            min(self._slots, key=len).add(stream)
 
     def remove(self, stream: _Stream) -> None:
         """Ends a stream."""
@@ -139,6 +152,45 @@
                 slot.discard(stream)
 
 
+class _Answering(asyncio.Protocol):
+    """Answers each whole request with a short JSON body."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._received = b''
+
+    def data_received(self, data: bytes) -> None:
+        self._received += data
+        if _is_whole(self._received):
+            self._received = b''
+            self._transport.write(_ANSWER)
+
+
+class PlainService:
+    """A plain service that answers at once."""
+
+    def __init__(self) -> None:
+        self._server: asyncio.Server | None = None
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listens on loopback."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(_Answering, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.close()
+
+
+def _is_whole(data: bytes) -> bool:
+    head, mark, body = data.partition(b'\r\n\r\n')
+    length = _LENGTH.search(head)
+    return bool(mark) and len(body) >= int(length[1] if length else 0)
+
+
 class Caller(asyncio.Protocol):
     """Sends one streamed completion after the other on one connection.
 
--- a/waxwingport/requests/assembly.py
+++ b/waxwingport/requests/assembly.py
@@ -1,8 +1,5 @@
 """Puts the chunks of one answer together, each position once."""
 
-from expression import Error
-from expression import Ok
-from expression import Result
 import msgspec
 
 from waxwingport import ids
@@ -27,28 +24,26 @@
         """The text so far."""
         return ''.join(self._parts)
 
-    def take(
-        self, chunk: base.Chunk
-    ) -> Result[base.Chunk | None, base.TargetFault]:
+    def take(self, chunk: base.Chunk) -> base.Chunk | base.TargetFault | None:
         """Returns what is new in ``chunk``, ``None`` if nothing is.
 
-        Fails when the chunk does not continue the answer where it stands:
-        text can be cut only between chunks.
+        Returns a fault when the chunk does not continue the answer where
+        it stands: text can be cut only between chunks.
         """
         if chunk.position == self.position and _is_counted(chunk):
             self.position += chunk.tokens
             self._parts.append(chunk.text)
             self.finished = chunk.finish_reason is not None
-            return Ok(chunk)
+            return chunk
         end = chunk.position + chunk.tokens
         if chunk.position < 0 or chunk.tokens < 0 or end > self.position:
-            return Error(self._refuse(chunk))
+            return self._refuse(chunk)
         if not _is_counted(chunk):
-            return Error(self._refuse(chunk))
+            return self._refuse(chunk)
         if chunk.finish_reason is not None and end == self.position:
             self.finished = True
-            return Ok(msgspec.structs.replace(chunk, tokens=0, text=''))
-        return Ok(None)
+            return msgspec.structs.replace(chunk, tokens=0, text='')
+        return None
 
     def _refuse(self, chunk: base.Chunk) -> base.TargetFault:
         detail = (
--- a/waxwingport/requests/completions.py
+++ b/waxwingport/requests/completions.py
@@ -8,7 +8,6 @@
 import random
 
 from expression import Error
-from expression import Ok
 from expression import Result
 import msgspec
 
@@ -93,8 +92,8 @@
             generation = _plan(request, answer)
             chunks = attempt.run(generation, work.deadline, answer)
             async with contextlib.aclosing(chunks):
-                async for chunk in chunks:
-                    yield Ok(chunk)
+                async for outcome in chunks:
+                    yield outcome
             if answer.finished:
                 return
             if attempt.preempted:
--- a/waxwingport/requests/running.py
+++ b/waxwingport/requests/running.py
@@ -6,10 +6,12 @@
 import contextlib
 import logging
 
+from expression import Ok
 from expression import Result
 import msgspec
 
 from waxwingport.limits import admission
+from waxwingport import outcomes
 from waxwingport.requests import assembly
 from waxwingport.routing import candidates
 from waxwingport.targets import base
@@ -62,7 +64,7 @@
         generation: base.Generation,
         deadline: float,
         answer: assembly.Assembly,
-    ) -> AsyncIterator[base.Chunk]:
+    ) -> AsyncIterator[Result[base.Chunk, outcomes.Refusal]]:
         """Yields the new chunks, also those from a second connection."""
         watcher = self._watch(generation)
         try:
@@ -90,25 +92,28 @@
         generation: base.Generation,
         deadline: float,
         answer: assembly.Assembly,
-    ) -> AsyncIterator[base.Chunk]:
+    ) -> AsyncIterator[Result[base.Chunk, outcomes.Refusal]]:
         timeout = deadline - asyncio.get_running_loop().time()
         stream = self.target.engine.stream(generation, timeout)
         async with contextlib.aclosing(stream):
             async for outcome in stream:
-                taken = outcome.bind(answer.take)
-                match taken:
-                    case Result(tag='ok', ok=None):
-                        continue
+                match outcome:
                     case Result(tag='ok', ok=chunk):
-                        self.progressed = True
-                        yield chunk
-                        if self._grant.preempted.is_set():
-                            break
+                        taken = answer.take(chunk)
                     case Result(error=fault):
                         self._note_fault(fault)
                         return
+                if isinstance(taken, base.TargetFault):
+                    self._note_fault(taken)
+                    return
+                if taken is not None:
+                    self.progressed = True
+                    # A result is costly to make; most pass on unchanged.
+                    yield outcome if taken is chunk else Ok(taken)
                 if answer.finished:
                     return
+                if self._grant.preempted.is_set():
+                    break
         self._note_fault(_ended_early())
 
     def _note_fault(self, fault: base.TargetFault) -> None:
--- a/waxwingport/targets/adapters.py
+++ b/waxwingport/targets/adapters.py
@@ -13,11 +13,11 @@
 
 from waxwingport.http import client
 from waxwingport.http import headers as http_headers
-from waxwingport.http import sse
 from waxwingport import ids
 from waxwingport.platform import base as platform
 from waxwingport.targets import base
 from waxwingport.targets import faults
+from waxwingport.targets import streams
 from waxwingport.targets import table
 from waxwingport.targets import wire
 
@@ -103,8 +103,8 @@
                 yield Error(await _read_failure(response))
                 ended = True
                 return
-            async for outcome in _read_stream(response):
-                ended = _is_last(outcome)
+            async for outcome in streams.read_chunks(response):
+                ended = streams.is_last(outcome)
                 yield outcome
         finally:
             response.close()
@@ -198,62 +198,6 @@
     return faults.from_status(whole)
 
 
-async def _read_stream(
-    response: client.Response,
-) -> AsyncIterator[Result[base.Chunk, base.TargetFault]]:
-    splitter = sse.EventSplitter()
-    async for piece in response.chunks():
-        match piece:
-            case Result(tag='ok', ok=data):
-                events = splitter.feed(data)
-            case Result(error=fault):
-                yield Error(faults.from_transport(fault))
-                return
-        for event in events:
-            if event == b'[DONE]':
-                return
-            outcome = _read_event(event)
-            yield outcome
-            if outcome.is_error():
-                return
-    yield Error(
-        base.TargetFault(
-            base.TargetFaultKind.BROKEN, 'stream ended early', sent=True
-        )
-    )
-
-
-def _is_last(outcome: Result[base.Chunk, base.TargetFault]) -> bool:
-    match outcome:
-        case Result(tag='ok', ok=chunk):
-            return chunk.finish_reason is not None
-        case _:
-            return True
-
-
-def _read_event(event: bytes) -> Result[base.Chunk, base.TargetFault]:
-    try:
-        body = msgspec.json.decode(event, type=wire.CompletionEvent)
-        if body.error is not None:
-            fault = body.error
-            return Error(
-                base.TargetFault(fault.kind, fault.detail, fault.sent)
-            )
-        choice = body.choices[0]
-        finish = choice.finish_reason
-        return Ok(
-            base.Chunk(
-                position=body.position,
-                tokens=body.tokens,
-                text=choice.text,
-                weight_version=body.weight_version,
-                finish_reason=base.FinishReason(finish) if finish else None,
-            )
-        )
-    except (IndexError, RecursionError, ValueError) as error:
-        return Error(faults.unreadable(error))
-
-
 class HttpService(base.Service):
     """A plain service behind HTTP."""
 
