Keep engine connections after a finished stream

Cause: a stream was left at its finish reason, before the end of the HTTP response, so its connection was closed and each completion opened another.

Change: the rest is dropped for up to 0.5 s and the connection kept. Half load is where half of the core is used.

--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -231,3 +231,16 @@
     share = served.node.retry_budget.retry_share
     attempts = sum(row.runs for row in engines)
     assert attempts <= requests * (1 + share) + 4
+
+
+async def test_a_finished_stream_leaves_its_connection_for_the_next(
+    served, make_engine
+):
+    engine = await make_engine()
+    served.add_engines(engine.address)
+    for _ in range(5):
+        response = await served.fetch('POST', PATH, write_body())
+        assert json.loads(response.body)['choices'][0]['text'] == WHOLE
+        await asyncio.sleep(0.02)
+    assert engine.connections == 1
+    assert not engine.cancels
--- a/waxwingport/api/completions.py
+++ b/waxwingport/api/completions.py
@@ -119,7 +119,7 @@
         if self._plan.include_usage:
             event = self._make_answer((), versions.list())
             event.usage = _count_tokens(tokens)
-            await self._events.send(msgspec.json.encode(event))
+            self._events.queue(msgspec.json.encode(event))
         self._events.finish(sse.DONE)
 
     async def _send_chunk(
@@ -137,7 +137,11 @@
         event = self._make_answer(
             (self.make_choice(chunk.text, finish, True),), versions
         )
-        await self._events.send(msgspec.json.encode(event))
+        data = msgspec.json.encode(event)
+        if finish is None:
+            await self._events.send(data)
+        else:
+            self._events.queue(data)
 
     def _fail_stream(self, refusal: outcomes.Refusal) -> None:
         if self._events is None:
--- a/waxwingport/api/events.py
+++ b/waxwingport/api/events.py
@@ -14,9 +14,9 @@
 class EventStream:
     """Writes events to a caller at the caller's own pace.
 
-    Events that come in one turn of the loop, or while an earlier write still
-    waits for the caller, leave together.  Only ``write_buffer`` bytes wait:
-    ``send`` then holds its sender up, and with it the engine.
+    Events that are queued, or that come while an earlier write still waits
+    for the caller, leave together.  Only ``write_buffer`` bytes wait: ``send``
+    then holds its sender up, and with it the engine.
     """
 
     def __init__(
@@ -27,17 +27,17 @@
         self._loop = asyncio.get_running_loop()
         self._waiting: list[bytes] = []
         self._size = 0
-        self._scheduled = False
         self._started = False
         self._written: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     async def send(self, data: bytes) -> None:
-        """Queues one event with ``data``.
+        """Sends one event with ``data``.
 
         Raises ``StreamClosedError`` when the caller takes nothing in time.
         """
-        self._queue(sse.format_event(data))
+        self.queue(data)
+        self._flush()
         while self._size > self._settings.write_buffer:
             if self._handler.ended:
                 raise iostream.StreamClosedError
@@ -45,22 +45,19 @@
                 await self._handler.wait_written(self._written)
             self._flush()
 
+    def queue(self, data: bytes) -> None:
+        """Lets one event with ``data`` leave with the next one."""
+        event = sse.format_event(data)
+        self._waiting.append(event)
+        self._size += len(event)
+
     def finish(self, last: bytes) -> None:
         """Ends the answer with ``last``, after everything that waits."""
         self._waiting.append(last)
         self._stop_timer()
-        self._scheduled = True
         self._handler.finish(self._take())
 
-    def _queue(self, event: bytes) -> None:
-        self._waiting.append(event)
-        self._size += len(event)
-        if not self._scheduled:
-            self._scheduled = True
-            self._loop.call_soon(self._flush)
-
     def _flush(self) -> None:
-        self._scheduled = False
         if not self._waiting or self._handler.ended:
             return
         if self._written is not None and not self._written.done():
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -33,6 +33,8 @@
 ]
 
 _CHUNK_SIZE = 65536
+_REST_TIMEOUT = 0.5
+"""Seconds for the end of a response that nobody reads any more."""
 _READ_SIZE = 8192
 """Bytes of one read: tornado clears a buffer of this size for each."""
 _BODILESS = ('GET', 'HEAD', 'DELETE', 'OPTIONS')
@@ -79,6 +81,10 @@
                     yield Error(fault)
                     return
 
+    def release(self) -> None:
+        """Keeps the connection for reuse if what is left comes at once."""
+        self._exchange.discard(_REST_TIMEOUT)
+
     def close(self) -> None:
         """Closes the connection unless the response has come whole."""
         self._exchange.fail(TransportFaultKind.BROKEN, 'closed by this side')
--- a/waxwingport/http/exchange.py
+++ b/waxwingport/http/exchange.py
@@ -37,6 +37,7 @@
         self.headers = httputil.HTTPHeaders()
         self.fault: messages.TransportFault | None = None
         self.done = False
+        self._discarding = False
         self._arm_timer()
 
     def headers_received(
@@ -56,6 +57,8 @@
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Takes a piece of the body; the future is done when there is room."""
         self._note_progress()
+        if self._discarding:
+            return None
         self._chunks.append(chunk)
         self._buffered += len(chunk)
         self._wake_reader()
@@ -87,6 +90,19 @@
         self._end()
         self._stream.close()
 
+    def discard(self, timeout: float) -> None:
+        """Drops the rest, which has to end within ``timeout`` seconds.
+
+        The connection can then be used again.
+        """
+        if self.done:
+            return
+        self._discarding = True
+        self._take()
+        self._deadline = min(self._deadline, self._loop.time() + timeout)
+        self._timer.cancel()
+        self._arm_timer()
+
     async def wait_head(self) -> None:
         """Waits until the status has come or the exchange has ended."""
         while not self.status and not self.done:
--- a/waxwingport/measure/loopback.py
+++ b/waxwingport/measure/loopback.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import re
 
 from waxwingport.configuration import declarations
@@ -57,6 +58,7 @@
         self._received = b''
         self.transport: asyncio.Transport | None = None
         self.position = 0
+        self.total = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -91,8 +93,13 @@
     """Sends a chunk of every stream each ``interval`` seconds."""
 
     def __init__(
-        self, interval: float, chunk_tokens: int, total_tokens: int
+        self,
+        interval: float,
+        chunk_tokens: int,
+        total_tokens: int,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._chunk_tokens = chunk_tokens
         self._total = total_tokens
         self._slots: list[set[_Stream]] = [
@@ -124,7 +131,10 @@
     def add(self, stream: _Stream) -> None:
         """Starts a stream; its first chunk leaves at once."""
         now = asyncio.get_running_loop().time()
-        last = self._chunk_tokens >= self._total
+        # First answers differ in length, so that requests come spread out.
+        shortest = 1 if stream.total == 0 else self._total
+        stream.total = self._rng.randint(shortest, self._total)
+        last = self._chunk_tokens >= stream.total
         stream.emit(now, self._chunk_tokens, last)
         if not last:
             min(self._slots, key=len).add(stream)
@@ -145,7 +155,7 @@
 
     def _serve(self, slot: set[_Stream], now: float) -> None:
         for stream in list(slot):
-            last = stream.position + self._chunk_tokens >= self._total
+            last = stream.position + self._chunk_tokens >= stream.total
             stream.emit(now, self._chunk_tokens, last)
             self.emitted += self._chunk_tokens
             if last:
--- a/waxwingport/measure/requests.py
+++ b/waxwingport/measure/requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 
 from hdrh import histogram
@@ -16,9 +17,12 @@
 """Milliseconds at the 99th percentile."""
 _RATE_TARGET = 24_600.0
 """Tokens a second on one core."""
-_STREAM_TOKENS = 96
+_PROBE_RATE = 2_500.0
+"""Tokens a second, well below half load."""
+_STREAM_TOKENS = 368
+"""As the size to design for has it: 17 million tokens, 46,000 requests."""
 _CHUNK_TOKENS = 4
-_TOKENS_PER_STREAM = 48.0
+_TOKENS_PER_STREAM = 96.0
 """Tokens a second of one stream."""
 _STREAMS_PER_TARGET = 8
 _BATCH = 16
@@ -55,11 +59,15 @@
         return found.get_value_at_percentile(percentile) / 1000
 
 
-async def _run_load(rate: float, seconds: float, through: bool) -> _Load:
+async def _run_load(
+    rate: float, seconds: float, through: bool, seed: int
+) -> _Load:
     """Streams ``rate`` tokens a second, through a node or straight."""
     streams = max(1, round(rate / _TOKENS_PER_STREAM))
     interval = _CHUNK_TOKENS / _TOKENS_PER_STREAM
-    engine = loopback.PacedEngine(interval, _CHUNK_TOKENS, _STREAM_TOKENS)
+    engine = loopback.PacedEngine(
+        interval, _CHUNK_TOKENS, _STREAM_TOKENS, random.Random(seed)
+    )
     await engine.start()
     targets = (engine.address,) * (1 + streams // _STREAMS_PER_TARGET)
     served = loopback.LoopbackNode(targets) if through else None
@@ -121,10 +129,10 @@
 
     async def run(self, options: base.Options) -> base.Report:
         """Measures straight and through the node at the same pace."""
-        half = await _find_half_load(options.seconds / 4)
+        half = await _find_half_load(options)
         seconds = options.seconds / 4
-        straight = await _run_load(half, seconds, through=False)
-        through = await _run_load(half, seconds, through=True)
+        straight = await _run_load(half, seconds, False, options.seed)
+        through = await _run_load(half, seconds, True, options.seed)
         figures = [base.Figure('offered', half, 'tokens/s')]
         for kind, label in (('first', 'first token'), ('delays', 'chunk')):
             for percentile in (50.0, 99.0):
@@ -132,10 +140,11 @@
         return base.Report(self.name, options, tuple(figures))
 
 
-async def _find_half_load(seconds: float) -> float:
-    """Returns half of what node and harness pass on in one loop."""
-    found = await _run_load(_RATE_TARGET, seconds, through=True)
-    return found.rate / 2
+async def _find_half_load(options: base.Options) -> float:
+    """Returns the tokens a second that take half of the core."""
+    seconds = options.seconds / 4
+    found = await _run_load(_PROBE_RATE, seconds, True, options.seed)
+    return found.rate * 0.5 / found.cpu
 
 
 def _compare(
@@ -165,8 +174,9 @@
     async def run(self, options: base.Options) -> base.Report:
         """Offers the target's rate, straight and through the node."""
         seconds = options.seconds / 2
-        straight = await _run_load(_RATE_TARGET, seconds, through=False)
-        through = await _run_load(_RATE_TARGET, seconds, through=True)
+        seed = options.seed
+        straight = await _run_load(_RATE_TARGET, seconds, False, seed)
+        through = await _run_load(_RATE_TARGET, seconds, True, seed)
         harness = straight.cpu_seconds / straight.chunks
         own = through.cpu_seconds / through.chunks - harness
         rate = _CHUNK_TOKENS / max(own, 1e-9)
@@ -234,7 +244,9 @@
 
 
 async def _measure_completions(seconds: float) -> list[base.Figure]:
-    engine = loopback.PacedEngine(0.001, _CHUNK_TOKENS, _CHUNK_TOKENS)
+    engine = loopback.PacedEngine(
+        0.001, _CHUNK_TOKENS, _CHUNK_TOKENS, random.Random(0)
+    )
     await engine.start()
     served = loopback.LoopbackNode((engine.address,) * 4)
     body = {'model': loopback.POOL, 'prompt': _PROMPT, 'stream': True}
--- a/waxwingport/targets/adapters.py
+++ b/waxwingport/targets/adapters.py
@@ -97,7 +97,7 @@
             case Result(error=fault):
                 yield Error(faults.from_transport(fault))
                 return
-        ended = False
+        ended = failed = False
         try:
             if response.status != 200:
                 yield Error(await _read_failure(response))
@@ -105,9 +105,13 @@
                 return
             async for outcome in streams.read_chunks(response):
                 ended = streams.is_last(outcome)
+                failed = outcome.is_error()
                 yield outcome
         finally:
-            response.close()
+            if ended and not failed:
+                response.release()
+            else:
+                response.close()
             if not ended:
                 self._start_cancel(generation.request_id)
 
