Fill the silent caller's buffers sooner in its test

Cause: under load on the shared machine the test needed more than its 10 s to fill the kernel's buffers with short chunks.

--- a/tests/raw_engine.py
+++ b/tests/raw_engine.py
@@ -43,6 +43,7 @@
         self.parameters = []
         self.dropped = 0
         self.endless = False
+        self.padding = ''
 
     async def _take_request(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
@@ -132,7 +133,8 @@
         event = {
             'choices': [
                 {
-                    'text': write_text(position, position + STEP),
+                    'text': write_text(position, position + STEP)
+                    + self.padding,
                     'index': 0,
                     'finish_reason': 'length' if last else None,
                 }
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -176,6 +176,8 @@
     served = make_node(write_timeout=0.3)
     engine = await make_engine()
     engine.endless = True
+    # Fills the kernel's buffers on the way soon.
+    engine.padding = 'x' * 16384
     served.add_engines(engine.address)
     _, writer = await start_stream(served)
     began = time.monotonic()
