--- a/waxwingport/http/exchange.py
+++ b/waxwingport/http/exchange.py
@@ -4,9 +4,6 @@
 import collections
 from collections.abc import Callable
 
-from expression import Error
-from expression import Ok
-from expression import Result
 from tornado import httputil
 from tornado import iostream
 
@@ -40,6 +37,7 @@
         self.headers = httputil.HTTPHeaders()
         self.fault: messages.TransportFault | None = None
         self.done = False
+        self._discarding = False
         self._arm_timer()
 
     def headers_received(
@@ -59,6 +57,8 @@
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Takes a piece of the body; the future is done when there is room."""
         self._note_progress()
+        if self._discarding:
+            return None
         self._chunks.append(chunk)
         self._buffered += len(chunk)
         self._wake_reader()
@@ -90,20 +90,31 @@
         self._end()
         self._stream.close()
 
+    def discard(self, timeout: float) -> None:
+        """Drops the rest, which has to end within ``timeout`` seconds.
+
+        The connection can then be used again.
+        """
+        if self.done:
+            return
+        self._discarding = True
+        self._take()
+        self._deadline = min(self._deadline, self._loop.time() + timeout)
+        self._timer.cancel()
+        self._arm_timer()
+
     async def wait_head(self) -> None:
         """Waits until the status has come or the exchange has ended."""
         while not self.status and not self.done:
             await self._wait()
 
-    async def read(self) -> Result[bytes | None, messages.TransportFault]:
+    async def read_piece(self) -> bytes | messages.TransportFault | None:
         """Returns the next piece of the body, or ``None`` at its end."""
         while True:
             if self._chunks:
-                return Ok(self._take())
-            if self.fault is not None:
-                return Error(self.fault)
+                return self._take()
             if self.done:
-                return Ok(None)
+                return self.fault
             await self._wait()
 
     def _take(self) -> bytes:
--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -4,6 +4,7 @@
 from waxwingport.measure import control
 from waxwingport.measure import dissemination
 from waxwingport.measure import overload
+from waxwingport.measure import requests
 from waxwingport.measure import routing
 from waxwingport.measure import weights
 
@@ -11,6 +12,9 @@
 
 _ALL: tuple[base.Measurement, ...] = (
     routing.RoutingRate(),
+    requests.AddedTime(),
+    requests.TokenRate(),
+    requests.RequestCost(),
     weights.WeightPlan(),
     control.ControlCost(),
     dissemination.Dissemination(),
