--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -1,6 +1,8 @@
 """All measurements by name."""
 
 from waxwingport.measure import base
+from waxwingport.measure import caching
+from waxwingport.measure import degraded
 from waxwingport.measure import dissemination
 from waxwingport.measure import overload
 from waxwingport.measure import routing
@@ -13,6 +15,8 @@
     weights.WeightPlan(),
     dissemination.Dissemination(),
     overload.Overload(),
+    caching.PrefixHits(),
+    degraded.DegradedEngines(),
 )
 
 MEASUREMENTS = {row.name: row for row in _ALL}
--- a/waxwingport/measure/fixture.py
+++ b/waxwingport/measure/fixture.py
@@ -1,14 +1,18 @@
 """An admission over in-memory stand-ins, for measurements."""
 
+import asyncio
 import random
 
 from waxwingport.configuration import declarations
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.limits import admission
+from waxwingport.membership import base as membership
+from waxwingport.peers import memory
 from waxwingport.platform import base as platform
 from waxwingport import settings
 from waxwingport.standins import factory
+from waxwingport.targets import poller
 from waxwingport.targets import table
 
 __all__ = ['Fixture']
@@ -42,3 +46,18 @@
             ids.Revision(0), declarations.Declarations(pools=(pool,))
         )
         self.targets.update(vms)
+
+    def start_polling(self) -> asyncio.Task[None]:
+        """Polls the engines as a node on its own does."""
+        own = membership.Member(
+            _NODE.name, _NODE.data_centre, _NODE.peer_listen, None
+        )
+        members = membership.StaticMembership(own)
+        network = memory.MemoryNetwork()
+        transport = network.join(
+            own.name, own.peer_address, ids.Incarnation(1)
+        )
+        found = poller.EnginePoller(
+            self.targets, self.gate.router.index, members, transport
+        )
+        return asyncio.get_running_loop().create_task(found.run())
--- a/waxwingport/measure/overload.py
+++ b/waxwingport/measure/overload.py
@@ -1,7 +1,5 @@
 """Measurements of useful throughput under overload, in virtual time."""
 
-import asyncio
-
 import msgspec
 
 from waxwingport.measure import base
@@ -11,7 +9,6 @@
 from waxwingport.routing import candidates
 from waxwingport.standins import engine
 from waxwingport.standins import factory
-from waxwingport.targets import table
 
 __all__ = ['Overload']
 
@@ -24,7 +21,6 @@
 _LIVE_TIMEOUT = 2.5
 _ROLLOUT_TIMEOUT = 15.0
 _FACTORS = (0.5, 1.0, 2.0, 4.0)
-_POLL_INTERVAL = 0.25
 _LIVE = candidates.WorkClass.LIVE
 _ROLLOUT = candidates.WorkClass.ROLLOUT
 
@@ -136,7 +132,7 @@
         )
     )
     found = fixture.Fixture(factory.list_vms(_ENGINES), made, seed)
-    polling = asyncio.get_running_loop().create_task(_poll(found.targets))
+    polling = found.start_polling()
     rate = scenario.factor * estimate_capacity()
     share = scenario.live_share
     tally = await traffic.drive(
@@ -177,12 +173,3 @@
         name, _ROLLOUT, f'trainer-{number % 2}', now + _ROLLOUT_TIMEOUT
     )
     return work, f'prompt of {name}'
-
-
-async def _poll(targets: table.TargetTable) -> None:
-    while True:
-        for target in targets:
-            report = await target.engine.read_load()
-            if report.is_ok():
-                target.note_load(report.ok)
-        await asyncio.sleep(_POLL_INTERVAL)
--- a/waxwingport/measure/traffic.py
+++ b/waxwingport/measure/traffic.py
@@ -6,6 +6,7 @@
 import math
 import random
 
+from expression import Error
 from expression import Result
 import msgspec
 
@@ -13,11 +14,13 @@
 from waxwingport.measure import fixture
 from waxwingport.routing import candidates
 from waxwingport.targets import base
+from waxwingport.targets import table
 
 __all__ = [
     'Answered',
     'Client',
     'GatedClient',
+    'LeastLoadedClient',
     'StraightClient',
     'Tally',
     'drive',
@@ -25,6 +28,9 @@
 ]
 
 _ATTEMPTS = 3
+_MAX_TOKENS = 4096
+_PROGRESS_TIMEOUT = 3.0
+"""Seconds, for the next chunk of a stream."""
 
 
 class Answered(msgspec.Struct, frozen=True):
@@ -53,6 +59,17 @@
             if work_class in (None, row.work.work_class)
         ]
 
+    def read_latency(self, share: float) -> float:
+        """Returns the time in seconds within which ``share`` were answered.
+
+        Requests without an answer count with their whole timeout.
+        """
+        times = sorted(
+            (row.ended if row.answered else row.work.deadline) - row.started
+            for row in self.rows
+        )
+        return times[min(len(times) - 1, int(share * len(times)))]
+
     def count_useful(
         self,
         work_class: candidates.WorkClass | None = None,
@@ -85,12 +102,12 @@
         self, work: candidates.Work, prompt: str
     ) -> tuple[bool, bool]:
         """Returns whether it was answered whole, and whether refused."""
-        generation = base.Generation(work.request_id, prompt, 4096)
+        generation = base.Generation(work.request_id, prompt, _MAX_TOKENS)
         failed = 0
         while failed < _ATTEMPTS:
             outcome = await self.fixture.gate.acquire(work)
             if outcome.is_error():
-                return False, True
+                return False, not failed
             grant = outcome.ok
             generation, fault = await _stream(
                 grant.target.engine, generation, work, grant.preempted
@@ -107,6 +124,46 @@
         return False, False
 
 
+class StraightClient(Client):
+    """Naive baseline: engines in turn, no limits, tried again elsewhere."""
+
+    def __init__(self, found: fixture.Fixture) -> None:
+        super().__init__(found)
+        self._turn = 0
+
+    async def run(
+        self, work: candidates.Work, prompt: str
+    ) -> tuple[bool, bool]:
+        """Returns whether it was answered whole, and whether refused."""
+        generation = base.Generation(work.request_id, prompt, _MAX_TOKENS)
+        for attempt in range(_ATTEMPTS):
+            target = self.choose()
+            target.start_request()
+            generation, fault = await _stream(target.engine, generation, work)
+            target.finish_request()
+            if fault is None:
+                return True, False
+            if not fault.sent:
+                return False, not attempt
+        return False, False
+
+    def choose(self) -> table.Target:
+        """Returns the next engine."""
+        targets = list(self.fixture.targets)
+        self._turn += 1
+        return targets[self._turn % len(targets)]
+
+
+class LeastLoadedClient(StraightClient):
+    """Baseline: the engine with the fewest requests of this node."""
+
+    def choose(self) -> table.Target:
+        """Returns one of the engines with the fewest requests."""
+        targets = list(self.fixture.targets)
+        self.fixture.rng.shuffle(targets)
+        return min(targets, key=lambda row: row.in_progress)
+
+
 async def _stream(
     engine: base.Engine,
     generation: base.Generation,
@@ -115,9 +172,13 @@
 ) -> tuple[base.Generation, base.TargetFault | None]:
     """Returns the generation as far as it came, and why it ended early."""
     timeout = work.deadline - asyncio.get_running_loop().time()
+    if timeout <= 0.0:
+        kind = base.TargetFaultKind.TIMEOUT
+        return generation, base.TargetFault(kind, 'too late', sent=True)
     stream = engine.stream(generation, timeout)
     async with contextlib.aclosing(stream):
-        async for outcome in stream:
+        while True:
+            outcome = await _next(stream)
             match outcome:
                 case Result(tag='ok', ok=chunk):
                     generation = msgspec.structs.replace(
@@ -135,24 +196,12 @@
     return generation, base.TargetFault(kind, 'preempted', sent=True)
 
 
-class StraightClient(Client):
-    """Naive baseline: engines in turn, no limits, no second try."""
-
-    def __init__(self, found: fixture.Fixture) -> None:
-        super().__init__(found)
-        self._turn = 0
-
-    async def run(
-        self, work: candidates.Work, prompt: str
-    ) -> tuple[bool, bool]:
-        """Returns whether it was answered whole, and whether refused."""
-        targets = list(self.fixture.targets)
-        self._turn += 1
-        target = targets[self._turn % len(targets)]
-        generation = base.Generation(work.request_id, prompt, 4096)
-        _, fault = await _stream(target.engine, generation, work)
-        refused = fault is not None and not fault.sent
-        return fault is None, refused
+async def _next(stream) -> Result[base.Chunk, base.TargetFault]:
+    try:
+        return await asyncio.wait_for(anext(stream), _PROGRESS_TIMEOUT)
+    except TimeoutError:
+        kind = base.TargetFaultKind.SILENT
+        return Error(base.TargetFault(kind, 'no progress', sent=True))
 
 
 async def drive(
--- a/waxwingport/measure/virtual.py
+++ b/waxwingport/measure/virtual.py
@@ -47,10 +47,18 @@
     try:
         return loop.run_until_complete(work)
     finally:
+        loop.run_until_complete(_cancel_rest())
         loop.run_until_complete(loop.shutdown_asyncgens())
         loop.close()
 
 
+async def _cancel_rest() -> None:
+    rest = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in rest:
+        task.cancel()
+    await asyncio.gather(*rest, return_exceptions=True)
+
+
 async def run(work: Coroutine[None, None, Value]) -> Value:
     """Runs ``work`` in virtual time and returns its result.
 
--- a/waxwingport/targets/poller.py
+++ b/waxwingport/targets/poller.py
@@ -109,6 +109,7 @@
         finally:
             for task in self._tasks:
                 task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def is_responsible(self, engine: ids.TargetName) -> bool:
         """Returns whether this node is the one that polls ``engine``."""
