Divide an engine's capacity among nodes, live calls over it first

Cause: with 4 and 10 nodes on the same engines 11% and 44% of the live calls were refused at 4 times the capacity: engines queued up to 100 requests after a start and each node knew late what the others sent. Change: shares that add up to the capacity, an equal part of the room left, one live call or more over the share, a first poll by every node.

--- a/waxwingport/limits/admission.py
+++ b/waxwingport/limits/admission.py
@@ -157,8 +157,7 @@
             if cool_down is None or cool_down > _SUSPECT_WAIT:
                 return self._refusals.say_no_target(work, cool_down)
         wait = group.estimate_wait(work, len(view))
-        longest = group.read_longest(work.work_class)
-        late = now + wait + longest - work.deadline
+        late = now + wait - group.find_last_moment(work, now)
         if late >= 0.0:
             detail = f'the wait of about {wait:.2f} s is too long'
             return self._refusals.say_no(
@@ -220,7 +219,7 @@
             work, loop.create_future(), next(self._numbers)
         )
         group.queues[work.work_class].add(waiter)
-        last_moment = work.deadline - group.read_longest(work.work_class)
+        last_moment = group.find_last_moment(work, loop.time())
         waiter.timer = loop.call_at(last_moment, self._expire, group, waiter)
         if work.work_class is candidates.WorkClass.LIVE:
             self._preemption.make_way(group, view, work)
@@ -284,7 +283,7 @@
         turns = []
         for group in self._groups.values():
             view = self.router.find_view(group.name)
-            if not group.waiting or view is None or not view.has_room:
+            if not group.waiting or view is None:
                 continue
             for rank, work_class in enumerate(group.list_classes()):
                 first = work_class is candidates.WorkClass.LIVE or (
--- a/waxwingport/limits/groups.py
+++ b/waxwingport/limits/groups.py
@@ -11,8 +11,9 @@
 __all__ = ['Group']
 
 _HOLD_WEIGHT = 0.05
-_DEVIATIONS = 2.0
-_LONGEST_RATIO = 3.0
+_DEVIATIONS = 4.0
+_MOST_OF_TIMEOUT = 0.8
+_LONGEST_RATIO = 5.0
 """Bound on the time of a long request over the mean."""
 _WIDTH_WINDOW = 5.0
 """Seconds over which the rollouts in progress are averaged."""
@@ -35,7 +36,7 @@
 
     @property
     def longest(self) -> float:
-        """The mean and two standard deviations, within bounds."""
+        """The mean and some standard deviations, within bounds."""
         wanted = self.mean + _DEVIATIONS * math.sqrt(self._variance)
         return min(wanted, _LONGEST_RATIO * self.mean)
 
@@ -100,26 +101,39 @@
         """Returns the usual time in seconds from grant to answer."""
         return self._holds[work_class].mean
 
-    def read_longest(self, work_class: candidates.WorkClass) -> float:
-        """Returns the time in seconds within which most are answered."""
-        return self._holds[work_class].longest
+    def find_last_moment(self, work: candidates.Work, now: float) -> float:
+        """Returns until when ``work`` has to start to be answered in time.
+
+        That leaves the time within which nearly all are answered, or the
+        most of the timeout where that is less, so that a short one gets its
+        chance.
+        """
+        hold = self._holds[work.work_class]
+        most = _MOST_OF_TIMEOUT * (work.deadline - now)
+        return work.deadline - max(hold.mean, min(hold.longest, most))
 
     def estimate_wait(self, work: candidates.Work, slots: int) -> float:
         """Returns the seconds that ``work`` would wait for a target.
 
         By Little's law: the requests ahead, at the rate at which as many as
         now in progress finish.  For a live call these are all, ``slots`` at
-        the least, since rollouts give way to it; for a rollout they are what
-        live calls left to rollouts lately.
+        the least, and of those ahead as many as there are rollouts to give
+        way wait for nothing.  For a rollout they are what live calls left to
+        rollouts lately.
         """
-        queue = self.queues[work.work_class]
+        ahead = self.queues[work.work_class].count_ahead(work) + 1
         if work.work_class is _LIVE:
             width = max(slots, self.total)
+            ahead = max(0, ahead - self._count_yielding())
         else:
             running = self.in_progress[_ROLLOUT]
             width = max(1.0, running, self._rollout_width.read())
-        hold = self.read_hold(work.work_class)
-        return (queue.count_ahead(work) + 1) * hold / max(1.0, width)
+        return ahead * self.read_hold(work.work_class) / max(1.0, width)
+
+    def _count_yielding(self) -> int:
+        """Returns how many rollouts give way or could."""
+        kept = max(self._protected, int(_ROLLOUT_SHARE * self.total))
+        return max(0, len(self._rollouts) - kept)
 
     def note_hold(
         self, work_class: candidates.WorkClass, taken: float
@@ -154,13 +168,12 @@
 
         The rollouts' own share of what is in progress is left alone.
         """
-        running = [
-            row
-            for row in self._rollouts
-            if not row.preempted.is_set() and not row.protected
-        ]
-        kept = int(_ROLLOUT_SHARE * self.total)
-        spare = len(running) + self._protected - kept
-        youngest = running[::-1][:_LONGEST_VICTIMS]
+        spare = self._count_yielding()
+        youngest = []
+        for row in reversed(self._rollouts):
+            if row.preempted.is_set():
+                spare -= 1
+            elif not row.protected and len(youngest) < _LONGEST_VICTIMS:
+                youngest.append(row)
         youngest.sort(key=lambda row: row.work.priority)
         yield from youngest[: max(0, spare)]
--- a/waxwingport/measure/fixture.py
+++ b/waxwingport/measure/fixture.py
@@ -47,17 +47,30 @@
         )
         self.targets.update(vms)
 
-    def start_polling(self) -> asyncio.Task[None]:
-        """Polls the engines as a node on its own does."""
-        own = membership.Member(
-            _NODE.name, _NODE.data_centre, _NODE.peer_listen, None
-        )
-        members = membership.StaticMembership(own)
-        network = memory.MemoryNetwork()
-        transport = network.join(
-            own.name, own.peer_address, ids.Incarnation(1)
-        )
+    def start_polling(
+        self,
+        network: memory.MemoryNetwork | None = None,
+        number: int = 0,
+        nodes: int = 1,
+    ) -> asyncio.Task[None]:
+        """Polls the engines as node ``number`` of some nodes does."""
+        members = [_make_member(index) for index in range(nodes)]
+        own = members.pop(number)
+        joined = network or memory.MemoryNetwork()
+        transport = joined.join(own.name, own.peer_address, ids.Incarnation(1))
         found = poller.EnginePoller(
-            self.targets, self.gate.router.index, members, transport
+            self.targets,
+            self.gate.router.index,
+            membership.StaticMembership(own, members),
+            transport,
         )
         return asyncio.get_running_loop().create_task(found.run())
+
+
+def _make_member(number: int) -> membership.Member:
+    return membership.Member(
+        ids.NodeName(f'node-{number}'),
+        _NODE.data_centre,
+        f'node-{number}',
+        ids.Incarnation(1),
+    )
--- a/waxwingport/measure/traffic.py
+++ b/waxwingport/measure/traffic.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Iterable
 import contextlib
 import math
 import random
@@ -25,10 +26,13 @@
     'Tally',
     'drive',
     'make_work',
+    'merge',
 ]
 
 _ATTEMPTS = 3
 _MAX_TOKENS = 4096
+_LIVE_RANK = 1
+"""Priority of live calls at an engine."""
 _PROGRESS_TIMEOUT = 3.0
 """Seconds, for the next chunk of a stream."""
 
@@ -82,6 +86,14 @@
         )
 
 
+def merge(tallies: Iterable[Tally]) -> Tally:
+    """Returns the ends of all tallies together."""
+    merged = Tally()
+    for tally in tallies:
+        merged.rows += tally.rows
+    return merged
+
+
 class Client(abc.ABC):
     """Runs one request to its end."""
 
@@ -102,7 +114,7 @@
         self, work: candidates.Work, prompt: str
     ) -> tuple[bool, bool]:
         """Returns whether it was answered whole, and whether refused."""
-        generation = base.Generation(work.request_id, prompt, _MAX_TOKENS)
+        generation = _plan(work, prompt)
         failed = 0
         while failed < _ATTEMPTS:
             outcome = await self.fixture.gate.acquire(work)
@@ -135,7 +147,7 @@
         self, work: candidates.Work, prompt: str
     ) -> tuple[bool, bool]:
         """Returns whether it was answered whole, and whether refused."""
-        generation = base.Generation(work.request_id, prompt, _MAX_TOKENS)
+        generation = _plan(work, prompt)
         for attempt in range(_ATTEMPTS):
             target = self.choose()
             target.start_request()
@@ -164,6 +176,13 @@
         return min(targets, key=lambda row: row.in_progress)
 
 
+def _plan(work: candidates.Work, prompt: str) -> base.Generation:
+    live = work.work_class is candidates.WorkClass.LIVE
+    return base.Generation(
+        work.request_id, prompt, _MAX_TOKENS, _LIVE_RANK if live else 0
+    )
+
+
 async def _stream(
     engine: base.Engine,
     generation: base.Generation,
--- a/waxwingport/routing/candidates.py
+++ b/waxwingport/routing/candidates.py
@@ -93,6 +93,8 @@
     slowness: float = 1.0
     """Time that it takes for a request over the time usual in its pool."""
     matched_blocks: int = 0
+    margin: int = 0
+    """Live calls that may go over the limit."""
 
 
 class Decision(msgspec.Struct, frozen=True):
--- a/waxwingport/routing/choice.py
+++ b/waxwingport/routing/choice.py
@@ -16,6 +16,7 @@
     'compute_remote_cost',
     'find_obstacle',
     'find_standing_obstacle',
+    'has_margin',
     'score',
 ]
 
@@ -63,7 +64,10 @@
     targets: Sequence[candidates.Candidate],
     rng: random.Random,
 ) -> candidates.Decision:
-    """Returns the better of two fitting targets drawn at random."""
+    """Returns the better of two fitting targets drawn at random.
+
+    Targets over their limit are left for when no other fits.
+    """
     rejected: collections.Counter[str] = collections.Counter()
     fitting = []
     for target in targets:
@@ -74,7 +78,8 @@
             rejected[reason] += 1
     if not fitting:
         return candidates.Decision(None, 0.0, len(targets), rejected)
-    drawn = rng.sample(fitting, min(2, len(fitting)))
+    free = [row for row in fitting if row.in_progress < row.limit]
+    drawn = rng.sample(free or fitting, min(2, len(free or fitting)))
     best = min(drawn, key=lambda target: score(work, target))
     return candidates.Decision(
         best.name, score(work, best), len(targets), rejected, len(drawn)
@@ -88,7 +93,9 @@
 ) -> str | None:
     """Returns why ``work`` can't go there, or ``None``."""
     reason = find_standing_obstacle(rules, target)
-    if reason is not None:
+    if reason is not None and not (
+        reason is LIMIT and has_margin(work, target)
+    ):
         return reason
     if work.minimum_version is not None and (
         target.weight_version is None
@@ -98,6 +105,17 @@
     return 'excluded' if target.name in work.excluded else None
 
 
+def has_margin(work: candidates.Work, target: candidates.Candidate) -> bool:
+    """Returns whether ``work`` may go over the limit of a full target.
+
+    Works on anything with the attributes of a candidate.
+    """
+    return (
+        work.work_class is candidates.WorkClass.LIVE
+        and target.in_progress < target.limit + target.margin
+    )
+
+
 def find_standing_obstacle(
     rules: candidates.Rules, target: candidates.Candidate
 ) -> str | None:
--- a/waxwingport/routing/pools.py
+++ b/waxwingport/routing/pools.py
@@ -30,7 +30,8 @@
 class _Bucket:
     """Targets of one data centre at one weight version.
 
-    ``members`` have room, ``full`` are kept from work by their limit alone.
+    ``members`` have room, ``full`` are kept from work by their limit alone,
+    and ``margin`` are those of the full ones that take live calls.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.version = version
         self.members: sets.RandomSet[table.Target] = sets.RandomSet()
         self.full: sets.RandomSet[table.Target] = sets.RandomSet()
+        self.margin: sets.RandomSet[table.Target] = sets.RandomSet()
 
     def __bool__(self) -> bool:
         return bool(self.members or self.full)
@@ -55,6 +57,12 @@
             self.version is not None and self.version >= wanted
         )
 
+    def count_fitting(self, work: candidates.Work) -> int:
+        """Returns how many targets could take work of that class now."""
+        if work.work_class is candidates.WorkClass.LIVE:
+            return len(self.members) + len(self.margin)
+        return len(self.members)
+
     def count_open(self, work: candidates.Work) -> int:
         """Returns how many targets ``work`` may go to once they have room."""
         return (
@@ -68,13 +76,17 @@
         )
 
     def draw(
-        self, work: candidates.Work, rng: random.Random
+        self, work: candidates.Work, over: bool, rng: random.Random
     ) -> list[table.Target]:
-        """Returns a few members that ``work`` may go to, if there are any."""
+        """Returns a few targets that ``work`` may go to, if there are any.
+
+        ``over`` takes them from the full ones that have a margin.
+        """
+        held = self.margin if over else self.members
         count = _REMOTE_DRAWN if self.remote else _DRAWN
         if not work.excluded:
-            return self.members.draw(count, rng)
-        drawn = self.members.draw(count + len(work.excluded), rng)
+            return held.draw(count, rng)
+        drawn = held.draw(count + len(work.excluded), rng)
         return [row for row in drawn if row.name not in work.excluded]
 
 
@@ -125,11 +137,6 @@
     def __contains__(self, target: table.Target) -> bool:
         return target in self._standings
 
-    @property
-    def has_room(self) -> bool:
-        """Whether any target can take work of the pool."""
-        return any(row.members for row in self._nearest)
-
     def count_rejected(self, reason: str) -> int:
         """Returns how many targets are kept from all work by ``reason``."""
         return self._rejected[reason]
@@ -166,7 +173,10 @@
 
     def has_room_for(self, work: candidates.Work) -> bool:
         """Returns whether targets new enough for ``work`` have room."""
-        return any(row.members and row.reaches(work) for row in self._nearest)
+        return any(
+            row.count_fitting(work) and row.reaches(work)
+            for row in self._nearest
+        )
 
     def admits(self, work: candidates.Work, target: table.Target) -> bool:
         """Returns whether ``work`` may go there once there is room."""
@@ -194,38 +204,74 @@
     ) -> candidates.Decision:
         """Returns the best of a few targets that can take ``work``."""
         best = _Best()
+        for over in (False, True):
+            if over and work.work_class is not candidates.WorkClass.LIVE:
+                break
+            self._offer_matches(work, matches, over, now, best)
+            self._offer_drawn(work, matches, over, now, best, rng)
+            if best.name is not None:
+                break
+        return candidates.Decision(
+            best.name,
+            best.score,
+            len(self._standings),
+            self._list_rejected(work),
+            best.scored,
+        )
+
+    def _offer_matches(
+        self,
+        work: candidates.Work,
+        matches: Mapping[ids.TargetName, int],
+        over: bool,
+        now: float,
+        best: _Best,
+    ) -> None:
         for name, matched in matches.items():
             target = self._names.get(name)
-            if target is not None and self._fits(work, target):
+            if target is not None and self._fits(work, target, over):
                 candidate = target.describe(now, matched)
                 best.offer(name, choice.score(work, candidate))
+
+    def _offer_drawn(
+        self,
+        work: candidates.Work,
+        matches: Mapping[ids.TargetName, int],
+        over: bool,
+        now: float,
+        best: _Best,
+        rng: random.Random,
+    ) -> None:
         for bucket in self._nearest:
             if bucket.remote and best.beats(bucket.cost):
                 break
-            if not bucket.members or not bucket.reaches(work):
+            if not bucket.reaches(work):
                 continue
-            for target in bucket.draw(work, rng):
+            for target in bucket.draw(work, over, rng):
                 if target.name not in matches:
                     candidate = target.describe(now)
                     best.offer(target.name, choice.score(work, candidate))
-        return candidates.Decision(
-            best.name,
-            best.score,
-            len(self._standings),
-            self._list_rejected(work),
-            best.scored,
-        )
 
-    def _fits(self, work: candidates.Work, target: table.Target) -> bool:
-        return target.name not in work.excluded and self._reaches(work, target)
+    def _fits(
+        self, work: candidates.Work, target: table.Target, over: bool
+    ) -> bool:
+        bucket = self._standings[target].bucket
+        return (
+            bucket is not None
+            and target in (bucket.margin if over else bucket.members)
+            and bucket.reaches(work)
+            and target.name not in work.excluded
+        )
 
     def _list_rejected(self, work: candidates.Work) -> Mapping[str, int]:
         rejected = {
             reason: count for reason, count in self._rejected.items() if count
         }
+        if work.work_class is candidates.WorkClass.LIVE:
+            self._spare_margins(rejected)
         if work.minimum_version is not None:
             old = sum(
-                len(row.members)
+                row.count_fitting(work)
                 for row in self._nearest
                 if not row.reaches(work)
             )
@@ -240,9 +286,23 @@
                 rejected['excluded'] = excluded
         return rejected
 
+    def _spare_margins(self, rejected: dict[str, int]) -> None:
+        """Takes the full targets that take live calls out of the count."""
+        over = sum(len(row.margin) for row in self._nearest)
+        if not over:
+            return
+        rejected[choice.LIMIT] -= over
+        if not rejected[choice.LIMIT]:
+            del rejected[choice.LIMIT]
+
     def _reaches(self, work: candidates.Work, target: table.Target) -> bool:
-        standing = self._standings[target]
-        return standing.reason is None and standing.bucket.reaches(work)
+        bucket = self._standings[target].bucket
+        if bucket is None or not bucket.reaches(work):
+            return False
+        return target in bucket.members or (
+            work.work_class is candidates.WorkClass.LIVE
+            and target in bucket.margin
+        )
 
     def _put(self, target: table.Target) -> None:
         standing = self._standings.get(target)
@@ -259,6 +319,11 @@
             bucket = self._find_bucket(target)
             held = bucket.members if reason is None else bucket.full
             held.add(target)
+            if (
+                held is bucket.full
+                and target.in_progress < target.limit + target.margin
+            ):
+                bucket.margin.add(target)
             standing.bucket = bucket
 
     def _take_out(self, target: table.Target, standing: _Standing) -> None:
@@ -267,6 +332,7 @@
         if standing.bucket is not None:
             standing.bucket.members.discard(target)
             standing.bucket.full.discard(target)
+            standing.bucket.margin.discard(target)
         standing.reason = None
         standing.bucket = None
 
--- a/waxwingport/targets/load.py
+++ b/waxwingport/targets/load.py
@@ -22,6 +22,8 @@
 class LoadEstimate:
     """Estimate of the work of others at one engine.
 
+    ``counted`` is this node's own work at the time that the report describes.
+
     The lag of a report has a part that is common to all reports of the
     engine, which can't be told from the offset between the two clocks, and a
     part of its own.  The own part is how much later than the quickest report
@@ -32,6 +34,7 @@
 
     def __init__(self) -> None:
         self.others = 0
+        self.counted = 0
         self.lag = 0.0
         self._offset: float | None = None
         self._common = 0.0
@@ -61,6 +64,7 @@
             self._common = max(self._common, lag - own_part)
             counted = self._count_at(now - lag)
         self.lag = lag
+        self.counted = counted
         self.others = max(0, total - counted)
 
     def _measure_own_part(self, report: base.LoadReport, now: float) -> float:
--- a/waxwingport/targets/poller.py
+++ b/waxwingport/targets/poller.py
@@ -126,7 +126,7 @@
         if live != self._live:
             self._live = live
             self._responsible.clear()
-            self._targets.set_sharers(max(1, len(live)))
+            self._targets.share(self._members.own.name, live)
 
     def _follow_engines(self) -> list[table.Target]:
         now = _now()
@@ -159,7 +159,8 @@
             silent = now - record.heard_at > _SILENCE + interval
             if record.polling or now < record.next_poll:
                 continue
-            if own or silent:
+            unknown = target.report is None and not record.polls
+            if own or silent or unknown:
                 pause = interval if target.remote else _OWN_INTERVAL
                 record.next_poll = now + (pause if own else _SILENCE)
                 record.polling = True
@@ -176,6 +177,7 @@
 
     async def _read(self, target: table.Target, record: _Record) -> None:
         sent_at = _now()
+        record.polls += 1
         match await _limit(target.engine.read_load()):
             case Result(tag='ok', ok=report):
                 target.note_load(report)
@@ -187,9 +189,8 @@
             case Result(error=fault):
                 self._note_fault(target, record, fault, _now() - sent_at)
                 return
-        if record.polls % _STATE_EVERY == 0:
+        if record.polls % _STATE_EVERY == 1:
             await self._read_state(target)
-        record.polls += 1
         if not target.remote:
             await self._read_cache(target)
 
--- a/waxwingport/targets/table.py
+++ b/waxwingport/targets/table.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 from waxwingport.configuration import declarations
 from waxwingport.configuration import selectors
@@ -17,6 +18,7 @@
 from waxwingport.targets import listeners
 from waxwingport.targets import load
 from waxwingport.targets import pace
+from waxwingport.targets import sharing as sharing_rules
 
 __all__ = ['Target', 'TargetFactory', 'TargetTable']
 
@@ -68,6 +70,7 @@
         self.weight_version: ids.WeightVersion | None = None
         self.in_progress = 0
         self.limit = _INITIAL_LIMIT
+        self.margin = 0
         self.adaptive = adaptive.AdaptiveLimit(_INITIAL_LIMIT, _HIGHEST_LIMIT)
         self._owner = owner
         self._engine_state: base.EngineState | None = None
@@ -77,7 +80,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._joined_at = 0.0
         self._answered_at = float('-inf')
-        self._had_room = True
+        self._had_room = (True, True)
         self._make_adapter(factory)
         self._join()
 
@@ -197,22 +200,29 @@
             self._read_ramp(when),
             self._pace.read(self.in_progress > 0, when),
             matched_blocks,
+            self.margin,
         )
 
     def update_limit(self) -> None:
         """Computes the limit again after a change that it depends on."""
         limit = self.adaptive.value
-        if self.report is not None:
+        if self.report is not None and self._owner is not None:
             capacity = self.report.capacity
-            sharers = self._owner.sharers if self._owner else 1
-            own_share = capacity / max(1, sharers)
-            limit = min(limit, max(capacity - self._load.others, own_share))
+            sharing = self._owner.sharing
+            own = sharing.divide(
+                self.name, capacity, self._load.counted, self._load.others
+            )
+            limit = min(limit, own)
+            self.margin = sharing.find_margin(capacity)
         self.limit = max(1.0, limit)
         self._check_room()
 
     def _check_room(self) -> None:
-        has_room = self.in_progress < self.limit
-        if has_room is not self._had_room:
+        has_room = (
+            self.in_progress < self.limit,
+            self.in_progress < self.limit + self.margin,
+        )
+        if has_room != self._had_room:
             self._had_room = has_room
             self._notify()
 
@@ -257,17 +267,14 @@
 
 
 class TargetTable:
-    """Targets by name, labelled as declared.
-
-    ``sharers`` is the number of nodes that send work to the same targets.
-    """
+    """Targets by name, labelled as declared."""
 
     def __init__(
         self,
         factory: TargetFactory,
         node: settings.NodeSettings | None = None,
     ) -> None:
-        self.sharers = 1
+        self.sharing = sharing_rules.Sharing()
         self._factory = factory
         self._node = node
         self._targets: dict[ids.TargetName, Target] = {}
@@ -313,12 +320,11 @@
         for target in self:
             self._label(target)
 
-    def set_sharers(self, count: int) -> None:
-        """Takes the number of nodes that send work to the same targets."""
-        if count != self.sharers:
-            self.sharers = count
-            for target in self:
-                target.update_limit()
+    def share(self, own: ids.NodeName, names: Sequence[ids.NodeName]) -> None:
+        """Takes the nodes that send work to the same targets."""
+        self.sharing = sharing_rules.Sharing(own, names)
+        for target in self:
+            target.update_limit()
 
     def update(self, vms: Iterable[platform.Vm]) -> None:
         """Takes the platform's list; what it no longer names is gone.
