--- a/waxwingport/limits/groups.py
+++ b/waxwingport/limits/groups.py
@@ -11,9 +11,9 @@
 __all__ = ['Group']
 
 _HOLD_WEIGHT = 0.05
-_DEVIATIONS = 4.0
-_MOST_OF_TIMEOUT = 0.8
-_LONGEST_RATIO = 5.0
+_DEVIATIONS = 5.0
+_MOST_OF_TIMEOUT = 0.85
+_LONGEST_RATIO = 6.0
 """Bound on the time of a long request over the mean."""
 _WIDTH_WINDOW = 5.0
 """Seconds over which the rollouts in progress are averaged."""
