--- a/waxwingport/targets/table.py
+++ b/waxwingport/targets/table.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from waxwingport.configuration import declarations
+from waxwingport.configuration import labelling
 from waxwingport.configuration import selectors
 from waxwingport import ids
 from waxwingport.limits import adaptive
@@ -372,13 +373,7 @@
         self._label(target)
 
     def _label(self, target: Target) -> None:
-        labels = dict(target.vm.labels)
-        labels['kind'] = target.vm.kind.value
-        labels['data_centre'] = target.vm.data_centre
-        for rule in self._rules:
-            parsed = selectors.parse(rule.match).default_value(None)
-            if parsed is not None and parsed.matches(labels):
-                labels.update(rule.set)
+        labels = labelling.label(target.vm, self._rules)
         changed = labels != target.labels
         target.labels = labels
         self._follow_list(target)
