--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -1,7 +1,9 @@
 """All measurements by name."""
 
 from waxwingport.measure import base
+from waxwingport.measure import caching
 from waxwingport.measure import control
+from waxwingport.measure import degraded
 from waxwingport.measure import dissemination
 from waxwingport.measure import overload
 from waxwingport.measure import requests
@@ -19,6 +21,8 @@
     control.ControlCost(),
     dissemination.Dissemination(),
     overload.Overload(),
+    caching.PrefixHits(),
+    degraded.DegradedEngines(),
 )
 
 MEASUREMENTS = {row.name: row for row in _ALL}
