Void deeply nested configuration records

Cause: msgspec raises RecursionError, no DecodeError, for deep nesting, so one hand-written record ended every node's reader. Change: such records are void; changes refuse unknown fields.

--- a/tests/configuration/test_fold.py
+++ b/tests/configuration/test_fold.py
@@ -102,6 +102,8 @@
     [
         (b'', KINDS.INVALID),
         (b'no json', KINDS.INVALID),
+        (b'{"a": ' + b'[' * 99999, KINDS.INVALID),
+        (b'{"kind": "\xed\xa0\x80"}', KINDS.INVALID),
         (b'{"kind": "change", "version": 1}', KINDS.INVALID),
         (b'{"kind": "novelty", "version": 1}', KINDS.INVALID),
         (b'{"kind": "novelty", "version": 2}', KINDS.SKIPPED),
@@ -125,6 +127,8 @@
         (b'"pools/p"', b'"pols/p"'),
         (b'"weight":2.0', b'"weight":-1'),
         (b'"based_on":-1', b'"based_on":5'),
+        (b'"based_on":-1', b'"based_on":-1,"note":1'),
+        (b'"kind = engine"', b'[' * 9999 + b']' * 9999),
     ],
 )
 def test_handwritten_fault_is_void(changes, old, new):
--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -196,6 +196,7 @@
 MALFORMED = [
     (200, b''),
     (200, b'{'),
+    (200, b'{"x": ' + b'[' * 99999),
     (200, b'[]'),
     (200, b'{"offset": "x"}'),
     (200, b'\xff\xfe'),
--- a/waxwingport/api/configuration.py
+++ b/waxwingport/api/configuration.py
@@ -3,12 +3,9 @@
 It only publishes to the platform's log; what is in force comes from there.
 """
 
-from expression import Error
-from expression import Ok
 from expression import Result
 import msgspec
 
-from waxwingport.api import callers
 from waxwingport.api import handler
 from waxwingport.api import problems
 from waxwingport.configuration import fold
@@ -76,10 +73,8 @@
 
     async def get(self) -> None:
         """Answers with the configuration in force at this node."""
-        match self._find_operator(''):
-            case Result(tag='error', error=refusal):
-                self.send_refusal(refusal)
-                return
+        if not self.require_operator():
+            return
         folded = self.node.configuration.folded
         values = {
             key: records.write_value(value)
@@ -89,22 +84,19 @@
 
     async def post(self) -> None:
         """Publishes a change and answers once it is in force here."""
+        if not self.require_operator():
+            return
         match handler.read_json(self.request.body, Proposal):
             case Result(tag='ok', ok=proposal):
-                pass
-            case Result(error=refusal):
-                self.send_refusal(refusal)
-                return
-        match self._find_operator(proposal.author):
-            case Result(tag='ok', ok=author):
-                await self._publish(proposal, author)
+                await self.guard(self._publish(proposal))
             case Result(error=refusal):
                 self.send_refusal(refusal)
 
-    async def _publish(self, proposal: Proposal, author: str) -> None:
+    async def _publish(self, proposal: Proposal) -> None:
+        known = bool(self.node.configuration.declarations.callers)
         change = records.Change(
             proposal.id or ids.mint_record_id(),
-            author,
+            self.caller if known else proposal.author or self.caller,
             proposal.based_on,
             proposal.values,
         )
@@ -135,19 +127,3 @@
         self.set_header('Content-Type', problems.CONTENT_TYPE)
         found = ConflictProblem(**problem, conflict=fault.conflict)
         self.finish(msgspec.json.encode(found))
-
-    def _find_operator(self, given: str) -> Result[str, outcomes.Refusal]:
-        """Returns the operator's name, or a refusal.
-
-        While no caller is declared, anyone may act under the name given.
-        """
-        declared = self.node.configuration.declarations.callers
-        match callers.identify(self.request.headers, declared):
-            case Result(tag='ok', ok=caller):
-                pass
-            case Result(error=refusal):
-                return Error(refusal)
-        refusal = callers.check_operator(caller)
-        if refusal is not None:
-            return Error(refusal)
-        return Ok(caller.name if declared else given or caller.name)
--- a/waxwingport/configuration/messages.py
+++ b/waxwingport/configuration/messages.py
@@ -31,6 +31,8 @@
 
 Message = TypeVar('Message')
 
+_MALFORMED = (msgspec.DecodeError, RecursionError, UnicodeError)
+
 
 class Passed(msgspec.Struct, frozen=True, array_like=True):
     """From a reader: its revision, and the records that led to it.
@@ -78,7 +80,7 @@
     """Returns a message, or why it cannot be read."""
     try:
         return Ok(msgspec.msgpack.decode(body, type=kind))
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(str(error))
 
 
--- a/waxwingport/configuration/records.py
+++ b/waxwingport/configuration/records.py
@@ -43,7 +43,13 @@
     version: int
 
 
-class Change(msgspec.Struct, frozen=True, tag_field='kind', tag='change'):
+class Change(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+    tag='change',
+):
     """An operator's change of some keys; JSON ``null`` removes a key.
 
     ``based_on`` is the revision that the operator saw.
@@ -64,7 +70,13 @@
     value: msgspec.Raw
 
 
-class Snapshot(msgspec.Struct, frozen=True, tag_field='kind', tag='snapshot'):
+class Snapshot(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+    tag='snapshot',
+):
     """Everything folded up to ``covers``; a pure function of that offset.
 
     ``seen`` holds the offsets of the recent record ids and ``chain``
@@ -92,6 +104,7 @@
 
 Record = Change | Snapshot
 
+_MALFORMED = (msgspec.DecodeError, RecursionError, UnicodeError)
 _REMOVED = b'null'
 _DECODER = msgspec.json.Decoder(Record)
 _ENVELOPE = msgspec.json.Decoder(Envelope)
@@ -126,7 +139,7 @@
             reason = f'version {envelope.version} is not known here'
             return Error(Unreadable(reason, newer=True))
         return Ok(_DECODER.decode(body))
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(Unreadable(str(error), newer=False))
 
 
@@ -155,7 +168,7 @@
         return Ok(None)
     try:
         value = _VALUES[kind].decode(raw)
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(f'{key}: {error}')
     if value.name != name:
         return Error(f'{key}: holds the name {value.name!r}')
--- a/waxwingport/platform/adapters.py
+++ b/waxwingport/platform/adapters.py
@@ -22,6 +22,7 @@
 
 T = TypeVar('T')
 
+_MALFORMED = (msgspec.DecodeError, RecursionError, UnicodeError)
 _TIMEOUT = 5.0
 _BINARY = ('Content-Type', 'application/octet-stream')
 
@@ -118,7 +119,7 @@
 ) -> Result[T, base.LogFault]:
     try:
         return Ok(msgspec.json.decode(response.body, type=expected))
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(base.LogFault(base.LogFaultKind.UNKNOWN, str(error)))
 
 
@@ -184,5 +185,5 @@
         return Error(base.PlatformFault(detail))
     try:
         return Ok(msgspec.json.decode(response.body, type=answer))
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(base.PlatformFault(f'{path}: {error}'))
