--- a/waxwingport/configuration/state.py
+++ b/waxwingport/configuration/state.py
@@ -17,6 +17,7 @@
 __all__ = ['ConfigurationState']
 
 Listener = Callable[[declarations.Declarations], None]
+Watcher = Callable[[ids.Revision], None]
 
 _RECENT_RECORDS = 512
 _VERDICTS = 1024
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         self.folded = fold.Folded()
         self._listeners: list[Listener] = []
+        self._watchers: list[Watcher] = []
         self._grown = asyncio.Event()
         self._recent: collections.deque[base.LogRecord] = collections.deque(
             maxlen=_RECENT_RECORDS
@@ -38,9 +40,13 @@
         )
 
     def listen(self, listener: Listener) -> None:
-        """Calls ``listener`` after each change."""
+        """Calls ``listener`` after each change of the declarations."""
         self._listeners.append(listener)
 
+    def watch(self, watcher: Watcher) -> None:
+        """Calls ``watcher`` after each change of the revision."""
+        self._watchers.append(watcher)
+
     def apply(
         self,
         revision: ids.Revision,
@@ -148,6 +154,8 @@
         self.folded = folded
         grown, self._grown = self._grown, asyncio.Event()
         grown.set()
+        for watcher in self._watchers:
+            watcher(folded.revision)
         if not changed and not first:
             return
         for listener in self._listeners:
