End a cancelled request also while it connects

Cause: asyncio.wait_for of Python 3.11 swallows a cancellation that comes together with the result; a background task that was cancelled once then went on, and a node's stop hung (seen once in a whole test run).

--- a/waxwingport/api/overview.py
+++ b/waxwingport/api/overview.py
@@ -17,6 +17,7 @@
     return {
         'node': shown.settings.node.name,
         'revision': shown.configuration.revision,
+        'configuration': shown.distribution.describe(),
         'pools': [{'name': row.name} for row in declared.pools],
         'services': [{'name': row.name} for row in declared.services],
         'trainers': [
@@ -41,6 +42,24 @@
         'Offset of the last configuration record in force',
         shown.configuration.revision,
     )
+    found = shown.distribution.describe()
+    for state in ('reads_log', 'hears_reader', 'log_behind'):
+        shown.metrics.set(
+            'waxwingport_configuration_state',
+            'How the configuration reaches this node; 1 where it holds',
+            int(bool(found[state])),
+            state=state,
+        )
+    shown.metrics.set(
+        'waxwingport_configuration_skipped',
+        'Whether a record of a later version was skipped',
+        int(found['skipped_since'] is not None),
+    )
+    shown.metrics.set(
+        'waxwingport_configuration_diverged_peers',
+        'Peers that hold other records at the same revision',
+        len(found['diverged']),
+    )
     targets = collections.Counter(row.state for row in shown.targets)
     for target_state in candidates.TargetState:
         shown.metrics.set(
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -1,8 +1,6 @@
 """An entry node: its subsystems, their start and their stop."""
 
-import asyncio
 import collections
-import logging
 import random
 
 from expression import Result
@@ -30,16 +28,14 @@
 from waxwingport.requests import services
 from waxwingport.samples import collector
 from waxwingport import settings
+from waxwingport.targets import listing
+from waxwingport.targets import poller
 from waxwingport.targets import table
 from waxwingport.weights import controller
 from waxwingport.weights import versions
 
 __all__ = ['Node', 'Outside']
 
-_LIST_INTERVAL = 0.5
-_POLL_INTERVAL = 0.25
-_LOG = logging.getLogger(__name__)
-
 
 class Outside(msgspec.Struct, frozen=True):
     """The outside systems that a node uses."""
@@ -105,6 +101,18 @@
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
+        self.vms = listing.VmFollower(
+            outside.vm_list,
+            [self.targets.update, self.membership.update],
+            self.membership,
+            self.peers,
+        )
+        self.poller = poller.EnginePoller(
+            self.targets,
+            self.admission.router.index,
+            self.membership,
+            self.peers,
+        )
         self.progress = progress.Progress(configured.requests.body_memory)
         self.retry_budget = retries.RetryBudget(
             self.configuration.declarations.limit.retry_share
@@ -148,13 +156,16 @@
 
     async def start(self) -> None:
         """Starts the node's background work."""
-        self.background.spawn(self.distribution.run())
-        self.background.spawn(self.snapshots.run())
-        self.background.spawn(self.membership.run())
-        self.background.spawn(self._follow_vms())
-        self.background.spawn(self._poll_engines())
-        self.background.spawn(self.version_exchange.run())
-        self.background.spawn(self.weights.run())
+        for work in (
+            self.distribution.run(),
+            self.snapshots.run(),
+            self.membership.run(),
+            self.vms.run(),
+            self.poller.run(),
+            self.version_exchange.run(),
+            self.weights.run(),
+        ):
+            self.background.spawn(work)
 
     async def stop(self) -> None:
         """Stops the node's background work."""
@@ -240,33 +251,3 @@
         return live.LiveMembership(
             own, self.peers, self.rng, is_ready=self.is_ready
         )
-
-    async def _follow_vms(self) -> None:
-        while True:
-            match await self.outside.vm_list.read():
-                case Result(tag='ok', ok=vms):
-                    self.targets.update(vms)
-                    self.membership.update(vms)
-                case Result(error=fault):
-                    _LOG.warning('VM list: %s', fault.detail)
-            await asyncio.sleep(_LIST_INTERVAL)
-
-    async def _poll_engines(self) -> None:
-        while True:
-            engines = [row for row in self.targets if row.engine is not None]
-            await asyncio.gather(*(_poll(row) for row in engines))
-            await asyncio.sleep(_POLL_INTERVAL)
-
-
-async def _poll(target: table.Target) -> None:
-    match await target.engine.read_load():
-        case Result(tag='ok', ok=report):
-            target.note_load(report)
-        case Result(error=fault):
-            _LOG.info('load of %s: %s', target.name, fault.detail)
-            return
-    match await target.engine.read_state():
-        case Result(tag='ok', ok=found):
-            target.engine_state = found
-        case Result(error=fault):
-            _LOG.info('state of %s: %s', target.name, fault.detail)
--- a/waxwingport/requests/ledger.py
+++ b/waxwingport/requests/ledger.py
@@ -120,9 +120,8 @@
             )
         timeout = deadline - asyncio.get_running_loop().time()
         try:
-            return await asyncio.wait_for(
-                asyncio.shield(call.task), max(timeout, 0.0)
-            )
+            async with asyncio.timeout(max(timeout, 0.0)):
+                return await asyncio.shield(call.task)
         except TimeoutError:
             return Error(
                 outcomes.Refusal(
