Measure the configuration's spread, fold and traffic

Change: three measurements; reference pages made from the structs; plan, apply, check and example tested by log and by node; a node's first read does not wait, so that its readers are known to follow at once; pages of 200 records keep the loop free.

--- a/tests/configuration/conftest.py
+++ b/tests/configuration/conftest.py
@@ -1,4 +1,7 @@
+import json
+
 import pytest
+from tornado import httpclient
 
 from waxwingport.configuration import declarations
 from waxwingport.configuration import keys
@@ -46,3 +49,16 @@
         )
         for index, row in enumerate(found)
     ]
+
+
+@pytest.fixture
+def post():
+    """Posts JSON; returns the status and the decoded answer."""
+
+    async def send(url, body):
+        response = await httpclient.AsyncHTTPClient().fetch(
+            url, method='POST', body=json.dumps(body), raise_error=False
+        )
+        return response.code, json.loads(response.body)
+
+    return send
--- /dev/null
+++ b/tests/configuration/test_commands.py
@@ -0,0 +1,204 @@
+import pathlib
+
+import pytest
+
+from waxwingport import cli
+from waxwingport.commands import channel
+from waxwingport.commands import publish
+from waxwingport.commands import reference
+from waxwingport.configuration import files
+from waxwingport.configuration import reader
+from waxwingport.platform import base
+from waxwingport.standins import platform
+from waxwingport.trial import deployments
+
+DOCS = pathlib.Path(__file__).parents[2] / 'docs' / 'reference'
+POOL = '[[pools]]\nname = "p"\nselector = "kind = engine"\n'
+
+
+@pytest.mark.parametrize('name', sorted(deployments.DEPLOYMENTS))
+def test_example_passes_check(tmp_path, capsys, name):
+    commands = cli.Commands()
+    commands.example(name, str(tmp_path))
+    commands.check(
+        settings=str(tmp_path / 'settings.toml'),
+        declarations=str(tmp_path / 'declarations'),
+    )
+    shipped = deployments.read_declarations(deployments.DEPLOYMENTS[name])
+    written = files.read_directory(tmp_path / 'declarations').ok
+    assert written.trainers == shipped.trainers
+    with pytest.raises(SystemExit, match='1'):
+        commands.example(name, str(tmp_path))
+    assert 'exists already' in capsys.readouterr().err
+
+
+def test_check_prints_each_fault_and_exits_with_1(tmp_path, capsys):
+    (tmp_path / 'a.toml').write_text(POOL + 'wight = 2\n[[pool]]\n')
+    with pytest.raises(SystemExit, match='1'):
+        cli.Commands().check(declarations=str(tmp_path))
+    lines = capsys.readouterr().err.splitlines()
+    assert [line.split(': ')[1] for line in lines] == ['pool', 'pools.p.wight']
+
+
+@pytest.mark.parametrize('given', [{}, {'settings': 's', 'node': 'n'}])
+def test_apply_needs_one_way(given):
+    with pytest.raises(SystemExit, match='2'):
+        cli.Commands().apply('x', **given)
+
+
+@pytest.mark.parametrize(
+    'name, write',
+    [
+        ('declarations.md', reference.write_declarations_page),
+        ('settings.md', reference.write_settings_page),
+    ],
+)
+def test_reference_page_is_current(name, write):
+    """Run tools/write_reference.py if this fails."""
+    assert (DOCS / name).read_text('utf-8') == write()
+
+
+@pytest.fixture
+def log():
+    return platform.StandInLog()
+
+
+@pytest.fixture
+def way(log):
+    vms = [base.Vm('e', base.VmKind.ENGINE, 'a', '10.0.0.1:1')]
+    return channel.LogChannel(log, platform.StandInVmList(vms))
+
+
+@pytest.fixture
+def options(tmp_path):
+    (tmp_path / 'a.toml').write_text(POOL)
+    return publish.Options(tmp_path, author='anna')
+
+
+def rewrite(options, text):
+    (options.folder / 'a.toml').write_text(text)
+
+
+async def test_plan_then_apply_by_the_log(way, log, options):
+    planned = (await publish.plan(options, way)).ok
+    assert planned == [
+        '+ pools/p',
+        "    selector = 'kind = engine'",
+        'based on revision -1',
+    ]
+    assert log.appends == 0
+    applied = (await publish.apply(options, way)).ok
+    assert applied[-1] == 'in force at revision 0'
+    assert (await publish.apply(options, way)).ok == ['no change; revision 0']
+    rewrite(options, POOL + 'weight = 2\n')
+    planned = (await publish.plan(options, way)).ok
+    assert planned[:2] == ['~ pools/p', "    weight: 'default' -> 2.0"]
+    rewrite(options, '[[limits]]\nqueue_length = 7\n')
+    applied = (await publish.apply(options, way)).ok
+    assert applied[:2] == ['+ limits/default', '    queue_length = 7']
+    assert '- pools/p' in applied
+
+
+async def test_second_operator_is_told_who_came_first(way, log, options):
+    await publish.apply(options, way)
+    rewrite(options, POOL + 'weight = 2\n')
+    await publish.apply(options, way)
+    rewrite(options, POOL + 'weight = 3\n')
+    late = publish.Options(options.folder, based_on=0, author='berta')
+    for action in (publish.plan, publish.apply):
+        reason = (await action(late, way)).error
+        assert 'pools/p changed at revision 1 by anna' in reason
+    assert log.appends == 2
+
+
+async def test_log_down_is_said_and_nothing_is_published(way, log, options):
+    log.down = True
+    assert 'unavailable' in (await publish.apply(options, way)).error
+    log.down = False
+    assert (await log.read(reader.STREAM, 0)).ok.end == 0
+
+
+async def test_change_without_targets_needs_force(way, log, options):
+    rewrite(options, POOL.replace('engine', 'enigne'))
+    for action in (publish.plan, publish.apply):
+        reason = (await action(options, way)).error
+        assert 'selects no live target' in reason
+    forced = publish.Options(options.folder, force=True)
+    assert (await publish.apply(forced, way)).is_ok()
+
+
+async def test_plan_and_apply_by_a_node(running_stage, tmp_path):
+    shipped = deployments.read_declarations(running_stage.deployment)
+    text = files.format_declarations(shipped)
+    (tmp_path / 'a.toml').write_text(text)
+    way = channel.NodeChannel(running_stage.url)
+    options = publish.Options(tmp_path, author='anna')
+    assert (await publish.plan(options, way)).ok == [
+        'no change against revision 0'
+    ]
+    (tmp_path / 'b.toml').write_text('[[limits]]\nqueue_length = 7\n')
+    assert (await publish.plan(options, way)).is_ok()
+    applied = (await publish.apply(options, way)).ok
+    assert applied[-1] == 'in force at revision 1'
+    found = running_stage.node.configuration.declarations
+    assert found.limit.queue_length == 7
+    (tmp_path / 'b.toml').write_text('[[limits]]\nqueue_length = 8\n')
+    late = publish.Options(tmp_path, based_on=0, author='berta')
+    reason = (await publish.apply(late, way)).error
+    assert 'limits/default changed at revision 1 by anna' in reason
+
+
+async def test_node_answers_409_with_the_conflicting_change(
+    running_stage, post
+):
+    change = {
+        'based_on': 0,
+        'author': 'anna',
+        'values': {'limits/default': {'name': 'default', 'queue_length': 9}},
+    }
+    url = f'{running_stage.url}/v1/configuration'
+    assert await post(url, change) == (200, {'revision': 1})
+    status, answer = await post(url, change)
+    assert status == 409
+    assert answer['conflict'] == {
+        'revision': 1,
+        'author': 'anna',
+        'keys': ['limits/default'],
+    }
+
+
+async def test_lost_answer_of_a_node_is_asked_for_again(running_stage, post):
+    change = {
+        'id': 'once',
+        'based_on': 0,
+        'values': {'limits/default': {'name': 'default', 'queue_length': 9}},
+    }
+    url = f'{running_stage.url}/v1/configuration'
+    for _ in range(2):
+        assert await post(url, change) == (200, {'revision': 1})
+
+
+async def test_callers_without_operators_rights_are_refused(
+    running_stage, post
+):
+    caller = {'name': 'c', 'token_sha256': 'a' * 64}
+    change = {'based_on': 0, 'values': {'callers/c': caller}}
+    url = f'{running_stage.url}/v1/configuration'
+    assert (await post(url, change))[0] == 200
+    change['based_on'] = 1
+    status, answer = await post(url, change)
+    assert (status, answer['ran']) == (401, 'no')
+
+
+async def test_malformed_proposals_are_400(running_stage, post):
+    url = f'{running_stage.url}/v1/configuration'
+    bodies = [
+        {},
+        {'based_on': 0, 'values': {}},
+        {'based_on': 0, 'values': {'pools/x': 3}},
+        {'based_on': 0, 'values': {'nothing/x': None}},
+        {'based_on': 99, 'values': {'pools/x': None}},
+    ]
+    for body in bodies:
+        status, answer = await post(url, body)
+        assert (status, answer['ran']) == (400, 'no'), body
--- a/waxwingport/assembly.py
+++ b/waxwingport/assembly.py
@@ -15,10 +15,12 @@
     """Returns HTTP adapters of every outside system, on one client."""
     platform = configured.platform
     return node.Outside(
-        log=platform_adapters.HttpLog(http, platform.log),
-        vm_list=platform_adapters.HttpVmList(http, platform.vm_list),
+        log=platform_adapters.HttpLog(http, platform.log, platform.token),
+        vm_list=platform_adapters.HttpVmList(
+            http, platform.vm_list, platform.token
+        ),
         weight_store=platform_adapters.HttpWeightStore(
-            http, platform.weight_store
+            http, platform.weight_store, platform.token
         ),
         targets=adapters.HttpTargetFactory(http),
     )
--- a/waxwingport/commands/publish.py
+++ b/waxwingport/commands/publish.py
@@ -12,6 +12,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import assembly
 from waxwingport.commands import channel
 from waxwingport.configuration import declarations
 from waxwingport.configuration import difference
@@ -19,7 +20,6 @@
 from waxwingport.configuration import records
 from waxwingport.http import client
 from waxwingport import ids
-from waxwingport.platform import adapters
 from waxwingport import settings
 
 __all__ = ['Action', 'Options', 'apply', 'open_channel', 'plan', 'run']
@@ -50,12 +50,8 @@
             pass
     http = client.HttpClient(found.client)
     try:
-        yield Ok(
-            channel.LogChannel(
-                adapters.HttpLog(http, found.platform.log),
-                adapters.HttpVmList(http, found.platform.vm_list),
-            )
-        )
+        outside = assembly.connect_outside(found, http)
+        yield Ok(channel.LogChannel(outside.log, outside.vm_list))
     finally:
         http.close()
 
--- a/waxwingport/configuration/distribution.py
+++ b/waxwingport/configuration/distribution.py
@@ -149,7 +149,7 @@
         before = self._configuration.revision
         try:
             async with asyncio.timeout(self._read_timeout):
-                outcome = await self.reader.step(self._settings.read_wait)
+                outcome = await self.reader.step(self._pick_wait())
         except TimeoutError:
             self._read_timeout *= 2
             _LOG.warning('configuration log: no answer in time')
@@ -164,6 +164,14 @@
             self._pass_on(before)
         return True
 
+    def _pick_wait(self) -> float:
+        """Returns how long a read may wait for a record.
+
+        The first one after a failure does not, so that its success is known
+        at once.
+        """
+        return self._settings.read_wait if self._is_reading() else 0.0
+
     def _pick_pause(self) -> float:
         settings = self._settings
         pause = (
--- a/waxwingport/configuration/fold.py
+++ b/waxwingport/configuration/fold.py
@@ -184,7 +184,7 @@
                 verdict = self._skip(row.offset, unreadable)
         self.revision = ids.Revision(row.offset)
         link = f'{self._chain} {row.offset} '.encode() + hashed
-        self._chain = xxhash.xxh3_128_hexdigest(link)
+        self._chain = xxhash.xxh3_64_hexdigest(link)
         return verdict
 
     def take_change(
--- a/waxwingport/configuration/reader.py
+++ b/waxwingport/configuration/reader.py
@@ -18,6 +18,8 @@
 STREAM = ids.StreamName('configuration')
 
 _WAIT = 1.0
+_PAGE = 200
+"""Records folded at once; the loop does nothing else meanwhile."""
 _RETRY_DELAY = 0.2
 _SEARCH_WINDOW = 256
 """Records of the first look back for a snapshot; doubled each time."""
@@ -59,7 +61,7 @@
                 case Result(tag='error', error=fault):
                     return Error(fault)
         offset = ids.Offset(self._configuration.revision + 1)
-        match await self._log.read(STREAM, offset, wait=wait):
+        match await self._log.read(STREAM, offset, _PAGE, wait):
             case Result(tag='ok', ok=page):
                 return self._take(page, offset)
             case Result(error=fault):
--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -1,6 +1,7 @@
 """All measurements by name."""
 
 from waxwingport.measure import base
+from waxwingport.measure import configuration
 from waxwingport.measure import dissemination
 from waxwingport.measure import overload
 from waxwingport.measure import routing
@@ -9,6 +10,9 @@
 __all__ = ['MEASUREMENTS']
 
 _ALL: tuple[base.Measurement, ...] = (
+    configuration.ConfigurationFold(),
+    configuration.ConfigurationSpread(),
+    configuration.ConfigurationTraffic(),
     routing.RoutingRate(),
     weights.WeightPlan(),
     dissemination.Dissemination(),
--- a/waxwingport/platform/adapters.py
+++ b/waxwingport/platform/adapters.py
@@ -38,16 +38,26 @@
 class HttpLog(base.Log):
     """The log service behind HTTP."""
 
-    def __init__(self, http: client.HttpClient, address: str) -> None:
+    def __init__(
+        self,
+        http: client.HttpClient,
+        address: str,
+        token: str | None = None,
+    ) -> None:
         self._http = http
         self._address = address
+        self._headers = _authorize(token)
 
     async def append(
         self, stream: ids.StreamName, body: bytes
     ) -> Result[ids.Offset, base.LogFault]:
         """Appends one record and returns its offset."""
         request = client.Request(
-            'POST', f'/v1/streams/{stream}', (_BINARY,), body, fresh=True
+            'POST',
+            f'/v1/streams/{stream}',
+            (_BINARY, *self._headers),
+            body,
+            fresh=True,
         )
         match await self._http.fetch(self._address, request, _TIMEOUT):
             case Result(tag='ok', ok=response):
@@ -66,7 +76,7 @@
         path = (
             f'/v1/streams/{stream}?offset={offset}&limit={limit}&wait={wait}'
         )
-        request = client.Request('GET', path)
+        request = client.Request('GET', path, self._headers)
         timeout = wait + _TIMEOUT
         match await self._http.fetch(self._address, request, timeout):
             case Result(tag='ok', ok=response):
@@ -140,50 +150,59 @@
             return base.LogFault(base.LogFaultKind.UNKNOWN, detail)
 
 
-class HttpVmList(base.VmList):
-    """The VM list behind HTTP."""
+class _Reader:
+    """Reads JSON from one of the platform's services."""
 
-    def __init__(self, http: client.HttpClient, address: str) -> None:
+    def __init__(
+        self,
+        http: client.HttpClient,
+        address: str,
+        token: str | None = None,
+    ) -> None:
         self._http = http
         self._address = address
+        self._headers = _authorize(token)
+
+    async def _get(
+        self, path: str, expected: type[T]
+    ) -> Result[T, base.PlatformFault]:
+        request = client.Request('GET', path, self._headers)
+        match await self._http.fetch(self._address, request, _TIMEOUT):
+            case Result(tag='ok', ok=response):
+                pass
+            case Result(error=fault):
+                return Error(base.PlatformFault(fault.detail))
+        if response.status != 200:
+            detail = f'{path} answered {response.status}'
+            return Error(base.PlatformFault(detail))
+        return _decode(response, expected).map_error(
+            lambda fault: base.PlatformFault(f'{path}: {fault.detail}')
+        )
+
+
+def _authorize(token: str | None) -> tuple[tuple[str, str], ...]:
+    return (('Authorization', f'Bearer {token}'),) if token else ()
+
+
+class HttpVmList(_Reader, base.VmList):
+    """The VM list behind HTTP."""
 
     async def read(self) -> Result[Sequence[base.Vm], base.PlatformFault]:
         """Returns the VMs that the platform lists now."""
-        return await _get(
-            self._http, self._address, '/v1/vms', tuple[base.Vm, ...]
-        )
+        kind = tuple[base.Vm, ...]
+        return await self._get('/v1/vms', kind)
 
 
-class HttpWeightStore(base.WeightStore):
+class HttpWeightStore(_Reader, base.WeightStore):
     """The weight store behind HTTP."""
 
-    def __init__(self, http: client.HttpClient, address: str) -> None:
-        self._http = http
-        self._address = address
-
     async def describe(
         self, reference: str
     ) -> Result[base.Weights, base.PlatformFault]:
         """Returns the size of the weights under ``reference``."""
         path = f'/v1/weights/{reference}'
-        return await _get(self._http, self._address, path, base.Weights)
+        return await self._get(path, base.Weights)
 
     async def read_rate(self) -> Result[int, base.PlatformFault]:
         """Returns how many engines may load at the same time."""
-        return await _get(self._http, self._address, '/v1/rate', int)
-
-
-async def _get(http: client.HttpClient, address: str, path: str, answer):
-    request = client.Request('GET', path)
-    match await http.fetch(address, request, _TIMEOUT):
-        case Result(tag='ok', ok=response):
-            pass
-        case Result(error=fault):
-            return Error(base.PlatformFault(fault.detail))
-    if response.status != 200:
-        detail = f'{path} answered {response.status}'
-        return Error(base.PlatformFault(detail))
-    try:
-        return Ok(msgspec.json.decode(response.body, type=answer))
-    except _MALFORMED as error:
-        return Error(base.PlatformFault(f'{path}: {error}'))
+        return await self._get('/v1/rate', int)
