--- a/tests/configuration/test_commands.py
+++ b/tests/configuration/test_commands.py
@@ -22,10 +22,10 @@
     commands.example(name, str(tmp_path))
     commands.check(
         settings=str(tmp_path / 'settings.toml'),
-        declarations=str(tmp_path / 'declarations'),
+        declarations=str(tmp_path),
     )
     shipped = deployments.read_declarations(deployments.DEPLOYMENTS[name])
-    written = files.read_directory(tmp_path / 'declarations').ok
+    written = files.read_directory(tmp_path).ok
     assert written.trainers == shipped.trainers
     with pytest.raises(SystemExit, match='1'):
         commands.example(name, str(tmp_path))
--- a/waxwingport/commands/example.py
+++ b/waxwingport/commands/example.py
@@ -9,10 +9,8 @@
 
 from waxwingport.trial import deployments
 
-__all__ = ['DECLARATIONS', 'SETTINGS', 'write_example']
+__all__ = ['SETTINGS', 'write_example']
 
-DECLARATIONS = 'declarations'
-"""Directory of the declarations."""
 SETTINGS = 'settings.toml'
 
 
@@ -21,7 +19,7 @@
 ) -> Result[list[pathlib.Path], str]:
     """Writes the files and returns them; overwrites none."""
     texts = {
-        folder / DECLARATIONS / path.name: path.read_text('utf-8')
+        folder / path.name: path.read_text('utf-8')
         for path in deployments.find_examples(deployment).iterdir()
         if path.name.endswith('.toml')
     }
--- a/waxwingport/configuration/files.py
+++ b/waxwingport/configuration/files.py
@@ -17,13 +17,16 @@
 
 __all__ = ['format_declarations', 'read_directory', 'read_toml']
 
+_SETTINGS_TABLES = ('node', 'platform')
+
 
 def read_directory(
     folder: pathlib.Path,
 ) -> Result[declarations.Declarations, list[faults.Fault]]:
     """Returns what the files of ``folder`` declare together.
 
-    Fails with every fault found, ordered by file and key.
+    A node's settings may lie beside them and are left out.  Fails with every
+    fault found, ordered by file and key.
     """
     paths = sorted(folder.glob('*.toml'))
     if not paths:
@@ -33,7 +36,8 @@
     for path in paths:
         match read_toml(path):
             case Result(tag='ok', ok=data):
-                reading.take(path, data)
+                if not _is_settings(data):
+                    reading.take(path, data)
             case Result(error=fault):
                 reading.faults.append(fault)
     return reading.finish()
@@ -61,6 +65,10 @@
     return tomli_w.dumps(tables)
 
 
+def _is_settings(data: dict[str, object]) -> bool:
+    return all(isinstance(data.get(key), dict) for key in _SETTINGS_TABLES)
+
+
 class _Reading:
     """Collects rows and faults over several files."""
 
