Let operators start the configuration anew

Cause: after all nodes were away for longer than the log's retention no record could be folded and none be published: no way out was left. Change: a reset record replaces everything and needs nothing before it; it is refused as long as the log holds a state to start from. The state machine draws resets as well.

--- a/tests/configuration/test_commands.py
+++ b/tests/configuration/test_commands.py
@@ -202,3 +202,18 @@
     for body in bodies:
         status, answer = await post(url, body)
         assert (status, answer['ran']) == (400, 'no'), body
+
+
+async def test_reset_is_the_way_out_when_nothing_is_known(way, log, options):
+    reset = publish.Options(options.folder, author='anna', reset=True)
+    await publish.apply(options, way)
+    assert 'without a reset' in (await publish.apply(reset, way)).error
+    log.expire_before(reader.STREAM, 1)
+    fresh = channel.LogChannel(log, platform.StandInVmList())
+    assert 'no snapshot' in (await publish.apply(options, fresh)).error
+    log.lost_answers = 1
+    applied = (await publish.apply(reset, fresh)).ok
+    assert applied == ['in force at revision 1']
+    other = channel.LogChannel(log, platform.StandInVmList())
+    assert (await other.read()).ok.declarations.pool('p') is not None
+    assert log.appends == 2
--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -55,6 +55,7 @@
         self._rows = {}
         self._changed = {}
         self._seen = set()
+        self._floor = -1
 
     def take(self, offset, body):
         self._fold(offset, body)
@@ -65,23 +66,36 @@
             record = json.loads(body)
         except ValueError:
             return
+        if isinstance(record, dict) and record.get('kind') == 'reset':
+            self._reset(offset, record)
+            return
         if 'id' not in record or record['id'] in self._seen:
             return
         self._seen.add(record['id'])
         base, values = record['based_on'], record['values']
-        if not offset - WINDOW <= base < offset:
+        if not max(offset - WINDOW, self._floor) <= base < offset:
             return
         if any(self._changed.get(key, -1) > base for key in values):
             return
-        rows = dict(self._rows)
+        rows = self._merge(dict(self._rows), values)
+        if not consistency.find_faults(rows):
+            self._rows = rows
+            self._changed |= dict.fromkeys(values, offset)
+
+    def _reset(self, offset, record):
+        rows = self._merge({}, record['values'])
+        if not consistency.find_faults(rows):
+            self._rows, self._seen = rows, {record['id']}
+            self._changed = dict.fromkeys(rows, offset)
+            self._floor = offset
+
+    def _merge(self, rows, values):
         for key, value in values.items():
             rows.pop(key, None)
             if value is not None:
                 kind = keys.KINDS[key.partition('/')[0]]
                 rows[key] = msgspec.convert(value, kind)
-        if not consistency.find_faults(rows):
-            self._rows = rows
-            self._changed |= dict.fromkeys(values, offset)
+        return rows
 
 
 class FoldMachine(stateful.RuleBasedStateMachine):
@@ -161,6 +175,12 @@
     def append_garbage(self, body):
         self.append(body)
 
+    @stateful.rule(values=VALUES)
+    def reset(self, values):
+        record_id = f'reset{len(self.appended)}'
+        written = records.write_values(values)
+        self.append(records.encode(records.Reset(record_id, 'o', written)))
+
     @stateful.rule(node=st.integers(0, NODES - 1))
     def write_snapshot(self, node):
         folded = self.nodes[node].state.folded
--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -137,6 +137,7 @@
         based_on: int | None = None,
         force: bool = False,
         author: str | None = None,
+        reset: bool = False,
     ) -> None:
         """Publishes the declarations; prints the revision in force.
 
@@ -148,9 +149,11 @@
                 now without it.
             force: Allows to leave trainers or callers without a target.
             author: Who changes; the user's name without it.
+            reset: Publishes everything anew where neither a node nor the log
+                holds the configuration any more; needs --settings.
         """
         options = publish.Options(
-            pathlib.Path(declarations), based_on, force, author
+            pathlib.Path(declarations), based_on, force, author, reset
         )
         _operate(publish.apply, options, settings, node)
 
--- a/waxwingport/commands/channel.py
+++ b/waxwingport/commands/channel.py
@@ -57,6 +57,10 @@
     ) -> Result[ids.Revision, str]:
         """Returns the revision at which ``change`` is in force."""
 
+    @abc.abstractmethod
+    async def reset(self, reset: records.Reset) -> Result[ids.Revision, str]:
+        """Publishes everything anew, where nothing is known any more."""
+
 
 class LogChannel(Channel):
     """Straight to the platform's log."""
@@ -90,6 +94,11 @@
         outcome = await self._publisher.publish(change, _TIMEOUT, force)
         return outcome.map_error(_describe)
 
+    async def reset(self, reset: records.Reset) -> Result[ids.Revision, str]:
+        """Publishes everything anew, where nothing is known any more."""
+        outcome = await self._publisher.reset(reset, _TIMEOUT)
+        return outcome.map_error(_describe)
+
 
 class NodeChannel(Channel):
     """Through ``/v1/configuration`` of a node."""
@@ -120,6 +129,10 @@
             lambda found: _decode(found, api.PublishAnswer)
         ).map(lambda found: found.revision)
 
+    async def reset(self, reset: records.Reset) -> Result[ids.Revision, str]:
+        """Refuses: a node without a configuration can't answer for one."""
+        return Error('a reset goes straight to the log: use --settings')
+
     async def _fetch(
         self, method: str, body: bytes | None
     ) -> Result[bytes, str]:
--- a/waxwingport/commands/publish.py
+++ b/waxwingport/commands/publish.py
@@ -17,6 +17,7 @@
 from waxwingport.configuration import declarations
 from waxwingport.configuration import difference
 from waxwingport.configuration import files
+from waxwingport.configuration import keys
 from waxwingport.configuration import records
 from waxwingport.http import client
 from waxwingport import ids
@@ -32,6 +33,7 @@
     based_on: ids.Revision | None = None
     force: bool = False
     author: str | None = None
+    reset: bool = False
 
 
 @contextlib.asynccontextmanager
@@ -102,6 +104,8 @@
     options: Options, way: channel.Channel
 ) -> Result[list[str], str]:
     """Publishes the difference; returns lines with the revision in force."""
+    if options.reset:
+        return await _reset(options, way)
     match await _compare(options, way):
         case Result(tag='ok', ok=(current, change, lines)):
             pass
@@ -115,6 +119,27 @@
     )
 
 
+async def _reset(
+    options: Options, way: channel.Channel
+) -> Result[list[str], str]:
+    match files.read_directory(options.folder):
+        case Result(tag='ok', ok=wanted):
+            pass
+        case Result(error=found):
+            return Error('\n'.join(str(fault) for fault in found))
+    record = records.Reset(
+        ids.mint_record_id(),
+        _name_author(options),
+        records.write_values(keys.split(wanted)),
+    )
+    published = await way.reset(record)
+    return published.map(lambda revision: [f'in force at revision {revision}'])
+
+
+def _name_author(options: Options) -> str:
+    return options.author or getpass.getuser()
+
+
 async def _compare(
     options: Options, way: channel.Channel
 ) -> Result[tuple[channel.Current, records.Change, list[str]], str]:
@@ -141,7 +166,7 @@
     based_on = options.based_on
     change = records.make_change(
         ids.mint_record_id(),
-        options.author or getpass.getuser(),
+        _name_author(options),
         current.revision if based_on is None else based_on,
         values,
     )
--- a/waxwingport/configuration/fold.py
+++ b/waxwingport/configuration/fold.py
@@ -35,6 +35,7 @@
     'Folded',
     'Verdict',
     'VerdictKind',
+    'begin',
     'fold',
     'make_snapshot',
     'preview',
@@ -58,7 +59,8 @@
 class Folded(msgspec.Struct, frozen=True, dict=True):
     """The result of folding every record up to ``revision``.
 
-    ``covered`` is the offset that the last snapshot record covers.  ``chain``
+    ``covered`` is the offset that the last snapshot record covers; ``floor``
+    that of the last reset, and no change may be based on less.  ``chain``
     identifies the records folded: two nodes at one revision whose chains
     differ have read different logs.  ``skipped`` is the first offset with a
     record that this program did not understand.
@@ -68,6 +70,7 @@
     entries: Mapping[keys.Key, Entry] = {}
     seen: Mapping[ids.RecordId, ids.Revision] = {}
     covered: ids.Revision = ids.Revision(-1)
+    floor: ids.Revision = ids.Revision(-1)
     chain: str = ''
     skipped: ids.Revision | None = None
 
@@ -168,6 +171,7 @@
         self._rows = folded.rows
         self._seen = dict(folded.seen)
         self._covered = folded.covered
+        self._floor = folded.floor
         self._chain = folded.chain
         self._skipped = folded.skipped
 
@@ -177,6 +181,8 @@
         match records.decode(row.body):
             case Result(tag='ok', ok=records.Change() as change):
                 verdict = self.take_change(change, row.offset)
+            case Result(tag='ok', ok=records.Reset() as reset):
+                verdict = self._take_reset(reset, row.offset)
             case Result(tag='ok', ok=records.Snapshot() as snapshot):
                 verdict = self._take_snapshot(snapshot, row.offset)
                 hashed = b''
@@ -199,9 +205,9 @@
         void = self._find_void(change, offset)
         if void is not None:
             return void
-        match self._read_values(change):
+        match self._read_values(change.values):
             case Result(tag='ok', ok=values):
-                self._apply(values, change, offset)
+                self._apply(values, change.author, offset)
                 return _judge(VerdictKind.APPLIED, offset, change)
             case Result(error=reason):
                 return _judge(VerdictKind.INVALID, offset, change, reason)
@@ -224,6 +230,7 @@
             entries,
             seen,
             self._covered,
+            self._floor,
             self._chain,
             self._skipped,
         )
@@ -237,7 +244,7 @@
         if change.based_on >= offset:
             detail = f'based on revision {change.based_on}, yet to come'
             return _judge(VerdictKind.INVALID, offset, change, detail)
-        if change.based_on < offset - WINDOW:
+        if change.based_on < max(offset - WINDOW, self._floor):
             detail = f'based on revision {change.based_on}, too long ago'
             return _judge(VerdictKind.STALE, offset, change, detail)
         conflict = self._find_conflict(change)
@@ -259,10 +266,10 @@
         return Conflict(last.revision, last.author, tuple(sorted(later)))
 
     def _read_values(
-        self, change: records.Change
+        self, written: Mapping[keys.Key, msgspec.Raw]
     ) -> Result[dict[keys.Key, keys.Declared | None], str]:
         values: dict[keys.Key, keys.Declared | None] = {}
-        for key, raw in change.values.items():
+        for key, raw in written.items():
             match records.read_value(key, raw):
                 case Result(tag='ok', ok=value):
                     values[key] = value
@@ -284,13 +291,33 @@
     def _apply(
         self,
         values: dict[keys.Key, keys.Declared | None],
-        change: records.Change,
+        author: str,
         offset: ids.Offset,
     ) -> None:
         _update(self._rows, values)
         revision = ids.Revision(offset)
         for key, value in values.items():
-            self._entries[key] = Entry(value, revision, change.author)
+            self._entries[key] = Entry(value, revision, author)
+
+    def _take_reset(self, reset: records.Reset, offset: ids.Offset) -> Verdict:
+        """Starts anew; the outcome depends on the record alone."""
+        fresh = _Work(Folded())
+        match fresh._read_values(reset.values):
+            case Result(tag='ok', ok=values):
+                pass
+            case Result(error=reason):
+                kind = VerdictKind.INVALID
+                return Verdict(kind, offset, reset.id, reason)
+        values = {key: row for key, row in values.items() if row}
+        fresh._apply(values, reset.author, offset)
+        self._rows = fresh._rows
+        self._entries = fresh._entries
+        self._seen = {reset.id: ids.Revision(offset)}
+        self._covered = ids.Revision(offset - 1)
+        self._floor = ids.Revision(offset)
+        self._chain = ''
+        self._skipped = None
+        return Verdict(VerdictKind.APPLIED, offset, reset.id)
 
     def _take_snapshot(
         self, snapshot: records.Snapshot, offset: ids.Offset
@@ -352,6 +379,7 @@
         entries=entries,
         seen=dict(sorted(folded.seen.items())),
         covered=folded.covered,
+        floor=folded.floor,
         chain=folded.chain,
     )
 
@@ -373,6 +401,7 @@
         entries,
         snapshot.seen,
         snapshot.covered,
+        snapshot.floor,
         snapshot.chain,
     )
     faults = consistency.find_faults(found.rows)
@@ -381,6 +410,24 @@
     return Ok(found)
 
 
+def begin(row: base.LogRecord, oldest: ids.Offset) -> Folded | None:
+    """Returns the state to start from at ``row``, ``None`` if it has none.
+
+    A reset gives one; so does a snapshot if no record between it and ``row``
+    can have expired before ``oldest``.
+    """
+    match records.decode(row.body):
+        case Result(tag='ok', ok=records.Reset()):
+            before = Folded(ids.Revision(row.offset - 1))
+            folded, verdicts = fold(before, [row])
+            valid = verdicts[0].kind is VerdictKind.APPLIED
+            return folded if valid else None
+        case Result(tag='ok', ok=records.Snapshot() as snapshot):
+            if oldest - 1 <= snapshot.covers < row.offset:
+                return restore(snapshot).default_value(None)
+    return None
+
+
 def start_from(
     revision: ids.Revision, declared: declarations.Declarations
 ) -> Folded:
--- a/waxwingport/configuration/publisher.py
+++ b/waxwingport/configuration/publisher.py
@@ -48,6 +48,10 @@
     conflict: fold.Conflict | None = None
 
 
+_NOT_LOST = PublishFault(
+    PublishFaultKind.INVALID,
+    'the log holds the configuration; apply without a reset',
+)
 _KINDS = {
     fold.VerdictKind.CONFLICT: PublishFaultKind.CONFLICT,
     fold.VerdictKind.STALE: PublishFaultKind.CONFLICT,
@@ -121,6 +125,29 @@
             detail = f'no answer from the log within {timeout:g} s'
             return Error(attempt.describe_loss(detail))
 
+    async def reset(
+        self, reset: records.Reset, timeout: float
+    ) -> Result[ids.Revision, PublishFault]:
+        """Publishes everything anew where the log holds no state any more.
+
+        Refused as long as the log holds one: a reset would undo the changes
+        of others.
+        """
+        attempt = _Attempt(self._log, self._configuration, self._source)
+        try:
+            async with asyncio.timeout(timeout):
+                match await self._source.catch_up():
+                    case Result(tag='ok'):
+                        return Error(_NOT_LOST)
+                    case Result(error=fault):
+                        pass
+                if fault.kind is not base.LogFaultKind.EXPIRED:
+                    return Error(attempt.describe_loss(fault.detail))
+                return await attempt.run(reset)
+        except TimeoutError:
+            detail = f'no answer from the log within {timeout:g} s'
+            return Error(attempt.describe_loss(detail))
+
 
 class _Attempt:
     """One change on its way into the log."""
@@ -148,7 +175,7 @@
         return Ok(None) if found is None else _conclude(found)
 
     async def run(
-        self, change: records.Change
+        self, change: records.Change | records.Reset
     ) -> Result[ids.Revision, PublishFault]:
         """Appends the change and returns where it is in force."""
         match await self._append(change):
@@ -165,7 +192,7 @@
         return PublishFault(PublishFaultKind.UNAVAILABLE, detail)
 
     async def _append(
-        self, change: records.Change
+        self, change: records.Change | records.Reset
     ) -> Result[None, PublishFault]:
         """Appends the change until the log is known to hold it."""
         body = records.encode(change)
@@ -197,6 +224,9 @@
             match await self._source.catch_up():
                 case Result(tag='ok'):
                     return self._find(record_id) is not None
+                case Result(error=fault):
+                    if fault.kind is base.LogFaultKind.EXPIRED:
+                        return False
             await self._pause()
 
     async def _await_verdict(self, record_id: ids.RecordId) -> fold.Verdict:
--- a/waxwingport/configuration/reader.py
+++ b/waxwingport/configuration/reader.py
@@ -68,7 +68,7 @@
                 pass
         if fault.kind is not base.LogFaultKind.EXPIRED:
             return Error(fault)
-        return await self._start_from_snapshot(fault)
+        return await self._start_anew(fault)
 
     async def catch_up(self) -> Result[None, base.LogFault]:
         """Reads until the end of the stream."""
@@ -118,13 +118,13 @@
         self._verified = True
         return Ok(None)
 
-    async def _start_from_snapshot(
+    async def _start_anew(
         self, expired: base.LogFault
     ) -> Result[int, base.LogFault]:
-        """Puts the last usable snapshot in force.
+        """Puts the last state in force that the stream holds whole.
 
-        Usable is one whose next record the log still holds, so no change
-        between it and the end of the stream can be missed.
+        From there on the log still holds every record, so no change up to
+        the end of the stream can be missed.
         """
         oldest = expired.oldest or ids.Offset(0)
         match await self._log.read(STREAM, oldest, limit=1):
@@ -151,50 +151,31 @@
     async def _search(
         self, first: ids.Offset, end: ids.Offset, oldest: ids.Offset
     ) -> Result[fold.Folded | None, base.LogFault]:
-        """Returns the last usable snapshot between two offsets."""
-        candidates: list[records.Snapshot] = []
+        """Returns the last state to start from between two offsets."""
+        rows: list[base.LogRecord] = []
         while first < end:
             match await self._log.read(STREAM, first):
                 case Result(tag='ok', ok=page):
                     pass
                 case Result(error=fault):
                     return Error(fault)
-            candidates += _list_usable(page, oldest)
+            rows += [row for row in page.records if _may_begin(row)]
             if not page.records:
                 break
             first = page.next
-        return Ok(_restore_last(candidates))
+        found = (fold.begin(row, oldest) for row in reversed(rows))
+        return Ok(next((row for row in found if row is not None), None))
 
 
 def _holds(page: base.LogPage, record_id: ids.RecordId) -> bool:
     for row in page.records:
         match records.decode(row.body):
-            case Result(tag='ok', ok=records.Change(id=found)):
+            case Result(
+                tag='ok', ok=records.Change(id=found) | records.Reset(id=found)
+            ):
                 return found == record_id
     return False
 
 
-def _list_usable(
-    page: base.LogPage, oldest: ids.Offset
-) -> list[records.Snapshot]:
-    found = []
-    for row in page.records:
-        match records.decode(row.body):
-            case Result(tag='ok', ok=records.Snapshot() as snapshot):
-                if oldest - 1 <= snapshot.covers < row.offset:
-                    found.append(snapshot)
-    return found
-
-
-def _restore_last(
-    candidates: list[records.Snapshot],
-) -> fold.Folded | None:
-    for snapshot in reversed(candidates):
-        match fold.restore(snapshot):
-            case Result(tag='ok', ok=folded):
-                return folded
-            case Result(error=reason):
-                _LOG.warning(
-                    'snapshot covers=%d unusable: %s', snapshot.covers, reason
-                )
-    return None
+def _may_begin(row: base.LogRecord) -> bool:
+    return b'"snapshot"' in row.body or b'"reset"' in row.body
--- a/waxwingport/configuration/records.py
+++ b/waxwingport/configuration/records.py
@@ -22,6 +22,7 @@
     'Entry',
     'Envelope',
     'Record',
+    'Reset',
     'Snapshot',
     'Unreadable',
     'decode',
@@ -30,6 +31,7 @@
     'read_value',
     'shorten',
     'write_value',
+    'write_values',
 ]
 
 VERSION = 1
@@ -70,6 +72,24 @@
     value: msgspec.Raw
 
 
+class Reset(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+    tag='reset',
+):
+    """Replaces everything, whatever came before.
+
+    The way out when no node and no record holds the configuration any more.
+    """
+
+    id: ids.RecordId
+    author: str
+    values: dict[keys.Key, msgspec.Raw]
+    version: int = VERSION
+
+
 class Snapshot(
     msgspec.Struct,
     frozen=True,
@@ -87,6 +107,7 @@
     entries: dict[keys.Key, Entry] = {}
     seen: dict[ids.RecordId, ids.Revision] = {}
     covered: ids.Revision = ids.Revision(-1)
+    floor: ids.Revision = ids.Revision(-1)
     chain: str = ''
     version: int = VERSION
 
@@ -102,7 +123,7 @@
     newer: bool
 
 
-Record = Change | Snapshot
+Record = Change | Reset | Snapshot
 
 _MALFORMED = (msgspec.DecodeError, RecursionError, UnicodeError)
 _REMOVED = b'null'
@@ -120,10 +141,7 @@
     values: Mapping[keys.Key, keys.Declared | None],
 ) -> Change:
     """Returns the change that sets or removes ``values``."""
-    written = {
-        key: write_value(value) for key, value in sorted(values.items())
-    }
-    return Change(record_id, author, based_on, written)
+    return Change(record_id, author, based_on, write_values(values))
 
 
 def encode(record: Record) -> bytes:
@@ -175,6 +193,13 @@
     return Ok(value)
 
 
+def write_values(
+    values: Mapping[keys.Key, keys.Declared | None],
+) -> dict[keys.Key, msgspec.Raw]:
+    """Returns declarations by key as JSON, ordered by key."""
+    return {key: write_value(value) for key, value in sorted(values.items())}
+
+
 def write_value(value: keys.Declared | None) -> msgspec.Raw:
     """Returns a declaration as JSON with its defaults left out."""
     if value is None:
