--- a/tests/configuration/test_fold.py
+++ b/tests/configuration/test_fold.py
@@ -5,6 +5,7 @@
 from waxwingport.configuration import fold
 from waxwingport.configuration import keys
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 
 KINDS = fold.VerdictKind
 EMPTY = fold.Folded()
@@ -171,15 +172,15 @@
     stepwise = EMPTY
     for row in rows:
         stepwise, _ = fold.fold(stepwise, [row])
-    written = records.encode(fold.make_snapshot(whole))
-    assert written == records.encode(fold.make_snapshot(stepwise))
-    restored = fold.restore(records.decode(written).ok).ok
+    written = records.encode(starting.make_snapshot(whole))
+    assert written == records.encode(starting.make_snapshot(stepwise))
+    restored = starting.restore(records.decode(written).ok).ok
     assert restored == whole
 
 
 def test_second_snapshot_is_harmless(changes):
     before, _ = fold_all(changes.pool('p'))
-    snapshot = fold.make_snapshot(before)
+    snapshot = starting.make_snapshot(before)
     rows = conftest.make_rows(snapshot, snapshot, start=1)
     after, verdicts = fold.fold(before, rows)
     assert list_kinds(verdicts) == [KINDS.SNAPSHOT, KINDS.SNAPSHOT]
@@ -188,7 +189,7 @@
 
 def test_shortened_snapshot_folds_alike(changes):
     before, _ = fold_all(changes.pool('p'))
-    body = records.encode(fold.make_snapshot(before))
+    body = records.encode(starting.make_snapshot(before))
     whole, _ = fold.fold(before, conftest.make_rows(body, start=1))
     short = conftest.make_rows(records.shorten(body), start=1)
     assert fold.fold(before, short)[0] == whole
--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -22,6 +22,7 @@
 from waxwingport.configuration import messages
 from waxwingport.configuration import reader
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 from waxwingport.standins import platform
 
 WINDOW = 8
@@ -185,7 +186,7 @@
     def write_snapshot(self, node):
         folded = self.nodes[node].state.folded
         if folded.revision >= 0:
-            self.append(records.encode(fold.make_snapshot(folded)))
+            self.append(records.encode(starting.make_snapshot(folded)))
 
     @stateful.rule(data=st.data())
     def expire(self, data):
@@ -235,7 +236,7 @@
         written = {}
         for node in self.nodes:
             folded = node.state.folded
-            body = records.encode(fold.make_snapshot(folded))
+            body = records.encode(starting.make_snapshot(folded))
             assert written.setdefault(folded.revision, body) == body
 
 
--- a/waxwingport/configuration/declarations.py
+++ b/waxwingport/configuration/declarations.py
@@ -26,7 +26,12 @@
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
-class LabelRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class LabelRule(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """Sets labels on the targets whose labels match a selector.
 
     Rules apply in the order of their names; a later one sees and overrides
@@ -38,7 +43,12 @@
     set: dict[str, str]
 
 
-class Pool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Pool(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """Engines that answer completions under one ``model`` name.
 
     ``version`` pins a weight version, as a rollback does.  ``minimum_version``
@@ -56,7 +66,12 @@
     adapters: tuple[str, ...] = ()
 
 
-class Trainer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Trainer(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """A trainer and the pool that generates its samples.
 
     ``staleness_bound`` is in weight versions.  ``idle_weight`` weighs idle
@@ -77,7 +92,12 @@
     """Whether this trainer's versions are the ones that the pool loads."""
 
 
-class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Service(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """A plain service or scoring service."""
 
     name: ids.ServiceName
@@ -87,7 +107,12 @@
     """Seconds."""
 
 
-class Caller(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Caller(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """A caller known by its bearer token.
 
     ``token_sha256`` is the hexadecimal digest of the token.  ``allow`` names
@@ -101,7 +126,12 @@
     operator: bool = False
 
 
-class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Limits(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """Limits that hold for the whole deployment."""
 
     name: str = 'default'
--- a/waxwingport/configuration/difference.py
+++ b/waxwingport/configuration/difference.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
 from waxwingport.configuration import declarations
 from waxwingport.configuration import keys
 
@@ -42,8 +44,8 @@
         yield f'- {key}'
         return
     yield f'+ {key}' if before is None else f'~ {key}'
-    old = keys.strip_defaults(before) if before is not None else {}
-    new = keys.strip_defaults(after)
+    old = {} if before is None else msgspec.to_builtins(before)
+    new = msgspec.to_builtins(after)
     for field in sorted(old.keys() | new.keys()):
         if old.get(field) == new.get(field) or field == 'name':
             continue
--- a/waxwingport/configuration/files.py
+++ b/waxwingport/configuration/files.py
@@ -61,7 +61,7 @@
     for kind in keys.KINDS:
         rows = getattr(declared, kind)
         if rows:
-            tables[kind] = [keys.strip_defaults(row) for row in rows]
+            tables[kind] = msgspec.to_builtins(rows)
     return tomli_w.dumps(tables)
 
 
--- a/waxwingport/configuration/fold.py
+++ b/waxwingport/configuration/fold.py
@@ -35,12 +35,8 @@
     'Folded',
     'Verdict',
     'VerdictKind',
-    'begin',
     'fold',
-    'make_snapshot',
     'preview',
-    'restore',
-    'start_from',
     'take_run',
 ]
 
@@ -362,78 +358,3 @@
         f'{", ".join(conflict.keys)} changed at revision '
         f'{conflict.revision} by {conflict.author}'
     )
-
-
-def make_snapshot(folded: Folded) -> records.Snapshot:
-    """Returns the snapshot that covers the state's revision."""
-    entries = {
-        key: records.Entry(
-            entry.revision,
-            entry.author,
-            records.write_value(entry.value),
-        )
-        for key, entry in sorted(folded.entries.items())
-    }
-    return records.Snapshot(
-        covers=folded.revision,
-        entries=entries,
-        seen=dict(sorted(folded.seen.items())),
-        covered=folded.covered,
-        floor=folded.floor,
-        chain=folded.chain,
-    )
-
-
-def restore(snapshot: records.Snapshot) -> Result[Folded, str]:
-    """Returns the state that a snapshot holds, or why it holds none."""
-    if snapshot.covers < 0 or not snapshot.chain:
-        return Error('the snapshot is shortened')
-    entries = {}
-    for key, entry in snapshot.entries.items():
-        match records.read_value(key, entry.value):
-            case Result(tag='ok', ok=value):
-                pass
-            case Result(error=reason):
-                return Error(reason)
-        entries[key] = Entry(value, entry.revision, entry.author)
-    found = Folded(
-        snapshot.covers,
-        entries,
-        snapshot.seen,
-        snapshot.covered,
-        snapshot.floor,
-        snapshot.chain,
-    )
-    faults = consistency.find_faults(found.rows)
-    if faults:
-        return Error('; '.join(f'{key}: {what}' for key, what in faults))
-    return Ok(found)
-
-
-def begin(row: base.LogRecord, oldest: ids.Offset) -> Folded | None:
-    """Returns the state to start from at ``row``, ``None`` if it has none.
-
-    A reset gives one; so does a snapshot if no record between it and ``row``
-    can have expired before ``oldest``.
-    """
-    match records.decode(row.body):
-        case Result(tag='ok', ok=records.Reset()):
-            before = Folded(ids.Revision(row.offset - 1))
-            folded, verdicts = fold(before, [row])
-            valid = verdicts[0].kind is VerdictKind.APPLIED
-            return folded if valid else None
-        case Result(tag='ok', ok=records.Snapshot() as snapshot):
-            if oldest - 1 <= snapshot.covers < row.offset:
-                return restore(snapshot).default_value(None)
-    return None
-
-
-def start_from(
-    revision: ids.Revision, declared: declarations.Declarations
-) -> Folded:
-    """Returns a state with ``declared`` in force since ``revision``."""
-    entries = {
-        key: Entry(value, revision, '')
-        for key, value in keys.split(declared).items()
-    }
-    return Folded(revision, entries)
--- a/waxwingport/configuration/keys.py
+++ b/waxwingport/configuration/keys.py
@@ -17,7 +17,6 @@
     'make_key',
     'split',
     'split_key',
-    'strip_defaults',
 ]
 
 Key = NewType('Key', str)
@@ -84,13 +83,3 @@
 ) -> Iterator[tuple[str, Declared]]:
     for key in sorted(rows):
         yield split_key(key)[0], rows[key]
-
-
-def strip_defaults(value: Declared) -> dict[str, object]:
-    """Returns a declaration as plain data with its defaults left out."""
-    plain = msgspec.to_builtins(value)
-    for field in msgspec.structs.fields(type(value)):
-        given = getattr(value, field.name)
-        if not field.required and given == field.default:
-            del plain[field.encode_name]
-    return plain
--- a/waxwingport/configuration/messages.py
+++ b/waxwingport/configuration/messages.py
@@ -14,6 +14,7 @@
 
 from waxwingport.configuration import fold
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 from waxwingport import ids
 from waxwingport.platform import base
 
@@ -86,7 +87,7 @@
 
 def pack_state(folded: fold.Folded) -> State:
     """Returns a state as it goes to a peer."""
-    snapshot = records.encode(fold.make_snapshot(folded))
+    snapshot = records.encode(starting.make_snapshot(folded))
     return State(snapshot, folded.skipped)
 
 
@@ -94,7 +95,7 @@
     """Returns the state that a peer sent, or why it is unusable."""
     match records.decode(state.snapshot):
         case Result(tag='ok', ok=records.Snapshot() as snapshot):
-            return fold.restore(snapshot).map(
+            return starting.restore(snapshot).map(
                 lambda found: msgspec.structs.replace(
                     found, skipped=state.skipped
                 )
--- a/waxwingport/configuration/reader.py
+++ b/waxwingport/configuration/reader.py
@@ -9,6 +9,7 @@
 
 from waxwingport.configuration import fold
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.platform import base
@@ -163,7 +164,7 @@
             if not page.records:
                 break
             first = page.next
-        found = (fold.begin(row, oldest) for row in reversed(rows))
+        found = (starting.begin(row, oldest) for row in reversed(rows))
         return Ok(next((row for row in found if row is not None), None))
 
 
--- a/waxwingport/configuration/records.py
+++ b/waxwingport/configuration/records.py
@@ -204,5 +204,4 @@
     """Returns a declaration as JSON with its defaults left out."""
     if value is None:
         return msgspec.Raw(_REMOVED)
-    plain = keys.strip_defaults(value)
-    return msgspec.Raw(msgspec.json.encode(plain, order='sorted'))
+    return msgspec.Raw(msgspec.json.encode(value, order='sorted'))
--- a/waxwingport/configuration/snapshots.py
+++ b/waxwingport/configuration/snapshots.py
@@ -9,6 +9,7 @@
 from waxwingport.configuration import fold
 from waxwingport.configuration import reader
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.membership import base as membership
@@ -109,7 +110,7 @@
 
     async def _write(self) -> None:
         folded = self._configuration.folded
-        body = records.encode(fold.make_snapshot(folded))
+        body = records.encode(starting.make_snapshot(folded))
         match await self._log.append(reader.STREAM, body):
             case Result(tag='ok', ok=offset):
                 _LOG.info(
--- /dev/null
+++ b/waxwingport/configuration/starting.py
@@ -0,0 +1,90 @@
+"""States to start from: snapshots, resets and whole declarations."""
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from waxwingport.configuration import consistency
+from waxwingport.configuration import declarations
+from waxwingport.configuration import fold
+from waxwingport.configuration import keys
+from waxwingport.configuration import records
+from waxwingport import ids
+from waxwingport.platform import base
+
+__all__ = ['begin', 'make_snapshot', 'restore', 'start_from']
+
+
+def make_snapshot(folded: fold.Folded) -> records.Snapshot:
+    """Returns the snapshot that covers the state's revision."""
+    entries = {
+        key: records.Entry(
+            entry.revision,
+            entry.author,
+            records.write_value(entry.value),
+        )
+        for key, entry in sorted(folded.entries.items())
+    }
+    return records.Snapshot(
+        covers=folded.revision,
+        entries=entries,
+        seen=dict(sorted(folded.seen.items())),
+        covered=folded.covered,
+        floor=folded.floor,
+        chain=folded.chain,
+    )
+
+
+def restore(snapshot: records.Snapshot) -> Result[fold.Folded, str]:
+    """Returns the state that a snapshot holds, or why it holds none."""
+    if snapshot.covers < 0 or not snapshot.chain:
+        return Error('the snapshot is shortened')
+    entries = {}
+    for key, entry in snapshot.entries.items():
+        match records.read_value(key, entry.value):
+            case Result(tag='ok', ok=value):
+                pass
+            case Result(error=reason):
+                return Error(reason)
+        entries[key] = fold.Entry(value, entry.revision, entry.author)
+    found = fold.Folded(
+        snapshot.covers,
+        entries,
+        snapshot.seen,
+        snapshot.covered,
+        snapshot.floor,
+        snapshot.chain,
+    )
+    faults = consistency.find_faults(found.rows)
+    if faults:
+        return Error('; '.join(f'{key}: {what}' for key, what in faults))
+    return Ok(found)
+
+
+def begin(row: base.LogRecord, oldest: ids.Offset) -> fold.Folded | None:
+    """Returns the state to start from at ``row``, ``None`` if it has none.
+
+    A reset gives one; so does a snapshot if no record between it and ``row``
+    can have expired before ``oldest``.
+    """
+    match records.decode(row.body):
+        case Result(tag='ok', ok=records.Reset()):
+            before = fold.Folded(ids.Revision(row.offset - 1))
+            folded, verdicts = fold.fold(before, [row])
+            valid = verdicts[0].kind is fold.VerdictKind.APPLIED
+            return folded if valid else None
+        case Result(tag='ok', ok=records.Snapshot() as snapshot):
+            if oldest - 1 <= snapshot.covers < row.offset:
+                return restore(snapshot).default_value(None)
+    return None
+
+
+def start_from(
+    revision: ids.Revision, declared: declarations.Declarations
+) -> fold.Folded:
+    """Returns a state with ``declared`` in force since ``revision``."""
+    entries = {
+        key: fold.Entry(value, revision, '')
+        for key, value in keys.split(declared).items()
+    }
+    return fold.Folded(revision, entries)
--- a/waxwingport/configuration/state.py
+++ b/waxwingport/configuration/state.py
@@ -11,6 +11,7 @@
 from waxwingport.configuration import declarations
 from waxwingport.configuration import fold
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 from waxwingport import ids
 from waxwingport.platform import base
 
@@ -53,7 +54,7 @@
         declared: declarations.Declarations,
     ) -> bool:
         """Puts ``declared`` in force unless ``revision`` is not newer."""
-        return self.take(fold.start_from(revision, declared))
+        return self.take(starting.start_from(revision, declared))
 
     @property
     def revision(self) -> ids.Revision:
