--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -2,6 +2,7 @@
 
 from waxwingport.measure import base
 from waxwingport.measure import caching
+from waxwingport.measure import configuration
 from waxwingport.measure import control
 from waxwingport.measure import degraded
 from waxwingport.measure import dissemination
@@ -13,6 +14,9 @@
 __all__ = ['MEASUREMENTS']
 
 _ALL: tuple[base.Measurement, ...] = (
+    configuration.ConfigurationFold(),
+    configuration.ConfigurationSpread(),
+    configuration.ConfigurationTraffic(),
     routing.RoutingRate(),
     requests.AddedTime(),
     requests.TokenRate(),
--- a/waxwingport/peers/transport.py
+++ b/waxwingport/peers/transport.py
@@ -114,7 +114,8 @@
         self._pending[number] = pending
         try:
             self._dispatch(pending, number, kind, body, timeout)
-            return await asyncio.wait_for(pending.future, timeout)
+            async with asyncio.timeout(timeout):
+                return await pending.future
         except TimeoutError:
             return Error(self._note_timeout(pending))
         finally:
