--- /dev/null
+++ b/waxwingport/samples/generation.py
@@ -0,0 +1,82 @@
+"""Generates one sample and checks that its chunks make a whole."""
+
+import asyncio
+import contextlib
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from waxwingport import ids
+from waxwingport import outcomes
+from waxwingport.requests import completions
+from waxwingport.samples import ledger
+from waxwingport.samples import statistics
+from waxwingport.samples import steps
+from waxwingport.targets import base
+
+__all__ = ['generate', 'join_chunks']
+
+Failure = outcomes.Refusal | statistics.Discard
+
+
+async def generate(
+    runner: completions.CompletionRunner,
+    request: completions.CompletionWork,
+    attempt: ledger.Attempt,
+) -> Result[steps.Sample, Failure]:
+    """Returns the attempt's sample, or why there is none.
+
+    Notes progress on ``attempt``.  Cancellation reaches the engine.
+    """
+    chunks: list[base.Chunk] = []
+    stream = runner.stream(request)
+    async with contextlib.aclosing(stream):
+        async for outcome in stream:
+            match outcome:
+                case Result(tag='ok', ok=chunk):
+                    chunks.append(chunk)
+                    _note_chunk(attempt, chunk)
+                case Result(error=refusal):
+                    return Error(refusal)
+    return join_chunks(attempt.slot, chunks)
+
+
+def join_chunks(
+    slot: steps.SampleSlot, chunks: list[base.Chunk]
+) -> Result[steps.Sample, statistics.Discard]:
+    """Returns the sample that the chunks make up.
+
+    Each chunk has to name its version and to start where the one before it
+    ended; the last one has to say why the generation ended.
+    """
+    if not chunks or chunks[-1].finish_reason is None:
+        return Error(statistics.Discard.UNFINISHED)
+    position = 0
+    for chunk in chunks:
+        if chunk.position != position:
+            return Error(statistics.Discard.GAP)
+        position += chunk.tokens
+    versions = completions.list_versions(chunks)
+    if not versions:
+        return Error(statistics.Discard.NO_VERSION)
+    return Ok(
+        steps.Sample(
+            number=slot.number,
+            group=slot.group.group,
+            index=slot.index,
+            weight_versions=tuple(versions),
+            text=''.join(chunk.text for chunk in chunks),
+        )
+    )
+
+
+def _note_chunk(attempt: ledger.Attempt, chunk: base.Chunk) -> None:
+    attempt.tokens += chunk.tokens
+    if attempt.first_chunk_at is None:
+        attempt.first_chunk_at = asyncio.get_running_loop().time()
+    version = chunk.weight_version
+    if version is not None:
+        attempt.oldest = ids.WeightVersion(
+            min(version, attempt.oldest or version)
+        )
--- a/waxwingport/samples/steps.py
+++ b/waxwingport/samples/steps.py
@@ -1,10 +1,43 @@
 """A trainer's step: prompt groups, and the numbering of their samples."""
 
+from collections.abc import Iterator
+import enum
+from typing import Annotated
+
+from expression import Error
+from expression import Ok
+from expression import Result
 import msgspec
+import xxhash
 
 from waxwingport import ids
+from waxwingport.samples import settings
+
+__all__ = [
+    'Delivery',
+    'Group',
+    'PullAnswer',
+    'PullRequest',
+    'Sample',
+    'SampleSlot',
+    'Step',
+    'StepBody',
+    'find_fault',
+    'parse',
+]
+
+_Count = Annotated[int, msgspec.Meta(ge=1, le=65_536)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
+_DEFAULT_MAX_TOKENS = 4096
 
-__all__ = ['Group', 'PullRequest', 'Sample', 'SampleSlot', 'Step', 'StepBody']
+
+class Delivery(enum.Enum):
+    """How a step's samples arrive at the trainer."""
+
+    GROUP = 'group'
+    """A group's samples all in one answer."""
+    SAMPLE = 'sample'
+    """Each sample as soon as it is whole."""
 
 
 class Group(msgspec.Struct, frozen=True):
@@ -12,24 +45,30 @@
 
     group: ids.GroupId
     prompt: str
-    samples: int
+    samples: _Count
 
 
 class StepBody(msgspec.Struct, frozen=True):
-    """Body of ``PUT /v1/trainers/{trainer}/steps/{step}``."""
+    """Body of ``PUT /v1/trainers/{trainer}/steps/{step}``.
+
+    ``received`` names what the trainer holds already, as in a pull; it is
+    not part of the step's identity.
+    """
 
     groups: tuple[Group, ...]
     parameters: dict[str, msgspec.Raw] = {}
+    delivery: Delivery = Delivery.SAMPLE
+    received: str = ''
 
 
 class PullRequest(msgspec.Struct, frozen=True):
     """Body of ``POST /v1/trainers/{trainer}/pull``."""
 
     step: ids.StepNumber
-    version: ids.WeightVersion
+    version: Annotated[ids.WeightVersion, msgspec.Meta(ge=1)]
     received: str
-    max: int = 64
-    wait_ms: int = 1000
+    max: _Count = 64
+    wait_ms: _Milliseconds = 1000
 
 
 class Sample(msgspec.Struct, frozen=True):
@@ -42,6 +81,18 @@
     text: str
     score: float | None = None
 
+    @property
+    def oldest(self) -> ids.WeightVersion:
+        """The oldest weight version that took part in this sample."""
+        return min(self.weight_versions)
+
+
+class PullAnswer(msgspec.Struct, frozen=True):
+    """Outcome of a pull; ``superseded`` when a newer one ended it."""
+
+    samples: tuple[Sample, ...] = ()
+    superseded: bool = False
+
 
 class SampleSlot(msgspec.Struct, frozen=True):
     """Where a sample number stands in its step."""
@@ -58,12 +109,86 @@
         self.number = number
         self.body = body
         self.slots = tuple(_number_samples(body.groups))
+        self.fingerprint = _hash_body(body)
 
     def __len__(self) -> int:
         return len(self.slots)
 
-
-def _number_samples(groups: tuple[Group, ...]):
+    @property
+    def by_group(self) -> bool:
+        """Whether groups arrive whole."""
+        return self.body.delivery is Delivery.GROUP
+
+    @property
+    def max_tokens(self) -> int:
+        """Longest sample in tokens."""
+        return _read_max_tokens(self.body.parameters).default_value(
+            _DEFAULT_MAX_TOKENS
+        )
+
+
+def parse(
+    number: int, body: StepBody, limits: settings.SampleSettings
+) -> Result[Step, str]:
+    """Returns the step, or what is wrong with its body."""
+    fault = find_fault(body, limits)
+    if fault is not None:
+        return Error(fault)
+    return Ok(Step(ids.StepNumber(number), body))
+
+
+def find_fault(body: StepBody, limits: settings.SampleSettings) -> str | None:
+    """Returns what is wrong with a step's body, ``None`` if nothing is."""
+    groups = body.groups
+    if not groups:
+        return 'groups: a step has at least one group'
+    if len(groups) > limits.step_groups:
+        return f'groups: {len(groups)} groups, at most {limits.step_groups}'
+    total = sum(row.samples for row in groups)
+    if total > limits.step_samples:
+        return f'groups: {total} samples, at most {limits.step_samples}'
+    seen: set[ids.GroupId] = set()
+    for row in groups:
+        if row.group in seen:
+            return f'groups: {row.group!r} stands twice'
+        seen.add(row.group)
+        if len(row.prompt) > limits.prompt_size:
+            return f'groups: the prompt of {row.group!r} is too long'
+    match _read_max_tokens(body.parameters):
+        case Result(tag='error', error=fault):
+            return fault
+    return None
+
+
+def _read_max_tokens(
+    parameters: dict[str, msgspec.Raw],
+) -> Result[int, str]:
+    given = parameters.get('max_tokens')
+    if given is None:
+        return Ok(_DEFAULT_MAX_TOKENS)
+    try:
+        return Ok(msgspec.json.decode(given, type=Annotated[int, _POSITIVE]))
+    except msgspec.DecodeError as error:
+        return Error(f'parameters: max_tokens: {error}')
+
+
+_POSITIVE = msgspec.Meta(ge=1)
+
+
+def _hash_body(body: StepBody) -> str:
+    identity = (
+        body.groups,
+        {
+            key: msgspec.json.decode(value)
+            for key, value in body.parameters.items()
+        },
+        body.delivery,
+    )
+    encoded = msgspec.json.encode(identity, order='sorted')
+    return xxhash.xxh3_128_hexdigest(encoded)
+
+
+def _number_samples(groups: tuple[Group, ...]) -> Iterator[SampleSlot]:
     number = 0
     for group in groups:
         for index in range(group.samples):
