--- a/waxwingport/api/trainers.py
+++ b/waxwingport/api/trainers.py
@@ -1,5 +1,7 @@
 """Resources for trainers: steps, pulls and weight versions."""
 
+from expression import Error
+from expression import Ok
 from expression import Result
 import msgspec
 
@@ -10,6 +12,9 @@
 
 __all__ = ['Pull', 'StepResource', 'VersionResource']
 
+_LARGEST_NUMBER = 2**53 - 1
+"""Largest integer that every JSON reader keeps exact."""
+
 
 class VersionBody(msgspec.Struct, frozen=True):
     """Body of ``PUT /v1/trainers/{trainer}/versions/{version}``."""
@@ -18,54 +23,75 @@
 
 
 class _TrainerHandler(handler.Handler):
-    def find_collector(self, trainer: str):
-        """Returns the trainer's collector; refuses an unknown trainer."""
-        collector = self.node.find_collector(ids.TrainerName(trainer))
-        if collector is None:
-            self.send_refusal(
-                outcomes.Refusal(
-                    outcomes.Reason.NOT_FOUND,
-                    f'no trainer is called {trainer!r}',
-                )
-            )
-        return collector
+    def send_outcome(self, outcome: Result) -> None:
+        """Answers with the value as JSON or with the refusal."""
+        match outcome:
+            case Result(tag='ok', ok=value):
+                self.send_json(value)
+            case Result(error=refusal):
+                self.send_refusal(refusal)
+
+    def read_number(
+        self, text: str, name: str, lowest: int = 0
+    ) -> Result[int, outcomes.Refusal]:
+        """Returns a number of the path, or a refusal."""
+        number = int(text[: len(str(_LARGEST_NUMBER)) + 1])
+        if lowest <= number <= _LARGEST_NUMBER:
+            return Ok(number)
+        detail = f'{name}: not from {lowest} to {_LARGEST_NUMBER}'
+        return Error(outcomes.Refusal(outcomes.Reason.BAD_REQUEST, detail))
 
 
 class StepResource(_TrainerHandler):
-    """``PUT /v1/trainers/{trainer}/steps/{step}``."""
+    """``/v1/trainers/{trainer}/steps/{step}``."""
 
     async def put(self, trainer: str, step: str) -> None:
         """Starts a step; repeatable."""
-        collector = self.find_collector(trainer)
-        if collector is None:
-            return
-        match handler.read_json(self.request.body, steps.StepBody):
-            case Result(tag='ok', ok=body):
-                collector.put_step(ids.StepNumber(int(step)), body)
-                self.send_json({'step': int(step)})
+        match (
+            self.read_number(step, 'step'),
+            handler.read_json(self.request.body, steps.StepBody),
+        ):
+            case (Result(tag='ok', ok=number), Result(tag='ok', ok=body)):
+                await self._put(trainer, number, body)
+            case (Result(tag='error', error=refusal), _):
+                self.send_refusal(refusal)
+            case (_, Result(error=refusal)):
+                self.send_refusal(refusal)
+
+    async def delete(self, trainer: str, step: str) -> None:
+        """Gives a step up; repeatable."""
+        match self.read_number(step, 'step'):
+            case Result(tag='ok', ok=number):
+                await self._put(trainer, number, None)
             case Result(error=refusal):
                 self.send_refusal(refusal)
 
+    async def _put(
+        self, trainer: str, step: int, body: steps.StepBody | None
+    ) -> None:
+        outcome = await self.node.collectors.put_step(
+            ids.TrainerName(trainer), ids.StepNumber(step), body
+        )
+        self.send_outcome(outcome.map(lambda _: {'step': step}))
+
 
 class Pull(_TrainerHandler):
     """``POST /v1/trainers/{trainer}/pull``."""
 
     async def post(self, trainer: str) -> None:
         """Answers with samples that the trainer has not received."""
-        collector = self.find_collector(trainer)
-        if collector is None:
-            return
         match handler.read_json(self.request.body, steps.PullRequest):
             case Result(tag='ok', ok=request):
                 pass
             case Result(error=refusal):
                 self.send_refusal(refusal)
                 return
-        match await collector.pull(request):
-            case Result(tag='ok', ok=samples):
-                self.send_json({'samples': samples})
-            case Result(error=refusal):
-                self.send_refusal(refusal)
+        outcome = await self.node.collectors.pull(
+            ids.TrainerName(trainer), request
+        )
+        self.send_outcome(
+            outcome.map(lambda answer: {'samples': answer.samples})
+        )
 
 
 class VersionResource(_TrainerHandler):
@@ -73,23 +99,23 @@
 
     async def put(self, trainer: str, version: str) -> None:
         """Publishes new weights; repeatable."""
-        collector = self.find_collector(trainer)
-        if collector is None:
+        name = ids.TrainerName(trainer)
+        if self.node.configuration.declarations.trainer(name) is None:
+            detail = f'no trainer is called {trainer!r}'
+            self.send_refusal(
+                outcomes.Refusal(outcomes.Reason.NOT_FOUND, detail)
+            )
             return
-        match handler.read_json(self.request.body, VersionBody):
-            case Result(tag='ok', ok=body):
+        match (
+            self.read_number(version, 'version', 1),
+            handler.read_json(self.request.body, VersionBody),
+        ):
+            case (Result(tag='ok', ok=number), Result(tag='ok', ok=body)):
                 outcome = await self.node.publish_version(
-                    ids.TrainerName(trainer),
-                    ids.WeightVersion(int(version)),
-                    body.weights,
+                    name, ids.WeightVersion(number), body.weights
                 )
-                self._answer(int(version), outcome)
-            case Result(error=refusal):
+                self.send_outcome(outcome.map(lambda _: {'version': number}))
+            case (Result(tag='error', error=refusal), _):
                 self.send_refusal(refusal)
-
-    def _answer(self, version: int, outcome: Result) -> None:
-        match outcome:
-            case Result(tag='ok'):
-                self.send_json({'version': version})
-            case Result(error=refusal):
+            case (_, Result(error=refusal)):
                 self.send_refusal(refusal)
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -21,7 +21,7 @@
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
 from waxwingport.requests import services
-from waxwingport.samples import collector
+from waxwingport.samples import collectors
 from waxwingport import settings
 from waxwingport.targets import table
 from waxwingport.weights import controller
@@ -90,7 +90,17 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
-        self._collectors: dict[ids.TrainerName, collector.Collector] = {}
+        self.collectors = collectors.Collectors(
+            collectors.Parts(
+                self.configuration,
+                self.targets,
+                self.admission,
+                self.metrics,
+                self._find_version,
+                configured.samples,
+            ),
+            collectors.Neighbours(self.membership, self.peers),
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -103,11 +113,11 @@
         self._spawn(self._poll_engines())
         self._spawn(self.version_exchange.run())
         self._spawn(self.weights.run())
+        self._spawn(self.collectors.run())
 
     async def stop(self) -> None:
         """Stops the node's background work."""
-        for trainer in self._collectors.values():
-            trainer.close()
+        await self.collectors.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -116,19 +126,6 @@
         """Returns whether requests can be taken."""
         return self.configuration.revision >= 0 and len(self.targets) > 0
 
-    def find_collector(
-        self, name: ids.TrainerName
-    ) -> collector.Collector | None:
-        """Returns the collector of a declared trainer, or ``None``."""
-        declared = self.configuration.declarations.trainer(name)
-        if declared is None:
-            return None
-        if name not in self._collectors:
-            self._collectors[name] = collector.Collector(
-                declared, self.completions
-            )
-        return self._collectors[name]
-
     def find_lease(self, pool: ids.PoolName) -> leases.Lease:
         """Returns the lease for orders to a pool in this data centre."""
         return leases.StaticLease(ids.FencingNumber(0))
@@ -163,13 +160,20 @@
         }
 
     def _describe_trainer(self, declared) -> dict[str, object]:
-        latest = self.versions.find_latest(declared.name)
+        found = self.collectors.peek(declared.name)
         return {
             'name': declared.name,
             'staleness_bound': declared.staleness_bound,
-            'version': latest.version if latest else 1,
+            'version': self._find_version(declared.name) or 1,
+            **(found.describe() if found else {}),
         }
 
+    def _find_version(
+        self, trainer: ids.TrainerName
+    ) -> ids.WeightVersion | None:
+        latest = self.versions.find_latest(trainer)
+        return latest.version if latest else None
+
     def _join_peers(self) -> peers.Peers:
         configured = self.settings.node
         return memory.MemoryNetwork().join(
--- a/waxwingport/samples/collectors.py
+++ b/waxwingport/samples/collectors.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import logging
 
 from expression import Error
@@ -32,7 +33,7 @@
 
 __all__ = ['Collectors', 'Neighbours', 'Parts']
 
-_CHECK_INTERVAL = 1.0
+_CHECK_INTERVAL = 0.25
 _LOG = logging.getLogger(__name__)
 
 PullResult = Result[steps.PullAnswer, outcomes.Refusal]
@@ -53,6 +54,10 @@
     targets: table.TargetTable
     admission: admission.Admission
     metrics: metrics.Metrics
+    find_version: Callable[[ids.TrainerName], ids.WeightVersion | None] = (
+        lambda trainer: None
+    )
+    """Returns the latest version that a trainer published."""
     limits: settings.SampleSettings = settings.SampleSettings()
 
 
@@ -61,7 +66,8 @@
 
     trainer: ids.TrainerName
     step: ids.StepNumber
-    body: steps.StepBody | None = None
+    body: bytes | None = None
+    """JSON, as its parameters are kept as the trainer wrote them."""
 
 
 class PullMessage(msgspec.Struct, frozen=True):
@@ -90,7 +96,9 @@
         self._places = placements.Placements(parts.admission)
         self._runner = completions.CompletionRunner(self._places)
         self._own: dict[ids.TrainerName, collector.Collector] = {}
+        self._published: dict[ids.TrainerName, ids.WeightVersion] = {}
         self._avoided: dict[ids.NodeName, float] = {}
+        self._closing: set[asyncio.Task[None]] = set()
         parts.configuration.listen(self._follow_declarations)
         if neighbours is not None:
             links = neighbours.peers
@@ -128,7 +136,10 @@
         """
         home = self._find_home(trainer)
         if home is not None:
-            message = msgspec.msgpack.encode(StepMessage(trainer, step, body))
+            encoded = None if body is None else msgspec.json.encode(body)
+            message = msgspec.msgpack.encode(
+                StepMessage(trainer, step, encoded)
+            )
             timeout = self._limits.peer_wait + self._limits.peer_timeout
             passed = await self._ask(
                 home, peers.MessageKind.STEP, message, timeout
@@ -158,10 +169,11 @@
         return await self._pull_own(trainer, _shorten(request, left))
 
     async def run(self) -> None:
-        """Drops, until cancelled, collectors that lost their role."""
+        """Follows published versions and lost roles until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL)
             for name, found in list(self._own.items()):
+                self._note_published(name, found)
                 unused = asyncio.get_running_loop().time() - found.last_used
                 if (
                     unused > self._limits.release_after
@@ -171,6 +183,14 @@
                     del self._own[name]
                     await found.close()
 
+    def _note_published(
+        self, name: ids.TrainerName, found: collector.Collector
+    ) -> None:
+        version = self._parts.find_version(name)
+        if version is not None and version != self._published.get(name):
+            self._published[name] = version
+            found.note_version(version)
+
     async def close(self) -> None:
         """Cancels all work."""
         found = list(self._own.values())
@@ -236,7 +256,10 @@
 
     async def _answer_step(self, sender: ids.NodeName, body: bytes) -> bytes:
         message = msgspec.msgpack.decode(body, type=StepMessage)
-        outcome = self._put_own(message.trainer, message.step, message.body)
+        body = None
+        if message.body is not None:
+            body = msgspec.json.decode(message.body, type=steps.StepBody)
+        outcome = self._put_own(message.trainer, message.step, body)
         return _encode(outcome.map(lambda _: None))
 
     async def _answer_pull(self, sender: ids.NodeName, body: bytes) -> bytes:
@@ -274,9 +297,9 @@
                 found.update(trainer)
                 continue
             del self._own[name]
-            self._closing = asyncio.get_running_loop().create_task(
-                found.close()
-            )
+            task = asyncio.get_running_loop().create_task(found.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
 
     def _find_resources(
         self, trainer: declarations.Trainer
--- a/waxwingport/samples/generator.py
+++ b/waxwingport/samples/generator.py
@@ -205,9 +205,7 @@
         ahead = entry.number - outlook.step
         return entry.fault is None and 0 <= ahead <= self.ahead
 
-    def _has_memory(
-        self, entry: book.Entry, outlook: planner.Outlook
-    ) -> bool:
+    def _has_memory(self, entry: book.Entry, outlook: planner.Outlook) -> bool:
         rows = list(self._book)
         unscored = sum(row.ledger.unscored for row in rows)
         if unscored >= self._limits.unscored_samples:
--- a/waxwingport/samples/ledger.py
+++ b/waxwingport/samples/ledger.py
@@ -243,8 +243,7 @@
             start = rows[0].number - rows[0].index
             size = self.step.body.groups[index].samples
             wanted = sum(
-                number not in received
-                for number in range(start, start + size)
+                number not in received for number in range(start, start + size)
             )
             if len(rows) == wanted and len(chosen) + wanted <= maximum:
                 chosen += rows
--- a/waxwingport/samples/planner.py
+++ b/waxwingport/samples/planner.py
@@ -74,9 +74,7 @@
         ahead = max(0, step - self.step)
         return self.version + round(ahead * self.advance) + self.drift
 
-    def find_minimum(
-        self, step: ids.StepNumber
-    ) -> ids.WeightVersion | None:
+    def find_minimum(self, step: ids.StepNumber) -> ids.WeightVersion | None:
         """Returns the oldest version that will still do for ``step``.
 
         ``None`` if even the newest version will be too old by then.
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -14,6 +14,7 @@
 
 from waxwingport.http import client as http_client
 from waxwingport import ids
+from waxwingport.samples import settings as sample_settings
 
 __all__ = [
     'LogSettings',
@@ -72,6 +73,7 @@
     client: http_client.ClientSettings = http_client.ClientSettings()
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
+    samples: sample_settings.SampleSettings = sample_settings.SampleSettings()
 
 
 def read_settings(path: pathlib.Path) -> Result[Settings, str]:
