--- a/waxwingport/samples/generator.py
+++ b/waxwingport/samples/generator.py
@@ -31,6 +31,8 @@
 _REORDER_INTERVAL = 0.5
 _RETRY_DELAY = 0.1
 _LONGEST_RETRY = 2.0
+_AVOID_TIME = 10.0
+"""How long an engine whose sample was discarded gets no attempt."""
 _SECONDS_RESERVE = 0.1
 """Share of the window that second attempts may use on top of it."""
 _LOG = logging.getLogger(__name__)
@@ -70,6 +72,7 @@
         self._paused_until = 0.0
         self._retry_delay = _RETRY_DELAY
         self._committed = 0.0
+        self._avoided: dict[ids.TargetName, float] = {}
         self._wake = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._pumping = self._loop.create_task(self._pump())
@@ -210,14 +213,29 @@
         unscored = sum(row.ledger.unscored for row in rows)
         if unscored >= self._limits.unscored_samples:
             return False
-        if sum(row.ledger.held_size for row in rows) < self._limits.held_size:
+        if self._measure_held() < self._limits.held_size:
             return True
         for row in rows:
             row.ledger.drop_received()
-        held = sum(row.ledger.held_size for row in rows)
+        if entry.number != outlook.step:
+            return self._measure_held() < self._limits.held_size
+        self._drop_ahead(entry)
         # The parts of a group can only leave once the group is whole.
-        urgent = entry.step.by_group and entry.number == outlook.step
-        return held < self._limits.held_size or urgent
+        fits = self._measure_held() < self._limits.held_size
+        return fits or entry.step.by_group
+
+    def _measure_held(self) -> int:
+        return sum(row.ledger.held_size for row in self._book)
+
+    def _drop_ahead(self, current: book.Entry) -> None:
+        """Frees the memory that the pulled step needs."""
+        for row in self._book:
+            if row is current:
+                continue
+            for dropped in row.ledger.drop_held():
+                self._figures.note_wasted(
+                    statistics.Waste.ABANDONED, dropped.tokens
+                )
 
     def _start(
         self,
@@ -355,8 +373,8 @@
                 priority=self.trainer.priority,
                 weight=self.trainer.weight,
                 blocks=prefixes.hash_blocks(prompt),
-                minimum_version=minimum,
-                excluded=excluded,
+                minimum_version=None if minimum == 1 else minimum,
+                excluded=excluded | self._list_avoided(),
             ),
             prompt=prompt,
             max_tokens=entry.step.max_tokens,
@@ -377,8 +395,7 @@
                 self._finish(entry, attempt, sample)
             case Result(error=statistics.Discard() as cause):
                 entry.ledger.fail(attempt)
-                self._figures.note_discarded(cause, attempt.tokens)
-                self._pause()
+                self._note_discard(attempt, cause)
             case Result(error=refusal):
                 entry.ledger.fail(attempt)
                 self._note_refusal(entry, attempt, refusal)
@@ -404,6 +421,30 @@
                 statistics.Waste.SECOND_ATTEMPT, attempt.tokens
             )
 
+    def _note_discard(
+        self, attempt: ledger.Attempt, cause: statistics.Discard
+    ) -> None:
+        place = self._places.find(attempt.request_id)
+        self._figures.note_discarded(cause, attempt.tokens)
+        if place is not None:
+            self._avoided[place] = self._loop.time() + _AVOID_TIME
+        _LOG.warning(
+            'discard trainer=%s step=%d sample=%d attempt=%s cause=%s '
+            'target=%s',
+            self.trainer.name,
+            attempt.step,
+            attempt.slot.number,
+            attempt.request_id,
+            cause.value,
+            place,
+        )
+
+    def _list_avoided(self) -> frozenset[ids.TargetName]:
+        now = self._loop.time()
+        return frozenset(
+            name for name, until in self._avoided.items() if until > now
+        )
+
     def _note_refusal(
         self,
         entry: book.Entry,
--- a/waxwingport/samples/ledger.py
+++ b/waxwingport/samples/ledger.py
@@ -206,6 +206,10 @@
         """Drops the samples not yet received that are older."""
         return self._drop_where(lambda row: row.sample.oldest < oldest)
 
+    def drop_held(self) -> tuple[Dropped, ...]:
+        """Drops all samples not yet received."""
+        return self._drop_where(lambda row: True)
+
     def drop_unscored(self) -> tuple[Dropped, ...]:
         """Drops the samples that await a score."""
         return self._drop_where(lambda row: row.awaits_score)
--- /dev/null
+++ b/waxwingport/standins/trainer.py
@@ -0,0 +1,144 @@
+"""Stand-in of a trainer that reads and checks what it receives."""
+
+import asyncio
+import collections
+
+from expression import Result
+import msgspec
+
+from waxwingport import client
+from waxwingport import ids
+
+__all__ = ['Received', 'StandInTrainer', 'StandInTrainerSettings']
+
+
+class StandInTrainerSettings(msgspec.Struct, frozen=True):
+    """Sizes of a stand-in trainer's steps; times in seconds."""
+
+    groups: int = 4
+    samples: int = 4
+    train_time: float = 1.0
+    steps_ahead: int = 1
+    """Steps that are put before the one they follow is whole."""
+    staleness_bound: int = 2
+    max_tokens: int = 4096
+    delivery: client.Delivery = client.Delivery.SAMPLE
+    weights: str = 'weights'
+    """Prefix of the references under which versions are published."""
+
+
+class Received(msgspec.Struct, frozen=True):
+    """A sample as it came; ``at`` on the loop's clock."""
+
+    step: int
+    version: int
+    sample: client.Sample
+    at: float
+
+
+class StandInTrainer:
+    """Pulls steps, trains for a while and publishes a version after each.
+
+    ``faults`` lists everything that broke the contract: a sample too old or
+    delivered twice, a text that answers another prompt.
+    """
+
+    def __init__(
+        self,
+        link: client.TrainerClient,
+        settings: StandInTrainerSettings | None = None,
+    ) -> None:
+        self.client = link
+        self.settings = settings or StandInTrainerSettings()
+        self.received: list[Received] = []
+        self.faults: list[str] = []
+        self.idle = 0.0
+        self.trained = 0.0
+        self.step_times: list[float] = []
+        self.steps_done = 0
+        self._seen: collections.Counter[tuple[int, int]] = (
+            collections.Counter()
+        )
+        self._put: set[int] = set()
+
+    async def run(self, steps: int | None = None) -> None:
+        """Trains ``steps`` steps, or until cancelled."""
+        while steps is None or self.steps_done < steps:
+            step = self.steps_done + 1
+            last = step + self.settings.steps_ahead
+            for number in range(step, last + 1):
+                if steps is None or number <= steps:
+                    await self._put_step(number)
+            if not await self.collect(step):
+                return
+            await self._train(step)
+            self.steps_done = step
+
+    async def collect(self, step: int) -> bool:
+        """Reads a whole step; false if it was refused."""
+        start = _now()
+        async for outcome in self.client.samples(step):
+            match outcome:
+                case Result(tag='ok', ok=sample):
+                    self._read(step, sample)
+                case Result(error=fault):
+                    self.faults.append(f'step {step}: {fault}')
+                    return False
+        waited = _now() - start
+        self.idle += waited
+        self.step_times.append(waited)
+        return True
+
+    def make_groups(self, step: int) -> list[client.Group]:
+        """Returns the prompts of a step."""
+        return [
+            client.Group(
+                ids.GroupId(f'g{index}'),
+                f'step {step} prompt {index}',
+                self.settings.samples,
+            )
+            for index in range(self.settings.groups)
+        ]
+
+    async def _put_step(self, step: int) -> None:
+        if step in self._put:
+            return
+        self._put.add(step)
+        outcome = await self.client.put_step(
+            step,
+            self.make_groups(step),
+            {'max_tokens': self.settings.max_tokens},
+            self.settings.delivery,
+        )
+        if outcome.is_error():
+            self.faults.append(f'step {step}: {outcome.error}')
+
+    async def _train(self, step: int) -> None:
+        start = _now()
+        await asyncio.sleep(self.settings.train_time)
+        version = self.client.version + 1
+        reference = f'{self.settings.weights}/{version}'
+        outcome = await self.client.publish_version(version, reference)
+        if outcome.is_error():
+            self.faults.append(f'version {version}: {outcome.error}')
+        self.client.forget(step)
+        self.trained += _now() - start
+
+    def _read(self, step: int, sample: client.Sample) -> None:
+        version = self.client.version
+        self.received.append(Received(step, version, sample, _now()))
+        key = (step, sample.number)
+        self._seen[key] += 1
+        name = f'step {step} sample {sample.number}'
+        if self._seen[key] > 1:
+            self.faults.append(f'{name}: delivered {self._seen[key]} times')
+        oldest = min(sample.weight_versions, default=0)
+        if version - oldest > self.settings.staleness_bound:
+            self.faults.append(f'{name}: version {oldest} at {version}')
+        group = sample.number // self.settings.samples
+        if not sample.text.startswith(f'step {step} prompt {group}'):
+            self.faults.append(f'{name}: answers another prompt')
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
