--- a/tests/samples/conftest.py
+++ b/tests/samples/conftest.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import random
 
 
@@ -69,6 +70,7 @@
 
     def __init__(self, fleet, trainer=TRAINER, limits=None, neighbours=None):
         self.fleet = fleet
+        self.ids = itertools.count()
         self.configuration = state.ConfigurationState()
         self.targets = table.TargetTable(fleet)
         self.targets.update(fleet.list_vms())
@@ -81,6 +83,7 @@
                 ),
                 metrics.Metrics(),
                 limits=limits or settings.SampleSettings(),
+                mint=lambda: ids.RequestId(f'attempt-{next(self.ids)}'),
             ),
             neighbours,
         )
--- a/tests/samples/test_collectors.py
+++ b/tests/samples/test_collectors.py
@@ -96,6 +96,18 @@
     assert loop.time() - start <= limits.peer_wait + limits.peer_timeout
 
 
+async def test_pull_of_a_whole_step_returns_at_once(make_sites):
+    network, sites = make_sites(2)
+    _, (other,) = pick_home(sites)
+    await collect(other, set())
+    sent = network.sent_messages
+    request = test_collector.make_pull(range(6))
+    answer = (await other.collectors.pull(NAME, request)).ok
+    assert answer.final
+    assert answer.samples == ()
+    assert network.sent_messages == sent + 2
+
+
 async def test_newer_pull_through_another_node_ends_the_older(make_sites):
     _, sites = make_sites(3)
     for row in sites[0].fleet.engines.values():
--- a/waxwingport/ids.py
+++ b/waxwingport/ids.py
@@ -30,6 +30,7 @@
     'WeightVersion',
     'mint_incarnation',
     'mint_record_id',
+    'mint_request_id',
 ]
 
 CallerName = NewType('CallerName', str)
@@ -75,3 +76,8 @@
 def mint_record_id() -> RecordId:
     """Returns a record id that no other writer uses."""
     return RecordId(uuid.uuid4().hex)
+
+
+def mint_request_id() -> RequestId:
+    """Returns an id for a request that the node itself makes."""
+    return RequestId(uuid.uuid4().hex)
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -1,6 +1,7 @@
 """An entry node: its subsystems, their start and their stop."""
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 import logging
 import random
@@ -8,19 +9,24 @@
 from expression import Result
 import msgspec
 
+from waxwingport.configuration import declarations
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.leases import base as leases
 from waxwingport.limits import admission
+from waxwingport.limits import retries
 from waxwingport.membership import base as membership
+from waxwingport.membership import live
 from waxwingport import metrics
 from waxwingport import outcomes
 from waxwingport.peers import base as peers
-from waxwingport.peers import memory
+from waxwingport.peers import transport
 from waxwingport.platform import base as platform
 from waxwingport.requests import completions
+from waxwingport.requests import progress
 from waxwingport.requests import services
+from waxwingport.routing import candidates
 from waxwingport.samples import collectors
 from waxwingport import settings
 from waxwingport.targets import table
@@ -47,6 +53,7 @@
     """One entry node.
 
     Construct it inside a running loop, ``start`` it, and ``stop`` it.
+    ``joined`` with its ``incarnation`` replaces the transport in tests.
     """
 
     def __init__(
@@ -54,24 +61,46 @@
         configured: settings.Settings,
         outside: Outside,
         rng: random.Random | None = None,
+        joined: peers.Peers | None = None,
+        incarnation: ids.Incarnation | None = None,
     ) -> None:
         self.settings = configured
         self.outside = outside
-        self.incarnation = ids.mint_incarnation()
+        self.incarnation = incarnation or ids.mint_incarnation()
         self.rng = rng or random.Random()
         self.metrics = metrics.Metrics()
-        self.peers = self._join_peers()
+        self.peers = joined or self._join_peers()
         self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
-        self.targets = table.TargetTable(outside.targets)
+        self.targets = table.TargetTable(outside.targets, configured.node)
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
         )
+        self.configuration.listen(
+            lambda _: self.membership.publish(
+                'configuration', self.configuration.revision
+            )
+        )
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
-        self.completions = completions.CompletionRunner(self.admission)
-        self.services = services.ServiceRunner(self.admission)
+        self.progress = progress.Progress(configured.requests.body_memory)
+        self.retry_budget = retries.RetryBudget(
+            self.configuration.declarations.limit.retry_share
+        )
+        self.configuration.listen(self._set_limits)
+        self.completions = completions.CompletionRunner(
+            self.admission, self.retry_budget, self.rng, configured.requests
+        )
+        self.services = services.ServiceRunner(
+            self.admission,
+            configured.node.name,
+            self.incarnation,
+            self.retry_budget,
+            self.rng,
+            configured.requests,
+        )
+        self.services.connect(self.peers, self.membership)
         self.versions = versions.VersionBook()
         self.version_exchange = versions.VersionExchange(
             self.versions,
@@ -98,9 +127,13 @@
                 self.metrics,
                 self._find_version,
                 configured.samples,
+                self._make_runner,
             ),
             collectors.Neighbours(self.membership, self.peers),
         )
+        self._refusals: collections.Counter[
+            tuple[outcomes.Reason, outcomes.Ran]
+        ] = collections.Counter()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -109,6 +142,7 @@
             self.outside.log, self.configuration
         )
         self._spawn(source.run())
+        self._spawn(self.membership.run())
         self._spawn(self._follow_vms())
         self._spawn(self._poll_engines())
         self._spawn(self.version_exchange.run())
@@ -117,14 +151,20 @@
 
     async def stop(self) -> None:
         """Stops the node's background work."""
+        self.membership.leave()
         await self.collectors.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.close()
 
     def is_ready(self) -> bool:
         """Returns whether requests can be taken."""
-        return self.configuration.revision >= 0 and len(self.targets) > 0
+        return (
+            self.progress.ready
+            and self.configuration.revision >= 0
+            and len(self.targets) > 0
+        )
 
     def find_lease(self, pool: ids.PoolName) -> leases.Lease:
         """Returns the lease for orders to a pool in this data centre."""
@@ -144,6 +184,33 @@
             versions.Publication(trainer, version, reference)
         )
 
+    def note_refusal(self, refusal: outcomes.Refusal) -> None:
+        """Counts a refusal by its reason."""
+        self._refusals[refusal.reason, refusal.ran] += 1
+        self.metrics.count(
+            'waxwingport_refusals_total',
+            'Refused requests by reason, and whether they may have run',
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+        )
+
+    def update_gauges(self) -> None:
+        """Sets the gauges that are read off the node's state."""
+        revision = self.configuration.revision
+        self.metrics.set(
+            'waxwingport_configuration_revision',
+            'Offset of the last configuration record in force',
+            revision,
+        )
+        states = collections.Counter(row.state for row in self.targets)
+        for found in candidates.TargetState:
+            self.metrics.set(
+                'waxwingport_targets',
+                'Targets by state',
+                states[found],
+                state=found.value,
+            )
+
     def describe(self) -> dict[str, object]:
         """Returns what holds at this node, for ``/v1/status``."""
         declared = self.configuration.declarations
@@ -156,9 +223,27 @@
                 self._describe_trainer(row) for row in declared.trainers
             ],
             'targets': [_describe_target(row) for row in self.targets],
-            'nodes': [{'name': self.settings.node.name, 'state': 'live'}],
+            'refusals': [
+                {'reason': reason.value, 'ran': ran.value, 'count': count}
+                for (reason, ran), count in self._refusals.items()
+            ],
+            'nodes': [
+                self._describe_member(row)
+                for row in self.membership.list_members()
+            ],
+        }
+
+    def _describe_member(self, row: membership.Member) -> dict[str, object]:
+        return {
+            'name': row.name,
+            'data_centre': row.data_centre,
+            'state': row.state.value,
+            'revision': self.membership.find_hint(row.name, 'configuration'),
         }
 
+    def _set_limits(self, declared: declarations.Declarations) -> None:
+        self.retry_budget.retry_share = declared.limit.retry_share
+
     def _describe_trainer(self, declared) -> dict[str, object]:
         found = self.collectors.peek(declared.name)
         return {
@@ -174,21 +259,32 @@
         latest = self.versions.find_latest(trainer)
         return latest.version if latest else None
 
+    def _make_runner(
+        self, gate: admission.Admission
+    ) -> completions.CompletionRunner:
+        return completions.CompletionRunner(
+            gate, self.retry_budget, self.rng, self.settings.requests
+        )
+
     def _join_peers(self) -> peers.Peers:
-        configured = self.settings.node
-        return memory.MemoryNetwork().join(
-            configured.name, configured.peer_listen, self.incarnation
+        configured = self.settings
+        return transport.PynngPeers(
+            configured.node.name,
+            configured.node.peer_listen,
+            self.incarnation,
+            configured.peers,
         )
 
-    def _join_members(self) -> membership.Membership:
+    def _join_members(self) -> live.LiveMembership:
         configured = self.settings.node
-        return membership.StaticMembership(
-            membership.Member(
-                configured.name,
-                configured.data_centre,
-                configured.peer_listen,
-                self.incarnation,
-            )
+        own = membership.Member(
+            configured.name,
+            configured.data_centre,
+            self.peers.address,
+            self.incarnation,
+        )
+        return live.LiveMembership(
+            own, self.peers, self.rng, is_ready=self.is_ready
         )
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -199,6 +295,7 @@
             match await self.outside.vm_list.read():
                 case Result(tag='ok', ok=vms):
                     self.targets.update(vms)
+                    self.membership.update(vms)
                 case Result(error=fault):
                     _LOG.warning('VM list: %s', fault.detail)
             await asyncio.sleep(_LIST_INTERVAL)
--- a/waxwingport/samples/collector.py
+++ b/waxwingport/samples/collector.py
@@ -1,57 +1,36 @@
 """Collects the samples of one trainer's steps."""
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 import logging
 
 from expression import Error
 from expression import Ok
 from expression import Result
-import msgspec
 
 from waxwingport.configuration import declarations
 from waxwingport import ids
-from waxwingport import metrics
 from waxwingport import outcomes
-from waxwingport.requests import completions
 from waxwingport.samples import bitmap
 from waxwingport.samples import book
 from waxwingport.samples import generator
 from waxwingport.samples import ledger
-from waxwingport.samples import placements
 from waxwingport.samples import planner
 from waxwingport.samples import scoring
-from waxwingport.samples import settings
 from waxwingport.samples import statistics
 from waxwingport.samples import steps
 from waxwingport.samples import window
 
-__all__ = ['Collector', 'Resources']
+__all__ = ['Collector']
 
 _LOG = logging.getLogger(__name__)
 
 
-class Resources(msgspec.Struct, frozen=True):
-    """What a collector uses of its node.
-
-    ``find_slots`` gives the trainer's share of its pool's slots, ``None``
-    while unknown; ``list_scoring`` its scoring services.
-    """
-
-    runner: completions.CompletionRunner
-    places: placements.Placements
-    metrics: metrics.Metrics
-    find_slots: Callable[[], float | None]
-    list_scoring: scoring.Services
-    limits: settings.SampleSettings = settings.SampleSettings()
-
-
 class Collector:
     """Generates a trainer's samples and hands them to its pulls."""
 
     def __init__(
-        self, trainer: declarations.Trainer, resources: Resources
+        self, trainer: declarations.Trainer, resources: generator.Resources
     ) -> None:
         self.trainer = trainer
         self.last_used = self._now()
@@ -62,12 +41,10 @@
         self._window = window.Window(resources.find_slots)
         self._generator = generator.Generator(
             trainer,
-            resources.runner,
-            resources.places,
+            resources,
             self._book,
             self._window,
             self.figures,
-            self._limits,
             self._take,
         )
         self._scorer = self._make_scorer()
@@ -279,12 +256,12 @@
             if turn != self._turn:
                 self._grown.set()
                 self._note_idle(entry, start)
-                return Ok(steps.PullAnswer(superseded=True))
+                return Ok(steps.PullAnswer(superseded=True, final=True))
             if entry.fault is not None:
                 return Error(_refuse_body(entry.fault))
         self._note_idle(entry, start)
         self._note_offered(entry, request, samples)
-        return Ok(steps.PullAnswer(samples))
+        return Ok(steps.PullAnswer(samples, final=entry.ledger.is_whole))
 
     def _select(
         self,
--- a/waxwingport/samples/collectors.py
+++ b/waxwingport/samples/collectors.py
@@ -25,6 +25,7 @@
 from waxwingport.requests import completions
 from waxwingport.routing import candidates
 from waxwingport.samples import collector
+from waxwingport.samples import generator
 from waxwingport.samples import placements
 from waxwingport.samples import settings
 from waxwingport.samples import steps
@@ -59,6 +60,10 @@
     )
     """Returns the latest version that a trainer published."""
     limits: settings.SampleSettings = settings.SampleSettings()
+    make_runner: Callable[
+        [placements.Placements], completions.CompletionRunner
+    ] = completions.CompletionRunner
+    mint: Callable[[], ids.RequestId] = ids.mint_request_id
 
 
 class StepMessage(msgspec.Struct, frozen=True):
@@ -94,7 +99,7 @@
         self._limits = parts.limits
         self._neighbours = neighbours
         self._places = placements.Placements(parts.admission)
-        self._runner = completions.CompletionRunner(self._places)
+        self._runner = parts.make_runner(self._places)
         self._own: dict[ids.TrainerName, collector.Collector] = {}
         self._published: dict[ids.TrainerName, ids.WeightVersion] = {}
         self._avoided: dict[ids.NodeName, float] = {}
@@ -163,7 +168,7 @@
                 return Error(passed.refusal)
             answer = passed.answer
             waited = loop.time() >= deadline
-            if answer.samples or answer.superseded or waited:
+            if answer.samples or answer.final or waited:
                 return Ok(answer)
         left = max(0.0, deadline - loop.time())
         return await self._pull_own(trainer, _shorten(request, left))
@@ -303,14 +308,15 @@
 
     def _find_resources(
         self, trainer: declarations.Trainer
-    ) -> collector.Resources:
-        return collector.Resources(
+    ) -> generator.Resources:
+        return generator.Resources(
             runner=self._runner,
             places=self._places,
             metrics=self._parts.metrics,
             find_slots=lambda: self._find_slots(trainer.name),
             list_scoring=lambda: self._list_scoring(trainer.name),
             limits=self._limits,
+            mint=self._parts.mint,
         )
 
     def _find_slots(self, name: ids.TrainerName) -> float | None:
--- a/waxwingport/samples/generator.py
+++ b/waxwingport/samples/generator.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 import contextlib
 import logging
-import uuid
 
 from expression import Result
+import msgspec
 
 from waxwingport.configuration import declarations
 from waxwingport import ids
+from waxwingport import metrics
 from waxwingport import outcomes
 from waxwingport.requests import completions
 from waxwingport.routing import candidates
@@ -20,12 +21,13 @@
 from waxwingport.samples import lengths
 from waxwingport.samples import placements
 from waxwingport.samples import planner
+from waxwingport.samples import scoring
 from waxwingport.samples import settings
 from waxwingport.samples import statistics
 from waxwingport.samples import steps
 from waxwingport.samples import window
 
-__all__ = ['Generator']
+__all__ = ['Generator', 'Resources']
 
 _TICK = 0.25
 _REORDER_INTERVAL = 0.5
@@ -41,30 +43,45 @@
 """Takes a whole sample; returns whether it was the slot's first."""
 
 
+class Resources(msgspec.Struct, frozen=True):
+    """What a collector uses of its node.
+
+    ``find_slots`` gives the trainer's share of its pool's slots, ``None``
+    while unknown; ``list_scoring`` its scoring services.
+    """
+
+    runner: completions.CompletionRunner
+    places: placements.Placements
+    metrics: metrics.Metrics
+    find_slots: Callable[[], float | None]
+    list_scoring: scoring.Services
+    limits: settings.SampleSettings = settings.SampleSettings()
+    mint: Callable[[], ids.RequestId] = ids.mint_request_id
+
+
 class Generator:
     """Keeps as many attempts in progress as the window allows."""
 
     def __init__(
         self,
         trainer: declarations.Trainer,
-        runner: completions.CompletionRunner,
-        places: placements.Placements,
+        resources: Resources,
         steps_held: book.Book,
         room: window.Window,
         figures: statistics.Statistics,
-        limits: settings.SampleSettings,
         take: Taker,
     ) -> None:
         self.trainer = trainer
         self.lengths = lengths.LengthModel()
         self.ahead = 0
         """Steps beyond the pulled one that may be generated."""
-        self._runner = runner
-        self._places = places
+        self._runner = resources.runner
+        self._places = resources.places
+        self._mint = resources.mint
         self._book = steps_held
         self._window = room
         self._figures = figures
-        self._limits = limits
+        self._limits = resources.limits
         self._take = take
         self._tasks: dict[ids.RequestId, asyncio.Task[None]] = {}
         self._order: list[planner.OpenSlot] = []
@@ -330,7 +347,7 @@
         self, entry: book.Entry, number: ids.SampleNumber, second: bool
     ) -> ledger.Attempt:
         attempt = ledger.Attempt(
-            request_id=ids.RequestId(uuid.uuid4().hex),
+            request_id=self._mint(),
             step=entry.number,
             slot=entry.step.slots[number],
             started_at=self._loop.time(),
--- a/waxwingport/samples/steps.py
+++ b/waxwingport/samples/steps.py
@@ -88,10 +88,15 @@
 
 
 class PullAnswer(msgspec.Struct, frozen=True):
-    """Outcome of a pull; ``superseded`` when a newer one ended it."""
+    """Outcome of a pull.
+
+    ``final`` means that asking again for the rest of the wait makes no sense:
+    a newer pull came, or the trainer holds the whole step.
+    """
 
     samples: tuple[Sample, ...] = ()
     superseded: bool = False
+    final: bool = False
 
 
 class SampleSlot(msgspec.Struct, frozen=True):
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -5,6 +5,7 @@
 ``waxwingport.configuration.declarations``.
 """
 
+import ipaddress
 import pathlib
 
 from expression import Error
@@ -14,6 +15,8 @@
 
 from waxwingport.http import client as http_client
 from waxwingport import ids
+from waxwingport.peers import base as peer_base
+from waxwingport.requests import settings as request_settings
 from waxwingport.samples import settings as sample_settings
 
 __all__ = [
@@ -25,6 +28,8 @@
     'read_settings',
 ]
 
+_SECRET_LENGTH = 16
+
 
 class TlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Certificate of the port for callers and operators."""
@@ -45,6 +50,10 @@
     max_connections: int = 4096
     shutdown_timeout: float = 60.0
     """Seconds that requests in progress get when the node stops."""
+    distances: dict[ids.DataCentre, float] = {}
+    """Seconds one way to other data centres."""
+    default_distance: float = 0.001
+    """Seconds one way to a data centre that ``distances`` does not name."""
 
 
 class PlatformSettings(
@@ -71,9 +80,24 @@
     node: NodeSettings
     platform: PlatformSettings
     client: http_client.ClientSettings = http_client.ClientSettings()
+    requests: request_settings.RequestSettings = (
+        request_settings.RequestSettings()
+    )
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
     samples: sample_settings.SampleSettings = sample_settings.SampleSettings()
+    peers: peer_base.PeerSettings = peer_base.PeerSettings()
+
+    def __post_init__(self) -> None:
+        host = self.node.peer_listen.rpartition(':')[0].strip('[]')
+        address = ipaddress.ip_address(host)
+        if address.is_unspecified:
+            raise ValueError('peer_listen has to name the address itself')
+        short = len(self.peers.secret) < _SECRET_LENGTH
+        if short and not address.is_loopback:
+            raise ValueError(
+                f'peers.secret needs {_SECRET_LENGTH} characters or more'
+            )
 
 
 def read_settings(path: pathlib.Path) -> Result[Settings, str]:
