--- a/tests/samples/conftest.py
+++ b/tests/samples/conftest.py
@@ -16,6 +16,7 @@
 from waxwingport.platform import base as platform
 from waxwingport.samples import collectors
 from waxwingport.samples import settings
+from waxwingport import settings as node_settings
 from waxwingport.standins import engine
 from waxwingport.standins import services
 from waxwingport.targets import table
@@ -32,6 +33,12 @@
         declarations.Service(ids.ServiceName('scores'), 'kind = scoring'),
     ),
 )
+NODE = node_settings.NodeSettings(
+    name=ids.NodeName('node'),
+    data_centre=ids.DataCentre('muenchen'),
+    listen='127.0.0.1:0',
+    peer_listen='127.0.0.1:0',
+)
 ENGINE = engine.StandInEngineSettings(token_time=0.01, swap_time=1.0)
 
 
@@ -72,7 +79,7 @@
         self.fleet = fleet
         self.ids = itertools.count()
         self.configuration = state.ConfigurationState()
-        self.targets = table.TargetTable(fleet)
+        self.targets = table.TargetTable(fleet, NODE)
         self.targets.update(fleet.list_vms())
         self.collectors = collectors.Collectors(
             collectors.Parts(
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -1,14 +1,12 @@
 """An entry node: its subsystems, their start and their stop."""
 
-import asyncio
 import collections
-from collections.abc import Coroutine
-import logging
 import random
 
 from expression import Result
 import msgspec
 
+from waxwingport import background
 from waxwingport.configuration import declarations
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
@@ -26,19 +24,16 @@
 from waxwingport.requests import completions
 from waxwingport.requests import progress
 from waxwingport.requests import services
-from waxwingport.routing import candidates
 from waxwingport.samples import collectors
 from waxwingport import settings
+from waxwingport.targets import listing
+from waxwingport.targets import poller
 from waxwingport.targets import table
 from waxwingport.weights import controller
 from waxwingport.weights import versions
 
 __all__ = ['Node', 'Outside']
 
-_LIST_INTERVAL = 0.5
-_POLL_INTERVAL = 0.25
-_LOG = logging.getLogger(__name__)
-
 
 class Outside(msgspec.Struct, frozen=True):
     """The outside systems that a node uses."""
@@ -84,6 +79,18 @@
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
+        self.vms = listing.VmFollower(
+            outside.vm_list,
+            [self.targets.update, self.membership.update],
+            self.membership,
+            self.peers,
+        )
+        self.poller = poller.EnginePoller(
+            self.targets,
+            self.admission.router.index,
+            self.membership,
+            self.peers,
+        )
         self.progress = progress.Progress(configured.requests.body_memory)
         self.retry_budget = retries.RetryBudget(
             self.configuration.declarations.limit.retry_share
@@ -131,31 +138,29 @@
             ),
             collectors.Neighbours(self.membership, self.peers),
         )
-        self._refusals: collections.Counter[
+        self.refusals: collections.Counter[
             tuple[outcomes.Reason, outcomes.Ran]
         ] = collections.Counter()
-        self._tasks: list[asyncio.Task[None]] = []
+        self.background = background.Background()
 
     async def start(self) -> None:
         """Starts the node's background work."""
         source = reader.ConfigurationReader(
             self.outside.log, self.configuration
         )
-        self._spawn(source.run())
-        self._spawn(self.membership.run())
-        self._spawn(self._follow_vms())
-        self._spawn(self._poll_engines())
-        self._spawn(self.version_exchange.run())
-        self._spawn(self.weights.run())
-        self._spawn(self.collectors.run())
+        self.background.spawn(source.run())
+        self.background.spawn(self.membership.run())
+        self.background.spawn(self.vms.run())
+        self.background.spawn(self.poller.run())
+        self.background.spawn(self.version_exchange.run())
+        self.background.spawn(self.weights.run())
+        self.background.spawn(self.collectors.run())
 
     async def stop(self) -> None:
         """Stops the node's background work."""
         self.membership.leave()
         await self.collectors.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.background.stop()
         await self.peers.close()
 
     def is_ready(self) -> bool:
@@ -186,7 +191,7 @@
 
     def note_refusal(self, refusal: outcomes.Refusal) -> None:
         """Counts a refusal by its reason."""
-        self._refusals[refusal.reason, refusal.ran] += 1
+        self.refusals[refusal.reason, refusal.ran] += 1
         self.metrics.count(
             'waxwingport_refusals_total',
             'Refused requests by reason, and whether they may have run',
@@ -194,65 +199,9 @@
             ran=refusal.ran.value,
         )
 
-    def update_gauges(self) -> None:
-        """Sets the gauges that are read off the node's state."""
-        revision = self.configuration.revision
-        self.metrics.set(
-            'waxwingport_configuration_revision',
-            'Offset of the last configuration record in force',
-            revision,
-        )
-        states = collections.Counter(row.state for row in self.targets)
-        for found in candidates.TargetState:
-            self.metrics.set(
-                'waxwingport_targets',
-                'Targets by state',
-                states[found],
-                state=found.value,
-            )
-
-    def describe(self) -> dict[str, object]:
-        """Returns what holds at this node, for ``/v1/status``."""
-        declared = self.configuration.declarations
-        return {
-            'node': self.settings.node.name,
-            'revision': self.configuration.revision,
-            'pools': [{'name': row.name} for row in declared.pools],
-            'services': [{'name': row.name} for row in declared.services],
-            'trainers': [
-                self._describe_trainer(row) for row in declared.trainers
-            ],
-            'targets': [_describe_target(row) for row in self.targets],
-            'refusals': [
-                {'reason': reason.value, 'ran': ran.value, 'count': count}
-                for (reason, ran), count in self._refusals.items()
-            ],
-            'nodes': [
-                self._describe_member(row)
-                for row in self.membership.list_members()
-            ],
-        }
-
-    def _describe_member(self, row: membership.Member) -> dict[str, object]:
-        return {
-            'name': row.name,
-            'data_centre': row.data_centre,
-            'state': row.state.value,
-            'revision': self.membership.find_hint(row.name, 'configuration'),
-        }
-
     def _set_limits(self, declared: declarations.Declarations) -> None:
         self.retry_budget.retry_share = declared.limit.retry_share
 
-    def _describe_trainer(self, declared) -> dict[str, object]:
-        found = self.collectors.peek(declared.name)
-        return {
-            'name': declared.name,
-            'staleness_bound': declared.staleness_bound,
-            'version': self._find_version(declared.name) or 1,
-            **(found.describe() if found else {}),
-        }
-
     def _find_version(
         self, trainer: ids.TrainerName
     ) -> ids.WeightVersion | None:
@@ -286,48 +235,3 @@
         return live.LiveMembership(
             own, self.peers, self.rng, is_ready=self.is_ready
         )
-
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
-
-    async def _follow_vms(self) -> None:
-        while True:
-            match await self.outside.vm_list.read():
-                case Result(tag='ok', ok=vms):
-                    self.targets.update(vms)
-                    self.membership.update(vms)
-                case Result(error=fault):
-                    _LOG.warning('VM list: %s', fault.detail)
-            await asyncio.sleep(_LIST_INTERVAL)
-
-    async def _poll_engines(self) -> None:
-        while True:
-            engines = [row for row in self.targets if row.engine is not None]
-            await asyncio.gather(*(_poll(row) for row in engines))
-            await asyncio.sleep(_POLL_INTERVAL)
-
-
-async def _poll(target: table.Target) -> None:
-    match await target.engine.read_load():
-        case Result(tag='ok', ok=report):
-            target.note_load(report)
-        case Result(error=fault):
-            _LOG.info('load of %s: %s', target.name, fault.detail)
-            return
-    match await target.engine.read_state():
-        case Result(tag='ok', ok=found):
-            target.engine_state = found
-        case Result(error=fault):
-            _LOG.info('state of %s: %s', target.name, fault.detail)
-
-
-def _describe_target(target: table.Target) -> dict[str, object]:
-    found = target.engine_state
-    return {
-        'name': target.name,
-        'data_centre': target.vm.data_centre,
-        'state': target.state.value,
-        'weight_version': found.weight_version if found else None,
-        'in_progress': target.in_progress,
-        'labels': target.labels,
-    }
