--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -4,6 +4,7 @@
 from waxwingport.measure import dissemination
 from waxwingport.measure import overload
 from waxwingport.measure import routing
+from waxwingport.measure import samples
 from waxwingport.measure import weights
 
 __all__ = ['MEASUREMENTS']
@@ -13,6 +14,9 @@
     weights.WeightPlan(),
     dissemination.Dissemination(),
     overload.Overload(),
+    samples.Samples(),
+    samples.SampleFaults(),
+    samples.SamplePlan(),
 )
 
 MEASUREMENTS = {row.name: row for row in _ALL}
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -8,7 +8,9 @@
 
 from waxwingport import background
 from waxwingport.configuration import declarations
-from waxwingport.configuration import reader
+from waxwingport.configuration import distribution
+from waxwingport.configuration import publisher
+from waxwingport.configuration import snapshots
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.leases import base as leases
@@ -67,6 +69,27 @@
         self.peers = joined or self._join_peers()
         self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
+        self.distribution = distribution.Distribution(
+            outside.log,
+            self.configuration,
+            self.membership,
+            self.peers,
+            configured.distribution,
+            self.rng,
+        )
+        self.snapshots = snapshots.SnapshotWriter(
+            outside.log,
+            self.configuration,
+            self.distribution.reader,
+            self.membership,
+            configured.snapshots,
+        )
+        self.publisher = publisher.Publisher(
+            outside.log,
+            outside.vm_list,
+            self.configuration,
+            self.distribution.reader,
+        )
         self.targets = table.TargetTable(outside.targets, configured.node)
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
@@ -145,16 +168,17 @@
 
     async def start(self) -> None:
         """Starts the node's background work."""
-        source = reader.ConfigurationReader(
-            self.outside.log, self.configuration
-        )
-        self.background.spawn(source.run())
-        self.background.spawn(self.membership.run())
-        self.background.spawn(self.vms.run())
-        self.background.spawn(self.poller.run())
-        self.background.spawn(self.version_exchange.run())
-        self.background.spawn(self.weights.run())
-        self.background.spawn(self.collectors.run())
+        for work in (
+            self.distribution.run(),
+            self.snapshots.run(),
+            self.membership.run(),
+            self.vms.run(),
+            self.poller.run(),
+            self.version_exchange.run(),
+            self.weights.run(),
+            self.collectors.run(),
+        ):
+            self.background.spawn(work)
 
     async def stop(self) -> None:
         """Stops the node's background work."""
--- a/waxwingport/samples/book.py
+++ b/waxwingport/samples/book.py
@@ -52,6 +52,8 @@
         """The step that the trainer pulled last."""
         self.train_time: float | None = None
         """Seconds between a step's last sample and the next step's pull."""
+        self.idle_share: float | None = None
+        """Share of recent steps in which the trainer waited."""
         self._limits = limits
         self._entries: dict[ids.StepNumber, Entry] = {}
         self._advance = 1.0
@@ -121,9 +123,14 @@
         """Takes a version that the trainer published."""
         self.version = max(self.version, version)
 
-    def note_complete(self) -> None:
-        """Notes that the current step's last sample was handed out."""
+    def note_complete(self, entry: Entry) -> None:
+        """Notes that a step's last sample was handed out."""
         self._completed_at = asyncio.get_running_loop().time()
+        # Nothing can be generated ahead of a trainer's first step.
+        if self.train_time is not None:
+            cycle = entry.idle + self.train_time
+            share = entry.idle / cycle if cycle > 0 else 0.0
+            self.idle_share = _smooth(self.idle_share, share)
 
     def make_outlook(self, staleness_bound: int) -> planner.Outlook:
         """Returns what planning has to know of the trainer."""
--- a/waxwingport/samples/collector.py
+++ b/waxwingport/samples/collector.py
@@ -23,6 +23,8 @@
 
 __all__ = ['Collector']
 
+_FIRST_IDLE_SHARE = 0.5
+"""Expected of a trainer whose steps have not been measured."""
 _LOG = logging.getLogger(__name__)
 
 
@@ -50,7 +52,6 @@
         self._scorer = self._make_scorer()
         self._grown = asyncio.Event()
         self._turn = 0
-        self._started_at = self._now()
 
     @property
     def version(self) -> ids.WeightVersion:
@@ -293,7 +294,7 @@
         there = len(entry.ledger.received) + len(samples)
         if there >= len(entry.step) and not entry.complete:
             entry.complete = True
-            self._book.note_complete()
+            self._book.note_complete(entry)
             self.figures.note_step(self._now() - entry.put_at, entry.idle)
 
     def _drop_stale(self) -> None:
@@ -327,14 +328,15 @@
         tokens = len(entry.step) * lengths.mean
         generate = tokens / (lengths.pace * self._window.size)
         train = self._book.train_time
-        elapsed = self._now() - self._started_at
-        idle = self.figures.idle_seconds / elapsed if elapsed > 0 else 0.0
+        idle = self._book.idle_share
+        if idle is None:
+            idle = _FIRST_IDLE_SHARE
         ahead = planner.choose_ahead(
             self.trainer.idle_weight,
             self.trainer.staleness_bound,
             generate,
             generate if train is None else train,
-            min(1.0, idle),
+            idle,
         )
         if ahead != self._generator.ahead:
             _LOG.info(
--- a/waxwingport/samples/collectors.py
+++ b/waxwingport/samples/collectors.py
@@ -28,6 +28,7 @@
 from waxwingport.samples import generator
 from waxwingport.samples import placements
 from waxwingport.samples import settings
+from waxwingport.samples import slots
 from waxwingport.samples import steps
 from waxwingport.targets import base as targets
 from waxwingport.targets import table
@@ -309,40 +310,41 @@
     def _find_resources(
         self, trainer: declarations.Trainer
     ) -> generator.Resources:
+        counted = slots.PoolSlots(lambda: self._list_engines(trainer.pool))
         return generator.Resources(
             runner=self._runner,
             places=self._places,
             metrics=self._parts.metrics,
-            find_slots=lambda: self._find_slots(trainer.name),
+            find_slots=lambda minimum=None: self._find_slots(
+                trainer, counted, minimum
+            ),
             list_scoring=lambda: self._list_scoring(trainer.name),
             limits=self._limits,
             mint=self._parts.mint,
         )
 
-    def _find_slots(self, name: ids.TrainerName) -> float | None:
+    def _find_slots(
+        self,
+        trainer: declarations.Trainer,
+        counted: slots.PoolSlots,
+        minimum: ids.WeightVersion | None,
+    ) -> float | None:
         """Returns a trainer's weighted share of its pool's slots."""
-        declared = self._parts.configuration.declarations
-        trainer = declared.trainer(name)
-        if trainer is None:
-            return 0.0
-        selector = self._parts.configuration.find_selector(trainer.pool)
-        rows = self._parts.targets.select(selector or '')
-        reports = [
-            row.report
-            for row in rows
-            if row.report is not None
-            and row.state is candidates.TargetState.LIVE
-        ]
-        if not reports:
+        total = counted.count(minimum)
+        if total is None:
             return None
-        slots = sum(report.capacity for report in reports)
+        weight = self._own[trainer.name].trainer.weight
         rivals = sum(
             found.trainer.weight
             for found in self._own.values()
             if found.trainer.pool == trainer.pool
-            and (found.is_busy or found.trainer.name == name)
+            and (found.is_busy or found.trainer.name == trainer.name)
         )
-        return slots * trainer.weight / max(rivals, trainer.weight)
+        return total * weight / max(rivals, weight)
+
+    def _list_engines(self, pool: ids.PoolName) -> list[table.Target]:
+        selector = self._parts.configuration.find_selector(pool)
+        return self._parts.targets.select(selector or '')
 
     def _list_scoring(
         self, name: ids.TrainerName
--- a/waxwingport/samples/generator.py
+++ b/waxwingport/samples/generator.py
@@ -37,6 +37,7 @@
 """How long an engine whose sample was discarded gets no attempt."""
 _SECONDS_RESERVE = 0.1
 """Share of the window that second attempts may use on top of it."""
+_NO_ROOM = (outcomes.Reason.DEADLINE, outcomes.Reason.OVERLOADED)
 _LOG = logging.getLogger(__name__)
 
 Taker = Callable[[book.Entry, ledger.Attempt, steps.Sample], bool]
@@ -46,14 +47,15 @@
 class Resources(msgspec.Struct, frozen=True):
     """What a collector uses of its node.
 
-    ``find_slots`` gives the trainer's share of its pool's slots, ``None``
-    while unknown; ``list_scoring`` its scoring services.
+    ``find_slots`` gives the trainer's share of its pool's slots, of those at
+    a minimum version if one is given, ``None`` while unknown;
+    ``list_scoring`` its scoring services.
     """
 
     runner: completions.CompletionRunner
     places: placements.Placements
     metrics: metrics.Metrics
-    find_slots: Callable[[], float | None]
+    find_slots: Callable[..., float | None]
     list_scoring: scoring.Services
     limits: settings.SampleSettings = settings.SampleSettings()
     mint: Callable[[], ids.RequestId] = ids.mint_request_id
@@ -78,6 +80,7 @@
         self._runner = resources.runner
         self._places = resources.places
         self._mint = resources.mint
+        self._find_slots = resources.find_slots
         self._book = steps_held
         self._window = room
         self._figures = figures
@@ -200,7 +203,7 @@
             if not self._has_memory(entry, outlook):
                 continue
             minimum = outlook.find_minimum(slot.step)
-            if minimum is not None:
+            if minimum is not None and self._find_slots(minimum) != 0:
                 self._start(entry, slot, minimum, outlook)
 
     def _reorder(self) -> None:
@@ -482,7 +485,7 @@
             entry.fault = refusal.detail
             self.cancel_step(entry)
             return
-        if not attempt.tokens:
+        if refusal.reason in _NO_ROOM:
             self._window.note_refused()
         self._pause()
 
--- a/waxwingport/trial/stage.py
+++ b/waxwingport/trial/stage.py
@@ -2,10 +2,7 @@
 
 import asyncio
 
-import msgspec
-
 from waxwingport import assembly
-from waxwingport.configuration import reader
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import node
@@ -45,14 +42,7 @@
 
     async def start(self) -> None:
         """Starts everything and waits until the node is ready."""
-        platform = self.outside.start()
-        await self.log.append(
-            reader.STREAM,
-            msgspec.json.encode(
-                deployments.read_declarations(self.deployment)
-            ),
-        )
-        self._start_node(platform)
+        self._start_node(await self.outside.start())
         await self.node.start()
         while not self.node.is_ready():
             await asyncio.sleep(_READY_POLL)
--- a/waxwingport/trial/surroundings.py
+++ b/waxwingport/trial/surroundings.py
@@ -1,5 +1,7 @@
 """Stand-ins of everything outside one deployment, served on loopback."""
 
+from waxwingport.configuration import reader
+from waxwingport.configuration import records
 from waxwingport.platform import base as platform
 from waxwingport import settings
 from waxwingport.standins import engine
@@ -28,8 +30,13 @@
         self.platform: settings.PlatformSettings | None = None
         self._servers: list[servers.Server] = []
 
-    def start(self) -> settings.PlatformSettings:
-        """Serves everything; returns the platform's addresses."""
+    async def start(self) -> settings.PlatformSettings:
+        """Serves everything, with the deployment's declarations in the log.
+
+        Returns the platform's addresses.
+        """
+        change = deployments.make_first_change(self.deployment)
+        await self.log.append(reader.STREAM, records.encode(change))
         self.vm_list.replace(self._start_targets())
         self.platform = settings.PlatformSettings(
             log=self._serve(servers.serve_log(self.log)),
