--- a/waxwingport/api/overview.py
+++ b/waxwingport/api/overview.py
@@ -100,10 +100,12 @@
     shown: node.Node, declared: declarations.Trainer
 ) -> dict[str, object]:
     latest = shown.versions.find_latest(declared.name)
+    found = shown.collectors.peek(declared.name)
     return {
         'name': declared.name,
         'staleness_bound': declared.staleness_bound,
         'version': latest.version if latest else 1,
+        **(found.describe() if found else {}),
     }
 
 
--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -9,6 +9,7 @@
 from waxwingport.measure import overload
 from waxwingport.measure import requests
 from waxwingport.measure import routing
+from waxwingport.measure import samples
 from waxwingport.measure import weights
 
 __all__ = ['MEASUREMENTS']
@@ -27,6 +28,9 @@
     overload.Overload(),
     caching.PrefixHits(),
     degraded.DegradedEngines(),
+    samples.Samples(),
+    samples.SampleFaults(),
+    samples.SamplePlan(),
 )
 
 MEASUREMENTS = {row.name: row for row in _ALL}
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -26,7 +26,7 @@
 from waxwingport.requests import completions
 from waxwingport.requests import progress
 from waxwingport.requests import services
-from waxwingport.samples import collector
+from waxwingport.samples import collectors
 from waxwingport import settings
 from waxwingport.targets import listing
 from waxwingport.targets import poller
@@ -148,10 +148,21 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
+        self.collectors = collectors.Collectors(
+            collectors.Parts(
+                self.configuration,
+                self.targets,
+                self.admission,
+                self.metrics,
+                self._find_version,
+                configured.samples,
+                self._make_runner,
+            ),
+            collectors.Neighbours(self.membership, self.peers),
+        )
         self.refusals: collections.Counter[
             tuple[outcomes.Reason, outcomes.Ran]
         ] = collections.Counter()
-        self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self.background = background.Background()
 
     async def start(self) -> None:
@@ -164,14 +175,14 @@
             self.poller.run(),
             self.version_exchange.run(),
             self.weights.run(),
+            self.collectors.run(),
         ):
             self.background.spawn(work)
 
     async def stop(self) -> None:
         """Stops the node's background work."""
         self.membership.leave()
-        for trainer in self._collectors.values():
-            trainer.close()
+        await self.collectors.close()
         await self.background.stop()
         await self.peers.close()
 
@@ -183,19 +194,6 @@
             and len(self.targets) > 0
         )
 
-    def find_collector(
-        self, name: ids.TrainerName
-    ) -> collector.Collector | None:
-        """Returns the collector of a declared trainer, or ``None``."""
-        declared = self.configuration.declarations.trainer(name)
-        if declared is None:
-            return None
-        if name not in self._collectors:
-            self._collectors[name] = collector.Collector(
-                declared, self.completions
-            )
-        return self._collectors[name]
-
     def find_lease(self, pool: ids.PoolName) -> leases.Lease:
         """Returns the lease for orders to a pool in this data centre."""
         return leases.StaticLease(ids.FencingNumber(0))
@@ -231,6 +229,19 @@
     def _set_limits(self, declared: declarations.Declarations) -> None:
         self.retry_budget.retry_share = declared.limit.retry_share
 
+    def _find_version(
+        self, trainer: ids.TrainerName
+    ) -> ids.WeightVersion | None:
+        latest = self.versions.find_latest(trainer)
+        return latest.version if latest else None
+
+    def _make_runner(
+        self, gate: admission.Admission
+    ) -> completions.CompletionRunner:
+        return completions.CompletionRunner(
+            gate, self.retry_budget, self.rng, self.settings.requests
+        )
+
     def _join_peers(self) -> peers.Peers:
         configured = self.settings
         return transport.PynngPeers(
--- a/waxwingport/settings.py
+++ b/waxwingport/settings.py
@@ -22,6 +22,7 @@
 from waxwingport import ids
 from waxwingport.peers import base as peer_base
 from waxwingport.requests import settings as request_settings
+from waxwingport.samples import settings as sample_settings
 
 __all__ = [
     'LogSettings',
@@ -90,6 +91,7 @@
     )
     tls: TlsSettings | None = None
     logging: LogSettings = LogSettings()
+    samples: sample_settings.SampleSettings = sample_settings.SampleSettings()
     distribution: spreading.DistributionSettings = (
         spreading.DistributionSettings()
     )
