Bound one caller's share of the kept answers

Cause: one caller's calls by id could fill the ledger and so refuse those of every other caller.

Change: a caller holds at most half of the entries. Tests for a full ledger, answers too large to keep, expired ids and runs that raise.

--- /dev/null
+++ b/tests/requests/test_ledger.py
@@ -0,0 +1,149 @@
+"""The ledger: each call runs at most once, and memory is bounded."""
+
+import asyncio
+
+from expression import Error
+from expression import Ok
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from waxwingport import outcomes
+from waxwingport.requests import ledger
+from waxwingport.requests import minted
+from waxwingport.requests import refusals
+from waxwingport.requests import settings
+from waxwingport.targets import base
+
+ANSWER = base.ServiceAnswer(200, (), b'x' * 100)
+NOT_RUN = outcomes.Refusal(outcomes.Reason.NO_TARGET, 'none')
+
+
+def make_ledger(**limits):
+    rows = {'answers_held': 8, 'answer_bytes': 1000, 'answer_lifetime': 50.0}
+    return ledger.Ledger(settings.RequestSettings(**(rows | limits)))
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+class Runs:
+    """Counts the runs and gives their outcomes in turn."""
+
+    def __init__(self, *given):
+        self.given = list(given)
+        self.count = 0
+
+    async def __call__(self):
+        self.count += 1
+        await asyncio.sleep(1.0)
+        return self.given.pop(0)
+
+
+@pytest.mark.looptime
+async def test_a_full_ledger_refuses_instead_of_forgetting():
+    held = make_ledger()
+    for row in range(8):
+        caller = f'c{row % 2}'
+        call = held.admit(f'r{row}', caller, 'f', now() + 10).ok
+        await held.join(call, Runs(Ok(ANSWER)), now() + 5)
+    refusal = held.admit('r8', 'c2', 'f', now() + 10).swap().ok
+    assert refusal.ran is outcomes.Ran.NO
+    assert all(held.find(f'r{row}').outcome.is_ok() for row in range(8))
+    await asyncio.sleep(60.0)
+    assert held.admit('r8', 'c2', 'f', now() + 10).is_ok()
+    assert held.held_bytes == 0
+
+
+@pytest.mark.looptime
+async def test_one_caller_cannot_fill_the_ledger():
+    held = make_ledger()
+    taken = [
+        held.admit(f'r{row}', 'greedy', 'f', now() + 10).is_ok()
+        for row in range(8)
+    ]
+    assert taken == [True] * 4 + [False] * 4
+    assert held.admit('other', 'modest', 'f', now() + 10).is_ok()
+
+
+@pytest.mark.looptime
+async def test_an_answer_too_large_to_keep_is_still_not_run_again():
+    held = make_ledger(answer_bytes=50)
+    call = held.admit('r', 'c', 'f', now() + 10).ok
+    runs = Runs(Ok(ANSWER))
+    first = await held.join(call, runs, now() + 5)
+    again = await held.join(call, runs, now() + 5)
+    assert first.is_ok()
+    assert again.swap().ok.ran is outcomes.Ran.UNKNOWN
+    assert runs.count == 1
+    assert held.held_bytes == 0
+
+
+@pytest.mark.looptime
+async def test_a_run_that_raises_leaves_the_outcome_unknown():
+    held = make_ledger()
+    call = held.admit('r', 'c', 'f', now() + 10).ok
+
+    async def fail():
+        raise AssertionError
+
+    with pytest.raises(AssertionError):
+        await held.join(call, fail, now() + 5)
+    outcome = await held.join(call, fail, now() + 5)
+    assert outcome.swap().ok.ran is outcomes.Ran.UNKNOWN
+
+
+ends = st.sampled_from(
+    [Ok(ANSWER), Error(NOT_RUN), Error(refusals.refuse_unknown('?'))]
+)
+
+
+@given(
+    st.lists(ends, min_size=1, max_size=5),
+    st.lists(st.floats(0.0, 4.0), min_size=1, max_size=8),
+)
+def test_nothing_runs_after_a_run_that_may_have_happened(given_ends, starts):
+    """Repeats at any moments: only "not run" lets a call start again."""
+
+    async def play():
+        held = make_ledger()
+        call = held.admit('r', 'c', 'f', now() + 10).ok
+        runs = []
+
+        async def run():
+            runs.append(given_ends[min(len(runs), len(given_ends) - 1)])
+            await asyncio.sleep(0.001)
+            return runs[-1]
+
+        async def repeat(delay):
+            await asyncio.sleep(delay / 1000)
+            return await held.join(call, run, now() + 5)
+
+        answers = await asyncio.gather(*map(repeat, starts))
+        return runs, answers
+
+    runs, answers = asyncio.run(play())
+    not_run = [row.is_error() and row.swap().ok is NOT_RUN for row in runs]
+    assert all(not_run[:-1])
+    assert all(
+        any(row is run or row == run for run in runs) for row in answers
+    )
+
+
+@given(st.text(max_size=60))
+def test_no_text_is_taken_for_an_id_of_ours(text):
+    mint = minted.Mint('node-1', 7)
+    for candidate in (text, f'w1.{text}', f'w1.node-1.7.0.1.{text}'):
+        parsed = minted.parse(candidate)
+        assert parsed.is_error() or not mint.verify(parsed.ok, 'teller')
+
+
+def test_a_minted_id_survives_its_text_form():
+    mint = minted.Mint('node.with.dots', 2**60)
+    (made,) = mint.make('teller', 1, 12.5)
+    parsed = minted.parse(made).ok
+    assert parsed.format() == made
+    assert mint.verify(parsed, 'teller')
+    assert not mint.verify(parsed, 'rival')
+    assert not minted.Mint('node.with.dots', 2**60).verify(parsed, 'teller')
--- a/tests/requests/test_minted.py
+++ b/tests/requests/test_minted.py
@@ -274,3 +274,14 @@
     assert (status, answer['ran']) == (503, 'no')
     assert (await pair.post(1, *by_id(first)))[0] == 200
     assert target.runs == 1
+
+
+async def test_an_expired_id_is_unknown_and_never_run(make_node, target):
+    served = make_node(id_lifetime=0.05)
+    served.add_services(target.address)
+    (minted,) = served.node.services.mint_ids(ids.CallerName('teller'), 1)
+    await asyncio.sleep(0.1)
+    response = await served.fetch('POST', CALL, BODY, by_id(minted))
+    assert response.status == 502
+    assert json.loads(response.body)['ran'] == 'unknown'
+    assert target.runs == 0
--- a/waxwingport/requests/ledger.py
+++ b/waxwingport/requests/ledger.py
@@ -27,6 +27,8 @@
 
 _RETRY_AFTER = 5.0
 _SWEEP_STEP = 16
+_CALLER_SHARE = 0.5
+"""Share of the entries that one caller may hold."""
 
 
 class CallState(enum.Enum):
@@ -65,6 +67,9 @@
             collections.OrderedDict()
         )
         self._bytes = 0
+        self._by_caller: collections.Counter[ids.CallerName] = (
+            collections.Counter()
+        )
 
     def __len__(self) -> int:
         return len(self._calls)
@@ -85,10 +90,17 @@
         fingerprint: str,
         keep_until: float,
     ) -> Result[Call, outcomes.Refusal]:
-        """Returns a new idle call; refuses when the ledger is full."""
+        """Returns a new idle call; refuses when the ledger is full.
+
+        One caller can't fill it alone.
+        """
         self._sweep()
-        full = len(self._calls) >= self._settings.answers_held
-        if full or self._bytes >= self._settings.answer_bytes:
+        share = self._settings.answers_held * _CALLER_SHARE
+        if (
+            len(self._calls) >= self._settings.answers_held
+            or self._bytes >= self._settings.answer_bytes
+            or self._by_caller[caller] >= share
+        ):
             return Error(
                 outcomes.Refusal(
                     outcomes.Reason.OVERLOADED,
@@ -98,13 +110,14 @@
             )
         call = Call(caller, fingerprint, keep_until)
         self._calls[request_id] = call
+        self._by_caller[caller] += 1
         return Ok(call)
 
     def drop(self, request_id: ids.RequestId) -> None:
         """Forgets a call that has not run and that nobody can ask for."""
         call = self._calls.get(request_id)
         if call is not None and call.state is CallState.IDLE:
-            del self._calls[request_id]
+            self._forget(request_id)
 
     async def join(self, call: Call, run: Run, deadline: float) -> Outcome:
         """Starts the call unless it runs or has run; returns its outcome.
@@ -183,10 +196,16 @@
             if call.state is CallState.RUNNING or now < call.keep_until:
                 self._calls.move_to_end(request_id)
                 continue
-            del self._calls[request_id]
-            match call.outcome:
-                case Result(tag='ok', ok=answer):
-                    self._bytes -= _measure(answer)
+            self._forget(request_id)
+
+    def _forget(self, request_id: ids.RequestId) -> None:
+        call = self._calls.pop(request_id)
+        self._by_caller[call.caller] -= 1
+        if not self._by_caller[call.caller]:
+            del self._by_caller[call.caller]
+        match call.outcome:
+            case Result(tag='ok', ok=answer):
+                self._bytes -= _measure(answer)
 
 
 def _measure(answer: base.ServiceAnswer) -> int:
