--- a/waxwingport/configuration/messages.py
+++ b/waxwingport/configuration/messages.py
@@ -14,6 +14,7 @@
 
 from waxwingport.configuration import fold
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 from waxwingport import ids
 from waxwingport.platform import base
 
@@ -31,6 +32,8 @@
 
 Message = TypeVar('Message')
 
+_MALFORMED = (msgspec.DecodeError, RecursionError, UnicodeError)
+
 
 class Passed(msgspec.Struct, frozen=True, array_like=True):
     """From a reader: its revision, and the records that led to it.
@@ -78,13 +81,13 @@
     """Returns a message, or why it cannot be read."""
     try:
         return Ok(msgspec.msgpack.decode(body, type=kind))
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(str(error))
 
 
 def pack_state(folded: fold.Folded) -> State:
     """Returns a state as it goes to a peer."""
-    snapshot = records.encode(fold.make_snapshot(folded))
+    snapshot = records.encode(starting.make_snapshot(folded))
     return State(snapshot, folded.skipped)
 
 
@@ -92,7 +95,7 @@
     """Returns the state that a peer sent, or why it is unusable."""
     match records.decode(state.snapshot):
         case Result(tag='ok', ok=records.Snapshot() as snapshot):
-            return fold.restore(snapshot).map(
+            return starting.restore(snapshot).map(
                 lambda found: msgspec.structs.replace(
                     found, skipped=state.skipped
                 )
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -161,9 +161,10 @@
         host, _, port = address.rpartition(':')
         limit = min(timeout, self._settings.connect_timeout)
         try:
-            stream = await asyncio.wait_for(
-                self._connector.connect(host, int(port)), max(limit, 0.0)
-            )
+            # wait_for would swallow a cancellation that comes together with
+            # the connection (Python 3.11).
+            async with asyncio.timeout(max(limit, 0.0)):
+                stream = await self._connector.connect(host, int(port))
         except TimeoutError:
             return Error(
                 TransportFault(
--- a/waxwingport/requests/running.py
+++ b/waxwingport/requests/running.py
@@ -144,10 +144,10 @@
 
     async def _cancel(self, generation: base.Generation) -> bool:
         try:
-            outcome = await asyncio.wait_for(
-                self.target.engine.cancel(generation.request_id),
-                self._probe_timeout,
-            )
+            async with asyncio.timeout(self._probe_timeout):
+                outcome = await self.target.engine.cancel(
+                    generation.request_id
+                )
         except TimeoutError:
             return False
         _LOG.info(
