--- a/waxwingport/requests/completions.py
+++ b/waxwingport/requests/completions.py
@@ -84,11 +84,7 @@
                 case refused:
                     yield refused
                     return
-            attempt = running.Attempt(
-                grant,
-                self._settings.probe_timeout,
-                functools.partial(self._retrying.take, work.group),
-            )
+            attempt = self._prepare(grant)
             generation = _plan(request, answer)
             chunks = attempt.run(generation, work.deadline, answer)
             async with contextlib.aclosing(chunks):
@@ -98,18 +94,20 @@
                 return
             if attempt.preempted:
                 made.note_preempted(attempt.fault)
-                _LOG.info(
-                    'preempt request=%s target=%s position=%d',
-                    work.request_id,
-                    grant.target.name,
-                    answer.position,
-                )
+                _log_preempted(grant, answer)
                 continue
             refusal = await self._judge(work, attempt, made)
             if refusal is not None:
                 yield Error(refusal)
                 return
 
+    def _prepare(self, grant: admission.Grant) -> running.Attempt:
+        return running.Attempt(
+            grant,
+            self._settings.probe_timeout,
+            functools.partial(self._retrying.take, grant.work.group),
+        )
+
     async def _judge(
         self,
         work: candidates.Work,
@@ -135,6 +133,15 @@
         return refusals.refuse_after(made, refusals.refuse_with(fault))
 
 
+def _log_preempted(grant: admission.Grant, answer: assembly.Assembly) -> None:
+    _LOG.info(
+        'preempt request=%s target=%s position=%d',
+        grant.work.request_id,
+        grant.target.name,
+        answer.position,
+    )
+
+
 def _plan(
     request: CompletionWork, answer: assembly.Assembly
 ) -> base.Generation:
