--- a/waxwingport/measure/overload.py
+++ b/waxwingport/measure/overload.py
@@ -14,7 +14,7 @@
 from waxwingport.standins import engine
 from waxwingport.standins import factory
 
-__all__ = ['Overload']
+__all__ = ['Overload', 'Scenario', 'estimate_capacity', 'measure']
 
 _ENGINES = 3
 _SLOTS = 8
@@ -30,7 +30,9 @@
 _ROLLOUT = candidates.WorkClass.ROLLOUT
 
 
-class _Scenario(msgspec.Struct, frozen=True):
+class Scenario(msgspec.Struct, frozen=True):
+    """Who sends, what share is live, how much load from how many nodes."""
+
     client: type[traffic.Client]
     live_share: float
     factor: float
@@ -38,6 +40,7 @@
 
     @property
     def gated(self) -> bool:
+        """Whether requests go by admission."""
         return self.client is traffic.GatedClient
 
 
@@ -72,8 +75,8 @@
     useful: dict[float, float] = {}
     for factor in factors:
         for kind in (traffic.GatedClient, traffic.StraightClient):
-            scenario = _Scenario(kind, live_share, factor, nodes)
-            tally = await virtual.run(_measure(scenario, options))
+            scenario = Scenario(kind, live_share, factor, nodes)
+            tally = await virtual.run(measure(scenario, options))
             in_time = tally.count_useful(until=options.seconds)
             rate = in_time / options.seconds
             if scenario.gated:
@@ -94,7 +97,7 @@
 
 
 def _describe(
-    tally: traffic.Tally, label: str, rate: float, scenario: _Scenario
+    tally: traffic.Tally, label: str, rate: float, scenario: Scenario
 ) -> list[base.Figure]:
     live = [row for row in tally.select(_LIVE) if not row.refused]
     if scenario.live_share < 1.0:
@@ -130,9 +133,8 @@
     ]
 
 
-async def _measure(
-    scenario: _Scenario, options: base.Options
-) -> traffic.Tally:
+async def measure(scenario: Scenario, options: base.Options) -> traffic.Tally:
+    """Returns how the requests of one scenario ended."""
     made = factory.StandInTargetFactory(
         lambda name: engine.StandInEngineSettings(
             capacity=_SLOTS,
@@ -164,7 +166,7 @@
 
 
 async def _drive(
-    found: fixture.Fixture, scenario: _Scenario, number: int, seconds: float
+    found: fixture.Fixture, scenario: Scenario, number: int, seconds: float
 ) -> traffic.Tally:
     rate = scenario.factor * estimate_capacity() / scenario.nodes
     share = scenario.live_share
