--- a/waxwingport/configuration/fold.py
+++ b/waxwingport/configuration/fold.py
@@ -36,10 +36,7 @@
     'Verdict',
     'VerdictKind',
     'fold',
-    'make_snapshot',
     'preview',
-    'restore',
-    'start_from',
     'take_run',
 ]
 
@@ -58,7 +55,8 @@
 class Folded(msgspec.Struct, frozen=True, dict=True):
     """The result of folding every record up to ``revision``.
 
-    ``covered`` is the offset that the last snapshot record covers.  ``chain``
+    ``covered`` is the offset that the last snapshot record covers; ``floor``
+    that of the last reset, and no change may be based on less.  ``chain``
     identifies the records folded: two nodes at one revision whose chains
     differ have read different logs.  ``skipped`` is the first offset with a
     record that this program did not understand.
@@ -68,6 +66,7 @@
     entries: Mapping[keys.Key, Entry] = {}
     seen: Mapping[ids.RecordId, ids.Revision] = {}
     covered: ids.Revision = ids.Revision(-1)
+    floor: ids.Revision = ids.Revision(-1)
     chain: str = ''
     skipped: ids.Revision | None = None
 
@@ -168,6 +167,7 @@
         self._rows = folded.rows
         self._seen = dict(folded.seen)
         self._covered = folded.covered
+        self._floor = folded.floor
         self._chain = folded.chain
         self._skipped = folded.skipped
 
@@ -177,6 +177,8 @@
         match records.decode(row.body):
             case Result(tag='ok', ok=records.Change() as change):
                 verdict = self.take_change(change, row.offset)
+            case Result(tag='ok', ok=records.Reset() as reset):
+                verdict = self._take_reset(reset, row.offset)
             case Result(tag='ok', ok=records.Snapshot() as snapshot):
                 verdict = self._take_snapshot(snapshot, row.offset)
                 hashed = b''
@@ -184,7 +186,7 @@
                 verdict = self._skip(row.offset, unreadable)
         self.revision = ids.Revision(row.offset)
         link = f'{self._chain} {row.offset} '.encode() + hashed
-        self._chain = xxhash.xxh3_128_hexdigest(link)
+        self._chain = xxhash.xxh3_64_hexdigest(link)
         return verdict
 
     def take_change(
@@ -199,9 +201,9 @@
         void = self._find_void(change, offset)
         if void is not None:
             return void
-        match self._read_values(change):
+        match self._read_values(change.values):
             case Result(tag='ok', ok=values):
-                self._apply(values, change, offset)
+                self._apply(values, change.author, offset)
                 return _judge(VerdictKind.APPLIED, offset, change)
             case Result(error=reason):
                 return _judge(VerdictKind.INVALID, offset, change, reason)
@@ -224,6 +226,7 @@
             entries,
             seen,
             self._covered,
+            self._floor,
             self._chain,
             self._skipped,
         )
@@ -237,7 +240,7 @@
         if change.based_on >= offset:
             detail = f'based on revision {change.based_on}, yet to come'
             return _judge(VerdictKind.INVALID, offset, change, detail)
-        if change.based_on < offset - WINDOW:
+        if change.based_on < max(offset - WINDOW, self._floor):
             detail = f'based on revision {change.based_on}, too long ago'
             return _judge(VerdictKind.STALE, offset, change, detail)
         conflict = self._find_conflict(change)
@@ -259,10 +262,10 @@
         return Conflict(last.revision, last.author, tuple(sorted(later)))
 
     def _read_values(
-        self, change: records.Change
+        self, written: Mapping[keys.Key, msgspec.Raw]
     ) -> Result[dict[keys.Key, keys.Declared | None], str]:
         values: dict[keys.Key, keys.Declared | None] = {}
-        for key, raw in change.values.items():
+        for key, raw in written.items():
             match records.read_value(key, raw):
                 case Result(tag='ok', ok=value):
                     values[key] = value
@@ -284,13 +287,33 @@
     def _apply(
         self,
         values: dict[keys.Key, keys.Declared | None],
-        change: records.Change,
+        author: str,
         offset: ids.Offset,
     ) -> None:
         _update(self._rows, values)
         revision = ids.Revision(offset)
         for key, value in values.items():
-            self._entries[key] = Entry(value, revision, change.author)
+            self._entries[key] = Entry(value, revision, author)
+
+    def _take_reset(self, reset: records.Reset, offset: ids.Offset) -> Verdict:
+        """Starts anew; the outcome depends on the record alone."""
+        fresh = _Work(Folded())
+        match fresh._read_values(reset.values):
+            case Result(tag='ok', ok=values):
+                pass
+            case Result(error=reason):
+                kind = VerdictKind.INVALID
+                return Verdict(kind, offset, reset.id, reason)
+        values = {key: row for key, row in values.items() if row}
+        fresh._apply(values, reset.author, offset)
+        self._rows = fresh._rows
+        self._entries = fresh._entries
+        self._seen = {reset.id: ids.Revision(offset)}
+        self._covered = ids.Revision(offset - 1)
+        self._floor = ids.Revision(offset)
+        self._chain = ''
+        self._skipped = None
+        return Verdict(VerdictKind.APPLIED, offset, reset.id)
 
     def _take_snapshot(
         self, snapshot: records.Snapshot, offset: ids.Offset
@@ -335,58 +358,3 @@
         f'{", ".join(conflict.keys)} changed at revision '
         f'{conflict.revision} by {conflict.author}'
     )
-
-
-def make_snapshot(folded: Folded) -> records.Snapshot:
-    """Returns the snapshot that covers the state's revision."""
-    entries = {
-        key: records.Entry(
-            entry.revision,
-            entry.author,
-            records.write_value(entry.value),
-        )
-        for key, entry in sorted(folded.entries.items())
-    }
-    return records.Snapshot(
-        covers=folded.revision,
-        entries=entries,
-        seen=dict(sorted(folded.seen.items())),
-        covered=folded.covered,
-        chain=folded.chain,
-    )
-
-
-def restore(snapshot: records.Snapshot) -> Result[Folded, str]:
-    """Returns the state that a snapshot holds, or why it holds none."""
-    if snapshot.covers < 0 or not snapshot.chain:
-        return Error('the snapshot is shortened')
-    entries = {}
-    for key, entry in snapshot.entries.items():
-        match records.read_value(key, entry.value):
-            case Result(tag='ok', ok=value):
-                pass
-            case Result(error=reason):
-                return Error(reason)
-        entries[key] = Entry(value, entry.revision, entry.author)
-    found = Folded(
-        snapshot.covers,
-        entries,
-        snapshot.seen,
-        snapshot.covered,
-        snapshot.chain,
-    )
-    faults = consistency.find_faults(found.rows)
-    if faults:
-        return Error('; '.join(f'{key}: {what}' for key, what in faults))
-    return Ok(found)
-
-
-def start_from(
-    revision: ids.Revision, declared: declarations.Declarations
-) -> Folded:
-    """Returns a state with ``declared`` in force since ``revision``."""
-    entries = {
-        key: Entry(value, revision, '')
-        for key, value in keys.split(declared).items()
-    }
-    return Folded(revision, entries)
--- a/waxwingport/configuration/records.py
+++ b/waxwingport/configuration/records.py
@@ -22,6 +22,7 @@
     'Entry',
     'Envelope',
     'Record',
+    'Reset',
     'Snapshot',
     'Unreadable',
     'decode',
@@ -30,6 +31,7 @@
     'read_value',
     'shorten',
     'write_value',
+    'write_values',
 ]
 
 VERSION = 1
@@ -43,7 +45,13 @@
     version: int
 
 
-class Change(msgspec.Struct, frozen=True, tag_field='kind', tag='change'):
+class Change(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+    tag='change',
+):
     """An operator's change of some keys; JSON ``null`` removes a key.
 
     ``based_on`` is the revision that the operator saw.
@@ -64,7 +72,31 @@
     value: msgspec.Raw
 
 
-class Snapshot(msgspec.Struct, frozen=True, tag_field='kind', tag='snapshot'):
+class Reset(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+    tag='reset',
+):
+    """Replaces everything, whatever came before.
+
+    The way out when no node and no record holds the configuration any more.
+    """
+
+    id: ids.RecordId
+    author: str
+    values: dict[keys.Key, msgspec.Raw]
+    version: int = VERSION
+
+
+class Snapshot(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+    tag='snapshot',
+):
     """Everything folded up to ``covers``; a pure function of that offset.
 
     ``seen`` holds the offsets of the recent record ids and ``chain``
@@ -75,6 +107,7 @@
     entries: dict[keys.Key, Entry] = {}
     seen: dict[ids.RecordId, ids.Revision] = {}
     covered: ids.Revision = ids.Revision(-1)
+    floor: ids.Revision = ids.Revision(-1)
     chain: str = ''
     version: int = VERSION
 
@@ -90,8 +123,9 @@
     newer: bool
 
 
-Record = Change | Snapshot
+Record = Change | Reset | Snapshot
 
+_MALFORMED = (msgspec.DecodeError, RecursionError, UnicodeError)
 _REMOVED = b'null'
 _DECODER = msgspec.json.Decoder(Record)
 _ENVELOPE = msgspec.json.Decoder(Envelope)
@@ -107,10 +141,7 @@
     values: Mapping[keys.Key, keys.Declared | None],
 ) -> Change:
     """Returns the change that sets or removes ``values``."""
-    written = {
-        key: write_value(value) for key, value in sorted(values.items())
-    }
-    return Change(record_id, author, based_on, written)
+    return Change(record_id, author, based_on, write_values(values))
 
 
 def encode(record: Record) -> bytes:
@@ -126,7 +157,7 @@
             reason = f'version {envelope.version} is not known here'
             return Error(Unreadable(reason, newer=True))
         return Ok(_DECODER.decode(body))
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(Unreadable(str(error), newer=False))
 
 
@@ -155,16 +186,22 @@
         return Ok(None)
     try:
         value = _VALUES[kind].decode(raw)
-    except msgspec.DecodeError as error:
+    except _MALFORMED as error:
         return Error(f'{key}: {error}')
     if value.name != name:
         return Error(f'{key}: holds the name {value.name!r}')
     return Ok(value)
 
 
+def write_values(
+    values: Mapping[keys.Key, keys.Declared | None],
+) -> dict[keys.Key, msgspec.Raw]:
+    """Returns declarations by key as JSON, ordered by key."""
+    return {key: write_value(value) for key, value in sorted(values.items())}
+
+
 def write_value(value: keys.Declared | None) -> msgspec.Raw:
     """Returns a declaration as JSON with its defaults left out."""
     if value is None:
         return msgspec.Raw(_REMOVED)
-    plain = keys.strip_defaults(value)
-    return msgspec.Raw(msgspec.json.encode(plain, order='sorted'))
+    return msgspec.Raw(msgspec.json.encode(value, order='sorted'))
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -33,6 +33,10 @@
 ]
 
 _CHUNK_SIZE = 65536
+_REST_TIMEOUT = 0.5
+"""Seconds for the end of a response that nobody reads any more."""
+_READ_SIZE = 8192
+"""Bytes of one read: tornado clears a buffer of this size for each."""
 _BODILESS = ('GET', 'HEAD', 'DELETE', 'OPTIONS')
 
 ClientSettings = messages.ClientSettings
@@ -58,22 +62,29 @@
         """Response headers."""
         return self._exchange.headers
 
-    async def read(self) -> Result[bytes | None, TransportFault]:
-        """Returns the next piece of the body, or ``None`` at its end."""
-        return await self._exchange.read()
+    async def read_piece(self) -> bytes | TransportFault | None:
+        """Returns the next piece of the body, or ``None`` at its end.
+
+        No ``Result``: one for each piece of a stream costs too much.
+        """
+        return await self._exchange.read_piece()
 
     async def chunks(self) -> AsyncIterator[Result[bytes, TransportFault]]:
         """Yields the pieces of the body; an ``Error`` is the last."""
         while True:
-            match await self._exchange.read():
-                case Result(tag='ok', ok=None):
+            match await self._exchange.read_piece():
+                case None:
                     return
-                case Result(tag='ok', ok=data):
+                case bytes() as data:
                     yield Ok(data)
-                case Result(error=fault):
+                case fault:
                     yield Error(fault)
                     return
 
+    def release(self) -> None:
+        """Keeps the connection for reuse if what is left comes at once."""
+        self._exchange.discard(_REST_TIMEOUT)
+
     def close(self) -> None:
         """Closes the connection unless the response has come whole."""
         self._exchange.fail(TransportFaultKind.BROKEN, 'closed by this side')
@@ -150,9 +161,10 @@
         host, _, port = address.rpartition(':')
         limit = min(timeout, self._settings.connect_timeout)
         try:
-            stream = await asyncio.wait_for(
-                self._connector.connect(host, int(port)), max(limit, 0.0)
-            )
+            # wait_for would swallow a cancellation that comes together with
+            # the connection (Python 3.11).
+            async with asyncio.timeout(max(limit, 0.0)):
+                stream = await self._connector.connect(host, int(port))
         except TimeoutError:
             return Error(
                 TransportFault(
@@ -170,6 +182,7 @@
                 )
             )
         stream.set_nodelay(True)
+        stream.read_chunk_size = _READ_SIZE
         return Ok(stream)
 
     def _start(
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -94,11 +94,10 @@
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
         )
-        self.configuration.listen(
-            lambda _: self.membership.publish(
-                'configuration', self.configuration.revision
-            )
+        self.configuration.watch(
+            lambda revision: self.membership.publish('configuration', revision)
         )
+        self.membership.listen(self._take_hint)
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
@@ -225,6 +224,10 @@
             ran=refusal.ran.value,
         )
 
+    def _take_hint(self, key: str, value: int) -> None:
+        if key == 'configuration':
+            self.distribution.note_highest(ids.Revision(value))
+
     def _set_limits(self, declared: declarations.Declarations) -> None:
         self.retry_budget.retry_share = declared.limit.retry_share
 
