Report an unreachable node instead of a traceback

Cause: tornado raises for a lost answer and a bad URL also with raise_error=False, so plan and apply ended in a traceback and never asked again under the same record id. Change: both are outcomes; a lost answer is asked for again.

--- a/tests/configuration/test_commands.py
+++ b/tests/configuration/test_commands.py
@@ -1,3 +1,4 @@
+import asyncio
 import pathlib
 
 import pytest
@@ -217,3 +218,27 @@
     other = channel.LogChannel(log, platform.StandInVmList())
     assert (await other.read()).ok.declarations.pool('p') is not None
     assert log.appends == 2
+
+
+@pytest.mark.parametrize('url', ['nowhere', 'http://127.0.0.1:1', 'ftp://x'])
+async def test_unreachable_node_is_an_error(url):
+    assert (await channel.NodeChannel(url).read()).is_error()
+
+
+async def test_node_that_hangs_up_is_asked_again():
+    asked = []
+
+    async def answer(reader, writer):
+        asked.append(await reader.readline())
+        if len(asked) == 2:
+            body = b'{"revision": 3, "values": {}}'
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+            writer.write(head.encode() + body)
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    way = channel.NodeChannel(f'http://127.0.0.1:{port}')
+    assert (await way.read()).ok.revision == 3
+    server.close()
+    await server.wait_closed()
--- a/waxwingport/commands/channel.py
+++ b/waxwingport/commands/channel.py
@@ -140,22 +140,23 @@
 
         That is safe: a change is known by its record id.
         """
-        request = httpclient.HTTPRequest(
-            self._url,
-            method,
-            headers=_make_headers(),
-            body=body,
-            request_timeout=_TIMEOUT,
-        )
         detail = ''
         for _ in range(_ATTEMPTS):
             try:
-                response = await self._client.fetch(request, raise_error=False)
-            except OSError as error:
+                response = await self._client.fetch(
+                    self._url,
+                    method=method,
+                    headers=_make_headers(),
+                    body=body,
+                    request_timeout=_TIMEOUT,
+                    raise_error=False,
+                )
+            except httpclient.HTTPClientError as error:
+                detail = str(error)
+            except (OSError, ValueError) as error:
                 return Error(f'{self._url}: {error}')
-            if response.code != 599:
+            else:
                 return _read_response(response)
-            detail = str(response.error)
         return Error(f'{self._url}: {detail}')
 
 
