Keep idempotency keys in sharded streams of the log

Cause: nothing decided which of two requests under one Idempotency-Key may run. Change: LogKeyIndex hands intents to one appender for each shard and data centre, which appends them in batches and answers from its fold. The fold holds no clock: a batch names the offset before which its writer has seen everything for a whole window, and an intent wins if none for its key stands in between. Two winners for one key are thus a window apart whatever the clocks show, and a log that drops records sooner is noticed.

--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -13,6 +13,7 @@
 from waxwingport.configuration import reader
 from waxwingport.configuration import state
 from waxwingport import ids
+from waxwingport.keys import index
 from waxwingport.leases import base as leases
 from waxwingport.limits import admission
 from waxwingport.limits import retries
@@ -102,6 +103,12 @@
         )
         self.services.connect(self.peers, self.membership)
         self.versions = versions.VersionBook()
+        self.keys = index.LogKeyIndex(
+            outside.log,
+            self.membership,
+            self.peers,
+            lambda: self.configuration.declarations.limit.key_window,
+        )
         self.version_exchange = versions.VersionExchange(
             self.versions,
             outside.log,
@@ -129,6 +136,7 @@
         )
         self._spawn(source.run())
         self._spawn(self.membership.run())
+        self._spawn(self.keys.run())
         self._spawn(self._follow_vms())
         self._spawn(self._poll_engines())
         self._spawn(self.version_exchange.run())
