--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -2,6 +2,7 @@
 
 from waxwingport.measure import base
 from waxwingport.measure import dissemination
+from waxwingport.measure import overload
 from waxwingport.measure import routing
 from waxwingport.measure import weights
 
@@ -11,6 +12,7 @@
     routing.RoutingRate(),
     weights.WeightPlan(),
     dissemination.Dissemination(),
+    overload.Overload(),
 )
 
 MEASUREMENTS = {row.name: row for row in _ALL}
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -73,7 +73,7 @@
         self.peers = joined or self._join_peers()
         self.membership = self._join_members()
         self.configuration = state.ConfigurationState()
-        self.targets = table.TargetTable(outside.targets)
+        self.targets = table.TargetTable(outside.targets, configured.node)
         self.configuration.listen(
             lambda declared: self.targets.set_rules(declared.labels)
         )
@@ -126,6 +126,9 @@
             self.metrics,
             is_log_down=lambda: self.version_exchange.log_down,
         )
+        self._refusals: collections.Counter[
+            tuple[outcomes.Reason, outcomes.Ran]
+        ] = collections.Counter()
         self._collectors: dict[ids.TrainerName, collector.Collector] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -191,6 +194,16 @@
             versions.Publication(trainer, version, reference)
         )
 
+    def note_refusal(self, refusal: outcomes.Refusal) -> None:
+        """Counts a refusal by its reason."""
+        self._refusals[refusal.reason, refusal.ran] += 1
+        self.metrics.count(
+            'waxwingport_refusals_total',
+            'Refused requests by reason, and whether they may have run',
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+        )
+
     def update_gauges(self) -> None:
         """Sets the gauges that are read off the node's state."""
         revision = self.configuration.revision
@@ -220,6 +233,10 @@
                 self._describe_trainer(row) for row in declared.trainers
             ],
             'targets': [_describe_target(row) for row in self.targets],
+            'refusals': [
+                {'reason': reason.value, 'ran': ran.value, 'count': count}
+                for (reason, ran), count in self._refusals.items()
+            ],
             'nodes': [
                 self._describe_member(row)
                 for row in self.membership.list_members()
