Keep one lease for each pool and data centre in the log

Cause: every node took itself for the holder of every lease. Change: LeaseKeeper claims, renews and releases a lease in a stream of its own. The fold needs no clock: a record wins if no winning one stands between what its writer had read and itself. A holder counts from the moment it sent the renewal; others wait for the duration and a margin. Tasks that swallow a cancellation no longer hang the stop of a node.

--- /dev/null
+++ b/tests/leases/test_keeper.py
@@ -0,0 +1,257 @@
+"""Lease keepers over the stand-in log, under a virtual clock."""
+
+import asyncio
+
+from expression import Error
+import pytest
+
+from waxwingport import ids
+from waxwingport.leases import keeper
+from waxwingport.membership import base as membership
+from waxwingport.platform import base as platform
+from waxwingport.standins import engine
+from waxwingport.standins import platform as standin_platform
+from waxwingport.targets import base as targets
+
+pytestmark = pytest.mark.looptime
+
+STREAM = ids.StreamName('lease-m-pool')
+SETTINGS = keeper.LeaseSettings()
+TAKEOVER = SETTINGS.duration + SETTINGS.margin + 2
+
+
+class World:
+    def __init__(self):
+        self.log = standin_platform.StandInLog()
+        self.tasks = {}
+        self._lives = 0
+
+    def start(self, name, log=None, candidate=lambda: True):
+        self._lives += 1
+        own = membership.Member(
+            ids.NodeName(name), 'm', f'{name}:1', self._lives
+        )
+        found = keeper.LeaseKeeper(
+            log or self.log, STREAM, own, SETTINGS, candidate
+        )
+        self.tasks[found] = asyncio.ensure_future(found.run())
+        return found
+
+    def crash(self, found):
+        self.tasks.pop(found).cancel()
+
+    async def stop(self):
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+
+
+class Switch(platform.Log):
+    """One node's way to the log, which can be cut or slowed."""
+
+    def __init__(self, log):
+        self.log = log
+        self.cut = False
+        self.slow = 0.0
+
+    async def append(self, stream, body):
+        await asyncio.sleep(self.slow)
+        if self.cut:
+            return Error(
+                platform.LogFault(platform.LogFaultKind.UNAVAILABLE, 'cut')
+            )
+        return await self.log.append(stream, body)
+
+    async def read(self, stream, offset, limit=1000, wait=0.0):
+        await asyncio.sleep(self.slow)
+        if self.cut:
+            return Error(
+                platform.LogFault(platform.LogFaultKind.UNAVAILABLE, 'cut')
+            )
+        return await self.log.read(stream, offset, limit, wait)
+
+
+@pytest.fixture
+async def world():
+    made = World()
+    yield made
+    await made.stop()
+
+
+async def test_one_of_many_holds_and_keeps_the_lease(world):
+    keepers = [world.start(f'n{n}') for n in range(5)]
+    await asyncio.sleep(1)
+    held = {row.check() for row in keepers} - {None}
+    assert len(held) == 1
+    for _ in range(60):
+        await asyncio.sleep(1)
+        now = [row.check() for row in keepers if row.check() is not None]
+        assert now == list(held)
+    assert {row.find_latest() for row in keepers} == held
+
+
+async def test_takeover_gives_a_higher_number(world):
+    first = world.start('a')
+    await asyncio.sleep(1)
+    second = world.start('b')
+    before = first.check()
+    await asyncio.sleep(5)
+    assert second.check() is None
+    world.crash(first)
+    await asyncio.sleep(TAKEOVER)
+    assert second.check() > before
+    assert first.check() is None
+
+
+async def test_release_lets_the_next_in_at_once(world):
+    first = world.start('a')
+    await asyncio.sleep(1)
+    second = world.start('b')
+    await asyncio.sleep(1)
+    before = first.check()
+    await first.release()
+    assert first.check() is None
+    await asyncio.sleep(1)
+    assert second.check() > before
+
+
+async def test_never_two_valid_holders_when_the_holder_loses_the_log(world):
+    way = Switch(world.log)
+    first = world.start('a', way)
+    await asyncio.sleep(1)
+    second = world.start('b')
+    await asyncio.sleep(2)
+    way.cut = True
+    for _ in range(200):
+        await asyncio.sleep(0.1)
+        assert first.check() is None or second.check() is None
+    assert second.check() is not None
+    way.cut = False
+    await asyncio.sleep(2)
+    assert first.check() is None
+    assert first.state is keeper.LeaseState.FOLLOWING
+
+
+async def test_slow_answers_count_from_the_moment_of_sending(world):
+    way = Switch(world.log)
+    first = world.start('a', way)
+    await asyncio.sleep(1)
+    second = world.start('b')
+    way.slow = 2.5
+    for _ in range(400):
+        await asyncio.sleep(0.1)
+        assert first.check() is None or second.check() is None
+
+
+async def test_lost_answer_of_a_renewal_is_looked_for(world):
+    first = world.start('a')
+    await asyncio.sleep(1)
+    world.log.lost_answers = 100
+    for _ in range(30):
+        await asyncio.sleep(1)
+        assert first.check() is not None
+
+
+async def test_lost_answer_of_a_claim_is_looked_for(world):
+    world.log.lost_answers = 1
+    first = world.start('a')
+    await asyncio.sleep(1)
+    assert first.check() == 0
+    assert world.log.appends == 1
+
+
+async def test_log_down_for_long_lapses_and_comes_back(world):
+    first = world.start('a')
+    second = world.start('b')
+    await asyncio.sleep(1)
+    holder = first if first.check() is not None else second
+    number = holder.check()
+    world.log.down = True
+    await asyncio.sleep(60)
+    assert first.check() is None
+    assert second.check() is None
+    assert holder.state is keeper.LeaseState.LAPSED
+    assert holder.find_latest() == number
+    world.log.down = False
+    await asyncio.sleep(2)
+    assert [first.check(), second.check()].count(None) == 1
+
+
+async def test_expired_records_do_not_free_a_held_lease(world):
+    first = world.start('a')
+    await asyncio.sleep(20)
+    world.log.expire_before(STREAM, first._fold.next)
+    second = world.start('b')
+    number = first.check()
+    for _ in range(40):
+        await asyncio.sleep(0.5)
+        assert first.check() == number
+        assert second.check() is None
+    assert second.find_latest() == number
+
+
+async def test_only_candidates_claim(world):
+    bystander = world.start('a', candidate=lambda: False)
+    await asyncio.sleep(30)
+    assert bystander.check() is None
+    world.start('b')
+    await asyncio.sleep(15)
+    assert bystander.find_latest() is not None
+
+
+PAUSES = ('before the check', 'between check and send', 'after the send')
+
+
+@pytest.mark.parametrize('checks_fencing', [True, False])
+@pytest.mark.parametrize('step', PAUSES)
+async def test_holder_paused_at_each_step(world, step, checks_fencing):
+    """An order of a paused holder never undoes its successor's.
+
+    A load is repeated by the successor from what it reads back; an engine
+    that checks numbers refuses it by itself.
+    """
+    target = engine.StandInEngine(
+        'e',
+        engine.StandInEngineSettings(
+            checks_fencing=checks_fencing, swap_time=0.1
+        ),
+    )
+    way = Switch(world.log)
+    first = world.start('a', way)
+    await asyncio.sleep(1)
+    second = world.start('b')
+    await asyncio.sleep(1)
+    old = make_order(first.check(), 2)
+    if step == 'after the send':
+        await target.send_order(old)
+    way.cut = True  # The paused process neither reads nor renews.
+    await asyncio.sleep(TAKEOVER + 2)
+    assert second.check() is not None
+    await target.send_order(make_order(second.check(), 3))
+    await asyncio.sleep(1)
+    if step == 'before the check':
+        assert first.check() is None
+    if step == 'between check and send':
+        outcome = await target.send_order(old)
+        assert outcome.is_error() or not checks_fencing
+        await asyncio.sleep(1)
+    await mend(target, second, 3)
+    state = (await target.read_state()).ok
+    assert state.weight_version == 3
+
+
+def make_order(number, version):
+    return targets.Order(
+        targets.OrderKind.LOAD_VERSION,
+        number,
+        weight_version=version,
+        reference=f'v{version}',
+    )
+
+
+async def mend(target, holder, version):
+    """Reads back and orders again, as the holder's rounds do."""
+    state = (await target.read_state()).ok
+    if state.weight_version != version:
+        await target.send_order(make_order(holder.check(), version))
+        await asyncio.sleep(1)
--- a/waxwingport/keys/shard.py
+++ b/waxwingport/keys/shard.py
@@ -108,7 +108,8 @@
         rows = self._waiters.setdefault(intent.key, [])
         rows.append(waiter)
         try:
-            return await asyncio.wait_for(self._decide(waiter), timeout)
+            async with asyncio.timeout(timeout):
+                return await self._decide(waiter)
         except TimeoutError:
             return Verdict(VerdictKind.LATE)
         finally:
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -15,6 +15,7 @@
 from waxwingport import ids
 from waxwingport.keys import index
 from waxwingport.leases import base as leases
+from waxwingport.leases import pools
 from waxwingport.limits import admission
 from waxwingport.limits import retries
 from waxwingport.membership import base as membership
@@ -31,6 +32,7 @@
 from waxwingport.samples import collector
 from waxwingport import settings
 from waxwingport.targets import table
+from waxwingport import tasks
 from waxwingport.weights import controller
 from waxwingport.weights import versions
 
@@ -103,6 +105,7 @@
         )
         self.services.connect(self.peers, self.membership)
         self.versions = versions.VersionBook()
+        self.leases = pools.PoolLeases(outside.log, self.membership)
         self.keys = index.LogKeyIndex(
             outside.log,
             self.membership,
@@ -150,9 +153,8 @@
         self.membership.leave()
         for trainer in self._collectors.values():
             trainer.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.leases.stop()
+        await tasks.cancel_all(self._tasks)
         await self.peers.close()
 
     def is_ready(self) -> bool:
@@ -178,7 +180,7 @@
 
     def find_lease(self, pool: ids.PoolName) -> leases.Lease:
         """Returns the lease for orders to a pool in this data centre."""
-        return leases.StaticLease(ids.FencingNumber(0))
+        return self.leases.find(pool)
 
     async def publish_version(
         self,
--- a/waxwingport/peers/transport.py
+++ b/waxwingport/peers/transport.py
@@ -23,6 +23,7 @@
 from waxwingport.peers import envelope
 from waxwingport.peers import records
 from waxwingport.peers import tls
+from waxwingport import tasks
 
 __all__ = ['PynngPeers']
 
@@ -114,7 +115,8 @@
         self._pending[number] = pending
         try:
             self._dispatch(pending, number, kind, body, timeout)
-            return await asyncio.wait_for(pending.future, timeout)
+            async with asyncio.timeout(timeout):
+                return await pending.future
         except TimeoutError:
             return Error(self._note_timeout(pending))
         finally:
@@ -193,12 +195,7 @@
     async def close(self) -> None:
         """Closes every connection."""
         self._loop.remove_reader(self._reader)
-        self._sweeping.cancel()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(
-            self._sweeping, *self._tasks, return_exceptions=True
-        )
+        await tasks.cancel_all({self._sweeping, *self._tasks})
         for record in self._records:
             if record.channel is not None:
                 record.channel.close()
