--- a/tests/keys/test_index.py
+++ b/tests/keys/test_index.py
@@ -236,3 +236,13 @@
     await asyncio.sleep(5)
     others = [await cluster.claim(f'n{n}', f's{n}') for n in (1, 2, 1, 2)]
     assert granted + count_ours(others) <= 1
+
+
+async def test_same_id_is_granted_again_after_the_window(cluster):
+    """A process that names its requests by key gets a new turn."""
+    start_all(cluster, 2)
+    assert (await cluster.claim('n0', 'r0')).ok.state is OURS
+    assert (await cluster.claim('n0', 'r0')).ok.state is ELSEWHERE
+    await asyncio.sleep(2 * conftest.WINDOW)
+    assert (await cluster.claim('n0', 'r0')).ok.state is OURS
+    assert (await cluster.claim('n1', 'r0')).ok.state is ELSEWHERE
--- a/waxwingport/keys/fold.py
+++ b/waxwingport/keys/fold.py
@@ -21,7 +21,8 @@
 class Intent(msgspec.Struct, frozen=True, array_like=True):
     """A request's wish to be the one that runs for a key.
 
-    ``owner`` and ``incarnation`` name the process that would send it.
+    ``owner`` and ``incarnation`` name the process that would send it;
+    ``attempt`` tells its claims under one request id apart.
     """
 
     key: bytes
@@ -29,6 +30,7 @@
     owner: ids.NodeName
     incarnation: ids.Incarnation
     request_id: ids.RequestId
+    attempt: int = 0
 
 
 class Batch(msgspec.Struct, frozen=True, array_like=True):
--- a/waxwingport/keys/index.py
+++ b/waxwingport/keys/index.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import itertools
 import logging
+from typing import TypeVar
 
 from expression import Error
 from expression import Ok
@@ -57,10 +59,13 @@
     timeout: float
 
 
-class _Recent(collections.OrderedDict[bytes, ids.RequestId]):
+_Value = TypeVar('_Value')
+
+
+class _Recent(collections.OrderedDict[bytes, _Value]):
     """The latest entries of a mapping, bounded in number."""
 
-    def __setitem__(self, key: bytes, value: ids.RequestId) -> None:
+    def __setitem__(self, key: bytes, value: _Value) -> None:
         super().__setitem__(key, value)
         if len(self) > _REMEMBERED:
             self.popitem(last=False)
@@ -90,10 +95,11 @@
         self._shards: dict[int, shard.Shard] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._avoided: dict[ids.NodeName, float] = {}
-        self._granted = _Recent()
+        self._attempts = itertools.count()
+        self._granted: _Recent[ids.RequestId] = _Recent()
         """Request granted for each key that this process may run."""
-        self._unused = _Recent()
-        """Own intents, by key, that were given up without being granted."""
+        self._unused: _Recent[int] = _Recent()
+        """Own attempts, by key, that were given up without being granted."""
         transport.answer(peers.MessageKind.INTENT, self._answer_handoff)
 
     @property
@@ -127,13 +133,14 @@
             own.name,
             own.incarnation,
             request_id,
+            next(self._attempts),
         )
         verdict = shard.Verdict(shard.VerdictKind.LATE)
         try:
             verdict = await self._seek_verdict(intent, timeout)
         finally:
             if verdict.winner is None:
-                self._unused[intent.key] = request_id
+                self._unused[intent.key] = intent.attempt
         _LOG.info(
             'key request=%s verdict=%s winner=%s',
             request_id,
@@ -225,9 +232,9 @@
         refused leaves the right to the next request for the key.
         """
         if winner == intent:
-            return self._granted.get(intent.key) != intent.request_id
+            return True
         left = self._unused.get(intent.key)
-        return self._is_own(winner) and left == winner.request_id
+        return self._is_own(winner) and left == winner.attempt
 
     def _is_own(self, intent: fold.Intent) -> bool:
         own = self._members.own
