Compute the detector's bound without exact fractions

Cause: statistics.pstdev works in fractions; judging 50 hours of heartbeats did not end within 100 s. Change: the deviation comes from fmean over squares.

--- a/waxwingport/membership/detector.py
+++ b/waxwingport/membership/detector.py
@@ -1,6 +1,7 @@
 """Failure detector that learns the rhythm of what it watches."""
 
 import collections
+import math
 import statistics
 
 import msgspec
@@ -63,11 +64,11 @@
     def bound(self) -> float:
         """Longest silence in seconds that is not late."""
         if self._bound is None:
-            mean = max(statistics.fmean(self._intervals), self._expected)
-            deviation = max(
-                statistics.pstdev(self._intervals),
-                self._settings.least_deviation * mean,
-            )
+            mean = statistics.fmean(self._intervals)
+            squares = ((row - mean) ** 2 for row in self._intervals)
+            spread = math.sqrt(statistics.fmean(squares))
+            mean = max(mean, self._expected)
+            deviation = max(spread, self._settings.least_deviation * mean)
             sure = min(1 - 10**-self._settings.threshold, _HIGHEST)
             bound = statistics.NormalDist(mean, deviation).inv_cdf(sure)
             longest = self._settings.longest * self._expected
