Explore two nodes and one key; mend two faults found

Cause: a process handed on the right of its refused request also when its fold was not sure that the request had won, so that a key could run twice within the window. An empty fold counted as no fold, so that a stream whose records had all expired was read from 0 for ever and its keys refused. Change: a verdict says whether it is sure; the fold is compared with None.

--- a/tests/keys/test_index.py
+++ b/tests/keys/test_index.py
@@ -246,3 +246,13 @@
     await asyncio.sleep(2 * conftest.WINDOW)
     assert (await cluster.claim('n0', 'r0')).ok.state is OURS
     assert (await cluster.claim('n1', 'r0')).ok.state is ELSEWHERE
+
+
+async def test_stream_whose_records_all_expired_serves_on(cluster):
+    start_all(cluster, 1)
+    assert (await cluster.claim('n0', 'r0')).ok.state is OURS
+    await asyncio.sleep(3 * conftest.WINDOW)
+    assert (await cluster.claim('n0', 'r1')).ok.state is OURS
+    cluster.crash('n0')
+    cluster.start('n0')
+    assert (await cluster.claim('n0', 'r2')).ok.state is ELSEWHERE
--- a/waxwingport/keys/shard.py
+++ b/waxwingport/keys/shard.py
@@ -42,10 +42,15 @@
 
 
 class Verdict(msgspec.Struct, frozen=True, array_like=True):
-    """Whose intent came first, or why that is not known."""
+    """Whose intent came first, or why that is not known.
+
+    A winner that is not ``sure`` may have lost to one that is not held: who
+    finds itself named so has no right to run.
+    """
 
     kind: VerdictKind
     winner: fold.Intent | None = None
+    sure: bool = True
 
 
 class _Waiter:
@@ -93,7 +98,7 @@
     @property
     def size(self) -> int:
         """How many keys are known."""
-        return len(self._fold) if self._fold else 0
+        return len(self._fold) if self._fold is not None else 0
 
     async def run(self) -> None:
         """Follows and appends until cancelled."""
@@ -142,7 +147,9 @@
         if found.winner == waiter.intent and not found.sure:
             waiter.settle(Verdict(VerdictKind.UNSURE))
         else:
-            waiter.settle(Verdict(VerdictKind.WINNER, found.winner))
+            waiter.settle(
+                Verdict(VerdictKind.WINNER, found.winner, found.sure)
+            )
 
     def _find_start(self) -> ids.Offset:
         return self._history.find_start(self._window(), self._loop.time())
@@ -155,7 +162,7 @@
 
     async def _read(self, wait: float) -> bool:
         """Reads and folds one page; returns whether the log answered."""
-        start = self._fold.next if self._fold else ids.Offset(0)
+        start = self._fold.next if self._fold is not None else ids.Offset(0)
         outcome = await self._log.read(self._stream, start, wait=wait)
         match outcome:
             case Result(tag='ok', ok=page):
