--- a/waxwingport/background.py
+++ b/waxwingport/background.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 import logging
 
+from waxwingport import tasks
+
 __all__ = ['Background']
 
 _LOG = logging.getLogger(__name__)
@@ -31,9 +33,7 @@
 
     async def stop(self) -> None:
         """Cancels every task and waits for their ends."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await tasks.cancel_all(self._tasks)
         self._tasks.clear()
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -6,6 +6,9 @@
 from waxwingport.measure import control
 from waxwingport.measure import degraded
 from waxwingport.measure import dissemination
+from waxwingport.measure import keys
+from waxwingport.measure import leases
+from waxwingport.measure import membership
 from waxwingport.measure import overload
 from waxwingport.measure import requests
 from waxwingport.measure import routing
@@ -26,6 +29,11 @@
     control.ControlCost(),
     dissemination.Dissemination(),
     overload.Overload(),
+    membership.MembershipCost(),
+    membership.Detection(),
+    membership.PeerRequests(),
+    leases.LeaseTakeover(),
+    keys.KeyIndexCost(),
     caching.PrefixHits(),
     degraded.DegradedEngines(),
     samples.Samples(),
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -13,7 +13,9 @@
 from waxwingport.configuration import snapshots
 from waxwingport.configuration import state
 from waxwingport import ids
+from waxwingport.keys import index
 from waxwingport.leases import base as leases
+from waxwingport.leases import pools
 from waxwingport.limits import admission
 from waxwingport.limits import retries
 from waxwingport.membership import base as membership
@@ -131,6 +133,14 @@
         )
         self.services.connect(self.peers, self.membership)
         self.versions = versions.VersionBook()
+        self.leases = pools.PoolLeases(outside.log, self.membership)
+        self.keys = index.LogKeyIndex(
+            outside.log,
+            self.membership,
+            self.peers,
+            lambda: self.configuration.declarations.limit.key_window,
+        )
+        self.services.use_keys(self.keys)
         self.version_exchange = versions.VersionExchange(
             self.versions,
             outside.log,
@@ -171,6 +181,7 @@
             self.distribution.run(),
             self.snapshots.run(),
             self.membership.run(),
+            self.keys.run(),
             self.vms.run(),
             self.poller.run(),
             self.version_exchange.run(),
@@ -183,6 +194,7 @@
         """Stops the node's background work."""
         self.membership.leave()
         await self.collectors.close()
+        await self.leases.stop()
         await self.background.stop()
         await self.peers.close()
 
@@ -196,7 +208,7 @@
 
     def find_lease(self, pool: ids.PoolName) -> leases.Lease:
         """Returns the lease for orders to a pool in this data centre."""
-        return leases.StaticLease(ids.FencingNumber(0))
+        return self.leases.find(pool)
 
     async def publish_version(
         self,
--- a/waxwingport/requests/services.py
+++ b/waxwingport/requests/services.py
@@ -28,6 +28,8 @@
 __all__ = ['ServiceRunner', 'ServiceWork']
 
 _ALONE = ids.NodeName('node')
+_WINDOWS_KEPT = 2
+"""The outcome of a keyed call outlives what the log knows of its key."""
 _KEYED_ID_BYTES = 16
 _RETRY_SHARE = 0.1
 _RETRY_AFTER = 5.0
@@ -130,6 +132,7 @@
             return Error(_refuse_keys())
         fingerprint = _compute_fingerprint(request)
         request_id = self._name_keyed(request.caller, key, fingerprint)
+        fresh = self.held.find(request_id) is None
         refusal = self._reserve(request, request_id, fingerprint)
         if refusal is not None:
             return Error(refusal)
@@ -143,7 +146,7 @@
         )
         match claimed:
             case Result(tag='ok', ok=claim):
-                return await self._follow(request, request_id, claim)
+                return await self._follow(request, request_id, claim, fresh)
             case Result(error=refusal):
                 # The intent may be in the log all the same; the entry stays,
                 # so that a repeat can still start the call here.
@@ -154,7 +157,13 @@
         request: ServiceWork,
         request_id: ids.RequestId,
         claim: keys.Claim,
+        fresh: bool,
     ) -> ledger.Outcome:
+        """Runs, passes on or refuses the call as the claim says.
+
+        Only ``OURS`` starts a call that is ``fresh`` here: this process may
+        have run it before and forgotten.
+        """
         if claim.state is keys.ClaimState.MISMATCH:
             self.held.drop(request_id)
             return Error(
@@ -166,7 +175,7 @@
         if claim.state is keys.ClaimState.OURS:
             owned_call = _hand_over(request, request_id, keyed=True)
             return await self._owned.answer(owned_call)
-        if claim.request_id != request_id:
+        if fresh or claim.request_id != request_id:
             self.held.drop(request_id)
         return await self._pass_to(
             claim.owner,
@@ -185,7 +194,10 @@
             return None
         now = asyncio.get_running_loop().time()
         admitted = self.held.admit(
-            request_id, request.caller, fingerprint, now + request.key_window
+            request_id,
+            request.caller,
+            fingerprint,
+            now + _WINDOWS_KEPT * request.key_window,
         )
         return admitted.swap().default_value(None)
 
