--- a/waxwingport/samples/ledger.py
+++ b/waxwingport/samples/ledger.py
@@ -74,6 +74,8 @@
         self.unscored = 0
         self._open = set(range(len(step)))
         self._held: dict[ids.SampleNumber, _Held] = {}
+        self._undelivered: dict[ids.SampleNumber, _Held] = {}
+        """Those of the held samples that the trainer lacks."""
         self._running: dict[ids.SampleNumber, list[Attempt]] = {}
         self._lacking = [row.samples for row in step.body.groups]
         self._group_of = [
@@ -140,9 +142,8 @@
         if number in self._held or number in self.received:
             return Finish(False)
         losers = tuple(self._running.pop(number, ()))
-        self._held[number] = _Held(
-            sample, attempt.request_id, attempt.tokens, awaits_score
-        )
+        held = _Held(sample, attempt.request_id, attempt.tokens, awaits_score)
+        self._held[number] = self._undelivered[number] = held
         self.held_size += len(sample.text)
         self.unscored += awaits_score
         self._open.discard(number)
@@ -175,10 +176,13 @@
         for number in self.received.list_changes(received):
             if number in received:
                 self._open.discard(number)
+                self._undelivered.pop(number, None)
                 useless += self._running.pop(number, ())
                 if number not in self._held:
                     self._lacking[self._group_of[number]] -= 1
-            elif number not in self._held:
+            elif number in self._held:
+                self._undelivered[number] = self._held[number]
+            else:
                 self._lacking[self._group_of[number]] += 1
                 self._open.add(number)
         self.received = received
@@ -194,7 +198,7 @@
         stale = self.drop_older(oldest)
         ready = [
             row.sample
-            for number, row in self._held.items()
+            for number, row in self._undelivered.items()
             if number not in received and not row.awaits_score
         ]
         ready.sort(key=lambda row: row.number)
@@ -224,8 +228,8 @@
     ) -> tuple[Dropped, ...]:
         dropped = tuple(
             Dropped(number, row.tokens)
-            for number, row in self._held.items()
-            if unwanted(row) and number not in self.received
+            for number, row in self._undelivered.items()
+            if unwanted(row)
         )
         for row in dropped:
             self._drop(row.number)
@@ -269,5 +273,6 @@
 
     def _drop(self, number: ids.SampleNumber) -> None:
         held = self._held.pop(number)
+        self._undelivered.pop(number, None)
         self.held_size -= len(held.sample.text)
         self.unscored -= held.awaits_score
