--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -176,6 +176,8 @@
     served = make_node(write_timeout=0.3)
     engine = await make_engine()
     engine.endless = True
+    # Fills the kernel's buffers on the way soon.
+    engine.padding = 'x' * 16384
     served.add_engines(engine.address)
     _, writer = await start_stream(served)
     began = time.monotonic()
@@ -231,3 +233,16 @@
     share = served.node.retry_budget.retry_share
     attempts = sum(row.runs for row in engines)
     assert attempts <= requests * (1 + share) + 4
+
+
+async def test_a_finished_stream_leaves_its_connection_for_the_next(
+    served, make_engine
+):
+    engine = await make_engine()
+    served.add_engines(engine.address)
+    for _ in range(5):
+        response = await served.fetch('POST', PATH, write_body())
+        assert json.loads(response.body)['choices'][0]['text'] == WHOLE
+        await asyncio.sleep(0.02)
+    assert engine.connections == 1
+    assert not engine.cancels
--- a/waxwingport/configuration/distribution.py
+++ b/waxwingport/configuration/distribution.py
@@ -84,6 +84,7 @@
         self._read_timeout = self._settings.read_timeout
         self._hints: dict[ids.NodeName, ids.Revision] = {}
         self._hinted = asyncio.Event()
+        self._highest = ids.Revision(-1)
         self._packed: tuple[ids.Revision, messages.State] | None = None
         transport.receive(_KIND, self._take)
         transport.answer(_KIND, self._answer)
@@ -117,6 +118,23 @@
             self._hints[member.name] = revision
             self._hinted.set()
 
+    def note_highest(self, revision: ids.Revision) -> None:
+        """Takes the highest revision that any node told, whoever it was."""
+        self._highest = max(self._highest, revision)
+
+    def describe(self) -> dict[str, object]:
+        """Returns how the configuration reaches this node, for status."""
+        folded = self._configuration.folded
+        return {
+            'revision': folded.revision,
+            'highest_heard': self._highest,
+            'reads_log': self._is_reading(),
+            'hears_reader': self._is_hearing(),
+            'log_behind': self.reader.behind,
+            'skipped_since': folded.skipped,
+            'diverged': sorted(self.diverged),
+        }
+
     # Reading the log.
 
     async def _follow(self) -> None:
@@ -131,7 +149,7 @@
         before = self._configuration.revision
         try:
             async with asyncio.timeout(self._read_timeout):
-                outcome = await self.reader.step(self._settings.read_wait)
+                outcome = await self.reader.step(self._pick_wait())
         except TimeoutError:
             self._read_timeout *= 2
             _LOG.warning('configuration log: no answer in time')
@@ -146,6 +164,14 @@
             self._pass_on(before)
         return True
 
+    def _pick_wait(self) -> float:
+        """Returns how long a read may wait for a record.
+
+        The first one after a failure does not, so that its success is known
+        at once.
+        """
+        return self._settings.read_wait if self._is_reading() else 0.0
+
     def _pick_pause(self) -> float:
         settings = self._settings
         pause = (
@@ -225,15 +251,20 @@
     # Asking peers.
 
     async def _repair(self) -> None:
-        """Asks peers at the start and while nobody reads the log."""
+        """Asks peers at the start, and whenever others may know more."""
         if self._configuration.revision < 0:
             await self._ask_all(self._pick_first())
         while True:
             pause = self._settings.ask_interval
             await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
-            if not self.is_followed() or self._configuration.revision < 0:
+            if self._may_lack():
                 await self._ask_all(self._pick_few())
 
+    def _may_lack(self) -> bool:
+        """Returns whether peers may hold a higher revision."""
+        revision = self._configuration.revision
+        return not self.is_followed() or revision < max(0, self._highest)
+
     async def _fetch_hinted(self) -> None:
         """Asks members that told a higher revision, the highest first."""
         while True:
--- a/waxwingport/configuration/state.py
+++ b/waxwingport/configuration/state.py
@@ -11,12 +11,14 @@
 from waxwingport.configuration import declarations
 from waxwingport.configuration import fold
 from waxwingport.configuration import records
+from waxwingport.configuration import starting
 from waxwingport import ids
 from waxwingport.platform import base
 
 __all__ = ['ConfigurationState']
 
 Listener = Callable[[declarations.Declarations], None]
+Watcher = Callable[[ids.Revision], None]
 
 _RECENT_RECORDS = 512
 _VERDICTS = 1024
@@ -29,6 +31,7 @@
     def __init__(self) -> None:
         self.folded = fold.Folded()
         self._listeners: list[Listener] = []
+        self._watchers: list[Watcher] = []
         self._grown = asyncio.Event()
         self._recent: collections.deque[base.LogRecord] = collections.deque(
             maxlen=_RECENT_RECORDS
@@ -38,16 +41,20 @@
         )
 
     def listen(self, listener: Listener) -> None:
-        """Calls ``listener`` after each change."""
+        """Calls ``listener`` after each change of the declarations."""
         self._listeners.append(listener)
 
+    def watch(self, watcher: Watcher) -> None:
+        """Calls ``watcher`` after each change of the revision."""
+        self._watchers.append(watcher)
+
     def apply(
         self,
         revision: ids.Revision,
         declared: declarations.Declarations,
     ) -> bool:
         """Puts ``declared`` in force unless ``revision`` is not newer."""
-        return self.take(fold.start_from(revision, declared))
+        return self.take(starting.start_from(revision, declared))
 
     @property
     def revision(self) -> ids.Revision:
@@ -148,6 +155,8 @@
         self.folded = folded
         grown, self._grown = self._grown, asyncio.Event()
         grown.set()
+        for watcher in self._watchers:
+            watcher(folded.revision)
         if not changed and not first:
             return
         for listener in self._listeners:
--- a/waxwingport/peers/memory.py
+++ b/waxwingport/peers/memory.py
@@ -97,9 +97,8 @@
             await asyncio.sleep(self._network.delay * 2)
             return Error(_fault(base.PeerFaultKind.GONE, peer, False))
         try:
-            return await asyncio.wait_for(
-                self._exchange(end, kind, body, peer), timeout
-            )
+            async with asyncio.timeout(timeout):
+                return await self._exchange(end, kind, body, peer)
         except TimeoutError:
             return Error(_fault(base.PeerFaultKind.TIMEOUT, peer, True))
 
