Choose steps ahead by the time a whole step takes

Change: ahead counts from the needed step; its depth follows the measured time from a step's first attempt to its last sample; 2% of idle share, before 10%, weighs as much as a version of staleness.

--- a/tests/samples/test_planner.py
+++ b/tests/samples/test_planner.py
@@ -82,21 +82,27 @@
     assert [row.number for row in chosen] == [2, 1]
 
 
-@given(shares, shares, strategies.integers(0, 4), seconds, seconds, shares)
+@given(shares, shares, strategies.integers(0, 4), seconds, seconds, seconds)
 def test_steps_ahead_grow_with_the_weight_of_idle_time(
-    one, two, bound, generate, train, idle
+    one, two, bound, generate, tail, train
 ):
     low, high = sorted((one, two))
     fewer, more = (
-        planner.choose_ahead(weight, bound, generate, train, idle)
+        planner.choose_ahead(weight, bound, generate, generate + tail, train)
         for weight in (low, high)
     )
     assert 0 <= fewer <= more <= bound
 
 
 def test_no_step_ahead_where_only_staleness_counts():
-    assert planner.choose_ahead(0.0, 4, 60.0, 60.0, 0.5) == 0
-    assert planner.choose_ahead(0.3, 1, 60.0, 60.0, 0.5) == 1
+    assert planner.choose_ahead(0.0, 4, 60.0, 60.0, 60.0) == 0
+    assert planner.choose_ahead(0.3, 1, 60.0, 60.0, 60.0) == 1
+
+
+def test_steps_ahead_cover_the_longest_samples_and_no_more():
+    assert planner.choose_ahead(0.7, 4, 16.0, 40.0, 18.0) == 3
+    assert planner.choose_ahead(0.7, 4, 16.0, 17.0, 18.0) == 1
+    assert planner.choose_ahead(0.7, 4, 60.0, 60.0, 18.0) == 1
 
 
 def test_expected_rest_agrees_with_the_mean_of_longer_ones():
--- a/waxwingport/samples/book.py
+++ b/waxwingport/samples/book.py
@@ -30,6 +30,8 @@
     ) -> None:
         self.step = step
         self.ledger = ledger.Ledger(step, received)
+        self.started_at: float | None = None
+        """When its first attempt was started."""
         self.put_at = asyncio.get_running_loop().time()
         self.offered = bitmap.Bitmap(len(step))
         self.idle = 0.0
@@ -52,14 +54,15 @@
         """The step that the trainer pulled last."""
         self.train_time: float | None = None
         """Seconds between a step's last sample and the next step's pull."""
-        self.idle_share: float | None = None
-        """Share of recent steps in which the trainer waited."""
+        self.whole_time: float | None = None
+        """Seconds from a step's first attempt to its last sample."""
         self._limits = limits
         self._entries: dict[ids.StepNumber, Entry] = {}
         self._advance = 1.0
         self._drift = 0.0
         self._first_version = ids.WeightVersion(1)
         self._completed_at: float | None = None
+        self._needed = ids.StepNumber(0)
 
     def __iter__(self) -> Iterator[Entry]:
         return iter([self._entries[row] for row in sorted(self._entries)])
@@ -113,6 +116,7 @@
         self._learn_advance(previous, step, version)
         self._first_version = version
         self.current = step
+        self._needed = step
         if self._completed_at is not None:
             waited = asyncio.get_running_loop().time() - self._completed_at
             self.train_time = _smooth(self.train_time, waited)
@@ -126,11 +130,19 @@
     def note_complete(self, entry: Entry) -> None:
         """Notes that a step's last sample was handed out."""
         self._completed_at = asyncio.get_running_loop().time()
-        # Nothing can be generated ahead of a trainer's first step.
-        if self.train_time is not None:
-            cycle = entry.idle + self.train_time
-            share = entry.idle / cycle if cycle > 0 else 0.0
-            self.idle_share = _smooth(self.idle_share, share)
+        self._needed = ids.StepNumber(entry.number + 1)
+
+    def note_generated(self, entry: Entry) -> None:
+        """Notes that a step's last sample was generated."""
+        taken = asyncio.get_running_loop().time() - entry.started_at
+        self.whole_time = _smooth(self.whole_time, taken)
+
+    @property
+    def needed(self) -> ids.StepNumber:
+        """The first step of which the trainer lacks samples."""
+        first = min(self._entries, default=ids.StepNumber(0))
+        current = first if self.current is None else self.current
+        return max(current, self._needed)
 
     def make_outlook(self, staleness_bound: int) -> planner.Outlook:
         """Returns what planning has to know of the trainer."""
--- a/waxwingport/samples/collector.py
+++ b/waxwingport/samples/collector.py
@@ -23,8 +23,6 @@
 
 __all__ = ['Collector']
 
-_FIRST_IDLE_SHARE = 0.5
-"""Expected of a trainer whose steps have not been measured."""
 _LOG = logging.getLogger(__name__)
 
 
@@ -328,25 +326,23 @@
         tokens = len(entry.step) * lengths.mean
         generate = tokens / (lengths.pace * self._window.size)
         train = self._book.train_time
-        idle = self._book.idle_share
-        if idle is None:
-            idle = _FIRST_IDLE_SHARE
+        whole = self._book.whole_time
         ahead = planner.choose_ahead(
             self.trainer.idle_weight,
             self.trainer.staleness_bound,
             generate,
+            generate if whole is None else whole,
             generate if train is None else train,
-            idle,
         )
         if ahead != self._generator.ahead:
             _LOG.info(
                 'ahead trainer=%s steps=%d generate_seconds=%.1f '
-                'train_seconds=%.1f idle_share=%.3f',
+                'whole_seconds=%.1f train_seconds=%.1f',
                 self.trainer.name,
                 ahead,
                 generate,
+                whole or 0.0,
                 train or 0.0,
-                idle,
             )
             self._generator.ahead = ahead
             self._generator.wake(reorder=True)
@@ -361,6 +357,8 @@
         finish = entry.ledger.finish(attempt, sample, scorer is not None)
         if not finish.accepted:
             return False
+        if entry.ledger.is_generated:
+            self._book.note_generated(entry)
         losers = list(finish.losers)
         self._generator.cancel(losers, statistics.Waste.SECOND_ATTEMPT)
         if scorer is None:
--- a/waxwingport/samples/generator.py
+++ b/waxwingport/samples/generator.py
@@ -76,7 +76,7 @@
         self.trainer = trainer
         self.lengths = lengths.LengthModel()
         self.ahead = 0
-        """Steps beyond the pulled one that may be generated."""
+        """Steps beyond the needed one that may be generated."""
         self._runner = resources.runner
         self._places = resources.places
         self._mint = resources.mint
@@ -225,8 +225,9 @@
     def _may_generate(
         self, entry: book.Entry, outlook: planner.Outlook
     ) -> bool:
-        ahead = entry.number - outlook.step
-        return entry.fault is None and 0 <= ahead <= self.ahead
+        ahead = entry.number - self._book.needed
+        wanted = outlook.step <= entry.number and ahead <= self.ahead
+        return entry.fault is None and wanted
 
     def _has_memory(self, entry: book.Entry, outlook: planner.Outlook) -> bool:
         rows = list(self._book)
@@ -357,6 +358,8 @@
             second=second,
         )
         entry.ledger.begin(attempt)
+        if entry.started_at is None:
+            entry.started_at = attempt.started_at
         return attempt
 
     def _run(
--- a/waxwingport/samples/ledger.py
+++ b/waxwingport/samples/ledger.py
@@ -91,6 +91,11 @@
         """Whether the trainer holds every sample."""
         return len(self.received) == len(self.step)
 
+    @property
+    def is_generated(self) -> bool:
+        """Whether no sample is open and none has an attempt running."""
+        return not self._open and not any(self._running.values())
+
     @property
     def open_count(self) -> int:
         """Number of samples that nothing is being done for."""
--- a/waxwingport/samples/planner.py
+++ b/waxwingport/samples/planner.py
@@ -19,10 +19,8 @@
 
 _SECOND_MARGIN = 1.2
 """How many times a fresh attempt's duration the rest has to last."""
-_IDLE_SHARE_OF_VERSION = 0.1
+_IDLE_SHARE_OF_VERSION = 0.02
 """Idle share of a trainer that weighs as much as one version's staleness."""
-_SPREAD_COVERED = 0.5
-"""Share of the remaining idle time that a further step ahead removes."""
 
 
 class OpenSlot(msgspec.Struct, frozen=True):
@@ -140,20 +138,31 @@
     idle_weight: float,
     staleness_bound: int,
     generate_time: float,
+    whole_time: float,
     train_time: float,
-    idle_share: float,
 ) -> int:
-    """Returns how many steps beyond the pulled one to generate.
-
-    The first step ahead hides generation behind training; each further one
-    only evens out what varies.  A step is added while its gain in idle share,
-    weighed by ``idle_weight``, exceeds the version of staleness it costs.
+    """Returns how many steps beyond the needed one to generate.
+
+    ``generate_time`` is what a step takes when the engines are full all the
+    time, ``whole_time`` from its first attempt to its last sample, which the
+    longest samples decide, ``train_time`` what the trainer takes for a step;
+    all in seconds.  Returns the number, up to the staleness bound, with the
+    least sum of the idle share that it leaves and the staleness that it
+    costs, weighed by ``idle_weight``; the lowest such number.
     """
-    cycle = generate_time + train_time
-    gain = min(generate_time, train_time) / cycle if cycle > 0 else 1.0
-    cost = (1 - idle_weight) * _IDLE_SHARE_OF_VERSION
-    ahead = 0
-    while ahead < staleness_bound and idle_weight * gain > cost:
-        ahead += 1
-        gain = (gain if ahead > 1 else idle_share) * _SPREAD_COVERED
-    return ahead
+
+    def weigh(ahead: int) -> float:
+        idle = _predict_idle(ahead, generate_time, whole_time, train_time)
+        staleness = ahead * _IDLE_SHARE_OF_VERSION
+        return idle_weight * idle + (1 - idle_weight) * staleness
+
+    return min(range(staleness_bound + 1), key=weigh)
+
+
+def _predict_idle(
+    ahead: int, generate_time: float, whole_time: float, train_time: float
+) -> float:
+    """Returns the share of time for which the trainer waits."""
+    cycle = max(generate_time, train_time)
+    wait = max(whole_time - ahead * cycle, cycle - train_time, 0.0)
+    return wait / (wait + train_time) if wait > 0 else 0.0
