--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -89,3 +89,27 @@
     assert [row['name'] for row in shown['pools']] == [pool]
     for hidden in ('services', 'trainers', 'targets', 'nodes', 'refusals'):
         assert shown[hidden] == []
+
+
+@pytest.mark.parametrize(
+    ('method', 'path'),
+    [
+        ('PUT', 'steps/1'),
+        ('DELETE', 'steps/1'),
+        ('POST', 'pull'),
+        ('PUT', 'versions/2'),
+    ],
+)
+async def test_tenant_cannot_act_for_a_foreign_trainer(
+    shared_stage, method, path
+):
+    trainer = shared_stage.deployment.trainer
+    client = httpclient.AsyncHTTPClient()
+    response = await client.fetch(
+        f'{shared_stage.url}/v1/trainers/{trainer}/{path}',
+        method=method,
+        headers={'Authorization': f'Bearer {TOKENS["tenant"]}'},
+        body=None if method == 'DELETE' else b'{}',
+        raise_error=False,
+    )
+    assert response.code == 403
--- a/waxwingport/api/trainers.py
+++ b/waxwingport/api/trainers.py
@@ -47,6 +47,8 @@
 
     async def put(self, trainer: str, step: str) -> None:
         """Starts a step; repeatable."""
+        if not self.check_allowed(trainer):
+            return
         match (
             self.read_number(step, 'step'),
             handler.read_json(self.request.body, steps.StepBody),
@@ -60,6 +62,8 @@
 
     async def delete(self, trainer: str, step: str) -> None:
         """Gives a step up; repeatable."""
+        if not self.check_allowed(trainer):
+            return
         match self.read_number(step, 'step'):
             case Result(tag='ok', ok=number):
                 await self._put(trainer, number, None)
@@ -80,15 +84,20 @@
 
     async def post(self, trainer: str) -> None:
         """Answers with samples that the trainer has not received."""
+        if not self.check_allowed(trainer):
+            return
         match handler.read_json(self.request.body, steps.PullRequest):
             case Result(tag='ok', ok=request):
                 pass
             case Result(error=refusal):
                 self.send_refusal(refusal)
                 return
-        outcome = await self.node.collectors.pull(
-            ids.TrainerName(trainer), request
-        )
+        await self.guard(self._pull(ids.TrainerName(trainer), request))
+
+    async def _pull(
+        self, trainer: ids.TrainerName, request: steps.PullRequest
+    ) -> None:
+        outcome = await self.node.collectors.pull(trainer, request)
         self.send_outcome(
             outcome.map(lambda answer: {'samples': answer.samples})
         )
@@ -99,6 +108,8 @@
 
     async def put(self, trainer: str, version: str) -> None:
         """Publishes new weights; repeatable."""
+        if not self.check_allowed(trainer):
+            return
         name = ids.TrainerName(trainer)
         if self.node.configuration.declarations.trainer(name) is None:
             detail = f'no trainer is called {trainer!r}'
