--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -87,8 +87,9 @@
     shown = msgspec.json.decode(response.body)
     pool = shared_stage.deployment.pool
     assert [row['name'] for row in shown['pools']] == [pool]
-    for hidden in ('services', 'trainers', 'targets', 'nodes', 'refusals'):
-        assert shown[hidden] == []
+    hidden = ('services', 'trainers', 'targets', 'nodes', 'leases')
+    for name in (*hidden, 'refusals'):
+        assert shown[name] == []
 
 
 @pytest.mark.parametrize(
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,3 +1,4 @@
+import asyncio
 import base64
 import json
 
@@ -84,3 +85,15 @@
         {'model': 'nobody', 'prompt': 'x'},
     )
     assert (status, answer['ran']) == (404, 'no')
+
+
+async def test_trainer_trains_steps_without_a_fault(running_stage):
+    trainer = running_stage.start_trainer()
+    while trainer.steps_done < 2:
+        await asyncio.sleep(0.05)
+    assert trainer.faults == []
+    assert len(trainer.received) >= 2 * 16
+    latest = running_stage.node.versions.find_latest(
+        running_stage.deployment.trainer
+    )
+    assert latest.version == 3
--- a/waxwingport/api/overview.py
+++ b/waxwingport/api/overview.py
@@ -30,6 +30,7 @@
             _describe_member(shown, row)
             for row in shown.membership.list_members()
         ],
+        'leases': shown.leases.describe(),
         'refusals': [
             {'reason': reason.value, 'ran': ran.value, 'count': count}
             for (reason, ran), count in shown.refusals.items()
@@ -48,7 +49,8 @@
             for row in shown[name]
             if callers.check_allowed(caller, row['name']) is None
         ]
-    return {**kept, 'targets': [], 'nodes': [], 'refusals': []}
+    hidden = ('targets', 'nodes', 'leases', 'refusals')
+    return {**kept, **{name: [] for name in hidden}}
 
 
 def update_gauges(shown: node.Node) -> None:
--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -82,6 +82,7 @@
         deployment: str = 'bavaria',
         port: int = 8080,
         seconds: float | None = None,
+        trainer: bool = False,
     ) -> None:
         """Runs a whole deployment on loopback in this process.
 
@@ -89,10 +90,11 @@
             deployment: bavaria or occidente.
             port: Port of the node; 0 takes a free one.
             seconds: Stops after this time; runs until a signal otherwise.
+            trainer: Runs a stand-in trainer as well.
         """
         found = _find_deployment(deployment)
         logs.configure(node_settings.LogSettings())
-        asyncio.run(_run_trial(found, port, seconds))
+        asyncio.run(_run_trial(found, port, seconds, trainer))
 
     def check(
         self, settings: str | None = None, declarations: str | None = None
@@ -233,11 +235,16 @@
 
 
 async def _run_trial(
-    deployment: deployments.Deployment, port: int, seconds: float | None
+    deployment: deployments.Deployment,
+    port: int,
+    seconds: float | None,
+    trainer: bool,
 ) -> None:
     running = stage.Stage(deployment, port)
     await running.start()
     print(f'ready {running.url}', flush=True)
+    if trainer:
+        running.start_trainer()
     failed = running.node.background.failed
     cause = await serving.wait_for_stop(failed, seconds)
     await running.stop()
--- a/waxwingport/commands/observing.py
+++ b/waxwingport/commands/observing.py
@@ -38,7 +38,7 @@
         'idle_share',
         'staleness_p99',
     ),
-    'leases': ('name', 'holder', 'fencing_number', 'state'),
+    'leases': ('pool', 'state', 'holder', 'fencing_number'),
     'refusals': ('reason', 'ran', 'count'),
 }
 
--- a/waxwingport/trial/stage.py
+++ b/waxwingport/trial/stage.py
@@ -3,12 +3,14 @@
 import asyncio
 
 from waxwingport import assembly
+from waxwingport import client as trainer_client
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import node
 from waxwingport.requests import settings as request_settings
 from waxwingport import server
 from waxwingport import settings
+from waxwingport.standins import trainer
 from waxwingport.trial import deployments
 from waxwingport.trial import surroundings
 
@@ -47,6 +49,19 @@
         while not self.node.is_ready():
             await asyncio.sleep(_READY_POLL)
 
+    def start_trainer(self) -> trainer.StandInTrainer:
+        """Starts a stand-in trainer that trains until the stage stops."""
+        name = self.deployment.trainer
+        declared = self.node.configuration.declarations.trainer(name)
+        made = trainer.StandInTrainer(
+            trainer_client.TrainerClient(self.url, name),
+            trainer.StandInTrainerSettings(
+                staleness_bound=declared.staleness_bound
+            ),
+        )
+        self.node.background.spawn(made.run())
+        return made
+
     async def stop(self) -> None:
         """Stops everything."""
         await self.node_server.stop()
