Look after the engines of data centres without live nodes

Cause: in the trial, with one node, engines of three data centres stayed at version 1: each data centre orders only its own engines. Change: rendezvous hashing names a guardian among the data centres with live nodes; it takes the orphan's own lease and gives it up when nodes come back.

--- /dev/null
+++ b/tests/membership/test_adoption.py
@@ -0,0 +1,26 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waxwingport.membership import adoption
+from waxwingport.membership import base
+
+CENTRES = ['augsburg', 'muenchen', 'nuernberg', 'regensburg']
+
+
+def make_member(centre):
+    return base.Member(f'{centre}-1', centre, 'a:1', 1)
+
+
+@given(st.sets(st.sampled_from(CENTRES), min_size=1))
+def test_each_data_centre_has_one_guardian_with_live_nodes(live):
+    members = [make_member(centre) for centre in live]
+    guarded = {
+        own: adoption.list_guarded(own, CENTRES, members) for own in live
+    }
+    assert sorted(sum(guarded.values(), [])) == CENTRES
+    for own, rows in guarded.items():
+        assert rows[0] == own
+
+
+def test_no_guardian_without_live_nodes():
+    assert adoption.find_guardian('muenchen', []) is None
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -97,3 +97,20 @@
         running_stage.deployment.trainer
     )
     assert latest.version == 3
+
+
+async def test_new_weights_reach_engines_of_centres_without_nodes(
+    running_stage,
+):
+    trainer = running_stage.deployment.trainer
+    await fetch(
+        running_stage,
+        'PUT',
+        f'/v1/trainers/{trainer}/versions/2',
+        {'weights': 'w/2'},
+    )
+    while True:
+        found = {row.state.weight_version for row in running_stage.engines}
+        if found == {2}:
+            break
+        await asyncio.sleep(0.05)
--- a/waxwingport/commands/observing.py
+++ b/waxwingport/commands/observing.py
@@ -38,7 +38,7 @@
         'idle_share',
         'staleness_p99',
     ),
-    'leases': ('pool', 'state', 'holder', 'fencing_number'),
+    'leases': ('pool', 'data_centre', 'state', 'holder', 'fencing_number'),
     'refusals': ('reason', 'ran', 'count'),
 }
 
--- a/waxwingport/leases/keeper.py
+++ b/waxwingport/leases/keeper.py
@@ -22,6 +22,8 @@
 _READ_WAIT = 1.0
 _RETRY_DELAY = 0.2
 _SENT_KEPT = 16
+_IDLE_DELAY = 1.0
+"""Seconds between two looks at whether to follow the lease."""
 _LOG = logging.getLogger(__name__)
 
 
@@ -59,8 +61,10 @@
 class LeaseKeeper(base.Lease):
     """Claims a lease when it is free and renews it.
 
-    ``is_candidate`` returns whether this node should try.  Timeouts decide
-    when to try, the fold decides who wins.
+    ``is_candidate`` returns whether this node should try; while it should not
+    and holds nothing, it leaves the log alone.  A holder that ``is_entitled``
+    no longer gives the lease up.  Timeouts decide when to try, the fold
+    decides who wins.
     """
 
     def __init__(
@@ -70,12 +74,14 @@
         own: membership.Member,
         settings: LeaseSettings | None = None,
         is_candidate: Callable[[], bool] = lambda: True,
+        is_entitled: Callable[[], bool] = lambda: True,
     ) -> None:
         self._log = log
         self._stream = stream
         self._own = own
         self._settings = settings or LeaseSettings()
         self._is_candidate = is_candidate
+        self._is_entitled = is_entitled
         self._loop = asyncio.get_running_loop()
         self._chart = chart.read_chart('lease', LeaseState, LeaseEvent)
         self.state = self._chart.initial
@@ -119,6 +125,12 @@
         if held is not None:
             await self._append(released=True)
 
+    async def _give_up(self) -> None:
+        self.valid_until = float('-inf')
+        self._note(LeaseEvent.RELEASED)
+        await self._append(released=True)
+        await asyncio.sleep(_RETRY_DELAY)
+
     def _is_holder(self) -> bool:
         tenure = self.tenure
         return tenure is not None and (
@@ -141,6 +153,11 @@
 
     async def _follow(self) -> None:
         while True:
+            if not (self._is_candidate() or self._is_holder()):
+                # What comes meanwhile has to be read before a claim.
+                self._caught_up = False
+                await asyncio.sleep(_IDLE_DELAY)
+                continue
             wait = _READ_WAIT if self._caught_up else 0.0
             if not await self._read(wait):
                 await asyncio.sleep(_RETRY_DELAY)
@@ -199,7 +216,9 @@
         while True:
             if self._loop.time() >= self.valid_until:
                 self._note(LeaseEvent.EXPIRED)
-            if self._is_due():
+            if self._is_holder() and not self._is_entitled():
+                await self._give_up()
+            elif self._is_due():
                 self._tried_at = self._loop.time()
                 await self._append()
             await asyncio.sleep(_TICK)
--- a/waxwingport/leases/pools.py
+++ b/waxwingport/leases/pools.py
@@ -1,9 +1,10 @@
-"""The leases of the pools in this node's data centre."""
+"""The leases of pools, one for each pool and data centre."""
 
 import asyncio
 
 from waxwingport import ids
 from waxwingport.leases import keeper
+from waxwingport.membership import adoption
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
 from waxwingport.platform import base as platform
@@ -22,21 +23,30 @@
     ) -> None:
         self._log = log
         self._members = members
-        self._keepers: dict[ids.PoolName, keeper.LeaseKeeper] = {}
+        self._keepers: dict[
+            tuple[ids.DataCentre, ids.PoolName], keeper.LeaseKeeper
+        ] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
-    def find(self, pool: ids.PoolName) -> keeper.LeaseKeeper:
-        """Returns the keeper of a pool's lease, running from now on."""
-        found = self._keepers.get(pool)
+    def find(
+        self, pool: ids.PoolName, centre: ids.DataCentre | None = None
+    ) -> keeper.LeaseKeeper:
+        """Returns the keeper of a pool's lease, running from now on.
+
+        ``centre`` is the own data centre by default.
+        """
+        own = self._members.own
+        centre = centre or own.data_centre
+        found = self._keepers.get((centre, pool))
         if found is None:
-            own = self._members.own
             found = keeper.LeaseKeeper(
                 self._log,
-                ids.StreamName(f'lease-{own.data_centre}-{pool}'),
+                ids.StreamName(f'lease-{centre}-{pool}'),
                 own,
-                is_candidate=lambda: self._is_candidate(pool),
+                is_candidate=lambda: self._is_candidate(pool, centre),
+                is_entitled=lambda: self._is_guarded(centre),
             )
-            self._keepers[pool] = found
+            self._keepers[centre, pool] = found
             loop = asyncio.get_running_loop()
             self._tasks.append(loop.create_task(found.run()))
         return found
@@ -46,11 +56,12 @@
         return [
             {
                 'pool': pool,
+                'data_centre': centre,
                 'state': row.state.value,
                 'holder': row.tenure.holder if row.tenure else None,
                 'fencing_number': row.find_latest(),
             }
-            for pool, row in sorted(self._keepers.items())
+            for (centre, pool), row in sorted(self._keepers.items())
         ]
 
     async def stop(self) -> None:
@@ -59,7 +70,16 @@
         await asyncio.gather(*releases, return_exceptions=True)
         await tasks.cancel_all(self._tasks)
 
-    def _is_candidate(self, pool: ids.PoolName) -> bool:
+    def _is_guarded(self, centre: ids.DataCentre) -> bool:
+        live = self._members.list_live()
+        own = self._members.own.data_centre
+        return centre == own or adoption.find_guardian(centre, live) == own
+
+    def _is_candidate(
+        self, pool: ids.PoolName, centre: ids.DataCentre
+    ) -> bool:
+        if not self._is_guarded(centre):
+            return False
         own = self._members.own
         live = self._members.list_live(own.data_centre)
         names = [row.name for row in live]
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -14,7 +14,6 @@
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.keys import index
-from waxwingport.leases import base as leases
 from waxwingport.leases import pools
 from waxwingport.limits import admission
 from waxwingport.limits import retries
@@ -34,6 +33,7 @@
 from waxwingport.targets import poller
 from waxwingport.targets import table
 from waxwingport.weights import controller
+from waxwingport.weights import placement
 from waxwingport.weights import versions
 
 __all__ = ['Node', 'Outside']
@@ -148,15 +148,8 @@
             self.peers,
             self.rng,
         )
-        self.weights = controller.WeightController(
-            self.configuration,
-            self.targets,
-            self.versions,
-            outside.weight_store,
-            self.membership,
-            self.find_lease,
-            self.metrics,
-            is_log_down=lambda: self.version_exchange.log_down,
+        self.weights = placement.Placement(
+            self.membership, self.targets, self._make_controller
         )
         self.collectors = collectors.Collectors(
             collectors.Parts(
@@ -206,10 +199,6 @@
             and len(self.targets) > 0
         )
 
-    def find_lease(self, pool: ids.PoolName) -> leases.Lease:
-        """Returns the lease for orders to a pool in this data centre."""
-        return self.leases.find(pool)
-
     async def publish_version(
         self,
         trainer: ids.TrainerName,
@@ -254,6 +243,21 @@
             gate, self.retry_budget, self.rng, self.settings.requests
         )
 
+    def _make_controller(
+        self, centre: ids.DataCentre
+    ) -> controller.WeightController:
+        return controller.WeightController(
+            self.configuration,
+            self.targets,
+            self.versions,
+            self.outside.weight_store,
+            self.membership,
+            lambda pool: self.leases.find(pool, centre),
+            self.metrics,
+            is_log_down=lambda: self.version_exchange.log_down,
+            centre=centre,
+        )
+
     def _join_peers(self) -> peers.Peers:
         configured = self.settings
         return transport.PynngPeers(
--- a/waxwingport/weights/controller.py
+++ b/waxwingport/weights/controller.py
@@ -1,4 +1,4 @@
-"""Brings the engines of this data centre to the versions wanted."""
+"""Brings the engines of one data centre to the versions wanted."""
 
 import asyncio
 from collections.abc import Callable
@@ -76,7 +76,7 @@
 
 
 class WeightController:
-    """Sends orders under the leases of this data centre.
+    """Sends orders under the leases of ``centre``, by default the own one.
 
     Every node runs one; only the holder of a pool's lease sends anything.
     Orders name the wanted state and are repeated until the engine reports it.
@@ -93,6 +93,7 @@
         counters: metrics.Metrics,
         need: Need = lambda pool: 0.0,
         is_log_down: Callable[[], bool] = lambda: False,
+        centre: ids.DataCentre | None = None,
     ) -> None:
         self._configuration = configuration
         self._targets = targets
@@ -105,7 +106,9 @@
         self._is_log_down = is_log_down
         self._rate = 1
         self._rate_at = float('-inf')
-        self._fleet = fleet.Fleet(targets, members.own.data_centre)
+        self._centre = centre or members.own.data_centre
+        self._fleet = fleet.Fleet(targets, self._centre)
+        self._fleet.set_pools(configuration.declarations.pools)
         configuration.listen(
             lambda declared: self._fleet.set_pools(declared.pools)
         )
@@ -175,7 +178,7 @@
 
     def _plan(self) -> list[plan.Load]:
         now = asyncio.get_running_loop().time()
-        own = self._members.own.data_centre
+        own = self._centre
         wishes: list[plan.PoolWish] = []
         views: list[plan.EngineView] = []
         centres: list[plan.CentreSummary] = []
@@ -306,18 +309,17 @@
         """Returns whether this node sends while nobody can hold the lease."""
         own = self._members.own
         names = [row.name for row in self._members.list_live(own.data_centre)]
-        return rendezvous.pick(f'orders/{pool}', names) == own.name
+        return rendezvous.pick(f'lease/{pool}', names) == own.name
 
     async def _send_labelled(
         self, pools: dict[ids.PoolName, declarations.Pool]
     ) -> None:
         """Sends role changes, drains and adapters, one a round and engine."""
-        own = self._members.own.data_centre
         sends = [
             self._send_wish(pool, target)
             for pool in pools.values()
-            for target in self._targets.select(pool.selector)
-            if target.engine_state is not None and target.vm.data_centre == own
+            for target in self._fleet.list_here(pool.name)
+            if target.engine_state is not None
         ]
         await asyncio.gather(*sends)
 
