Skip waiters that were cancelled in the same turn of the loop

Cause: a released slot schedules the queue's dispatch; a waiter cancelled before it ran was still queued, its future done. Setting its result raised, the grant stayed counted for good, and the rest of that dispatch was lost. Change: such a waiter is dropped and the queue looked at again. Test: fails with InvalidStateError before, passes after.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -131,6 +131,24 @@
     assert (await found.grant(bench.make_work(2))) is not None
 
 
+async def test_a_slot_skips_a_waiter_cancelled_in_the_same_turn():
+    found = bench.make_bench(capacity=4)
+    await found.report()
+    held = await fill(found, 4)
+    cancelled = found.start(bench.make_work(5))
+    patient = found.start(bench.make_work(6))
+    await asyncio.sleep(0.1)
+    held[0].release()
+    cancelled.cancel()
+    await asyncio.sleep(0.1)
+    grant = (await patient).ok
+    target = grant.target
+    assert target.in_progress == 4
+    for row in (*held, grant):
+        row.release()
+    assert target.in_progress == 0
+
+
 async def test_a_request_that_cannot_meet_its_deadline_is_refused_at_once():
     found = bench.make_bench(capacity=1)
     await found.report()
--- a/waxwingport/limits/admission.py
+++ b/waxwingport/limits/admission.py
@@ -301,11 +301,18 @@
         view: pools.PoolView,
         work_class: candidates.WorkClass,
     ) -> bool:
-        """Grants a target to the next waiter; returns whether one got it."""
+        """Grants a target to the next waiter.
+
+        Returns whether the queue got shorter, so that another look pays.
+        """
         queue = group.queues[work_class]
         rollout = work_class is candidates.WorkClass.ROLLOUT
         protected = rollout and group.owes_rollouts()
-        for waiter in queue.list_next():
+        for waiter in list(queue.list_next()):
+            if waiter.turn.done():
+                # Cancelled, but its task has not run since.
+                queue.discard(waiter)
+                return True
             grant = self._try_grant(group, view, waiter.work, protected)
             if grant is not None:
                 queue.discard(waiter)
--- a/waxwingport/weights/controller.py
+++ b/waxwingport/weights/controller.py
@@ -32,7 +32,8 @@
 
 _INTERVAL = 0.25
 _RATE_INTERVAL = 5.0
-_AWAY_INTERVAL = 2.0
+_AWAY_RATE = 5000.0
+"""Engines of other data centres that are looked at in a second."""
 _FIRST_BACKOFF = 1.0
 _LONGEST_BACKOFF = 60.0
 _SETTLING_TIME = 1.0
@@ -208,7 +209,8 @@
     ) -> list[plan.CentreSummary]:
         """Returns the counts of other data centres, taken now and then."""
         kept = self._away.get(wish.pool)
-        fresh = kept is not None and now - kept.at < _AWAY_INTERVAL
+        pause = self._fleet.count(wish.pool) / _AWAY_RATE
+        fresh = kept is not None and now - kept.at < pause
         if not fresh or kept.wish != wish:
             counts = self._fleet.summarise_away(wish)
             kept = self._away[wish.pool] = _Away(wish, counts, now)
