--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -70,41 +70,111 @@
         self.metrics = metrics.Metrics()
         self.peers = joined or self._join_peers()
         self.membership = self._join_members()
+        self._add_configuration()
+        self._add_targets()
+        self._add_requests()
+        self._add_orders()
+        self._add_collectors()
+        self.refusals: collections.Counter[
+            tuple[outcomes.Reason, outcomes.Ran]
+        ] = collections.Counter()
+        self.background = background.Background()
+
+    async def start(self) -> None:
+        """Starts the node's background work."""
+        for work in (
+            self.distribution.run(),
+            self.snapshots.run(),
+            self.membership.run(),
+            self.keys.run(),
+            self.vms.run(),
+            self.poller.run(),
+            self.version_exchange.run(),
+            self.weights.run(),
+            self.collectors.run(),
+        ):
+            self.background.spawn(work)
+
+    async def stop(self) -> None:
+        """Stops the node's background work."""
+        self.membership.leave()
+        await self.collectors.close()
+        await self.leases.stop()
+        await self.background.stop()
+        await self.peers.close()
+
+    def is_ready(self) -> bool:
+        """Returns whether requests can be taken."""
+        return (
+            self.progress.ready
+            and self.configuration.revision >= 0
+            and len(self.targets) > 0
+        )
+
+    async def publish_version(
+        self,
+        trainer: ids.TrainerName,
+        version: ids.WeightVersion,
+        reference: str,
+    ) -> Result[bool, outcomes.Refusal]:
+        """Takes a trainer's new weight version; returns whether it was new.
+
+        Fails when the version is known under another reference.
+        """
+        return await self.version_exchange.publish(
+            versions.Publication(trainer, version, reference)
+        )
+
+    def note_refusal(self, refusal: outcomes.Refusal) -> None:
+        """Counts a refusal by its reason."""
+        self.refusals[refusal.reason, refusal.ran] += 1
+        self.metrics.count(
+            'waxwingport_refusals_total',
+            'Refused requests by reason, and whether they may have run',
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+        )
+
+    def _add_configuration(self) -> None:
         self.configuration = state.ConfigurationState()
         self.distribution = distribution.Distribution(
-            outside.log,
+            self.outside.log,
             self.configuration,
             self.membership,
             self.peers,
-            configured.distribution,
+            self.settings.distribution,
             self.rng,
         )
         self.snapshots = snapshots.SnapshotWriter(
-            outside.log,
+            self.outside.log,
             self.configuration,
             self.distribution.reader,
             self.membership,
-            configured.snapshots,
+            self.settings.snapshots,
         )
         self.publisher = publisher.Publisher(
-            outside.log,
-            outside.vm_list,
+            self.outside.log,
+            self.outside.vm_list,
             self.configuration,
             self.distribution.reader,
         )
-        self.targets = table.TargetTable(outside.targets, configured.node)
-        self.configuration.listen(
-            lambda declared: self.targets.set_rules(declared.labels)
-        )
         self.configuration.watch(
             lambda revision: self.membership.publish('configuration', revision)
         )
         self.membership.listen(self._take_hint)
+
+    def _add_targets(self) -> None:
+        self.targets = table.TargetTable(
+            self.outside.targets, self.settings.node
+        )
+        self.configuration.listen(
+            lambda declared: self.targets.set_rules(declared.labels)
+        )
         self.admission = admission.Admission(
             self.configuration, self.targets, self.rng
         )
         self.vms = listing.VmFollower(
-            outside.vm_list,
+            self.outside.vm_list,
             [self.targets.update, self.membership.update],
             self.membership,
             self.peers,
@@ -115,35 +185,39 @@
             self.membership,
             self.peers,
         )
-        self.progress = progress.Progress(configured.requests.body_memory)
+
+    def _add_requests(self) -> None:
+        self.progress = progress.Progress(self.settings.requests.body_memory)
         self.retry_budget = retries.RetryBudget(
             self.configuration.declarations.limit.retry_share
         )
         self.configuration.listen(self._set_limits)
         self.completions = completions.CompletionRunner(
-            self.admission, self.retry_budget, self.rng, configured.requests
+            self.admission, self.retry_budget, self.rng, self.settings.requests
         )
         self.services = services.ServiceRunner(
             self.admission,
-            configured.node.name,
+            self.settings.node.name,
             self.incarnation,
             self.retry_budget,
             self.rng,
-            configured.requests,
+            self.settings.requests,
         )
         self.services.connect(self.peers, self.membership)
-        self.versions = versions.VersionBook()
-        self.leases = pools.PoolLeases(outside.log, self.membership)
         self.keys = index.LogKeyIndex(
-            outside.log,
+            self.outside.log,
             self.membership,
             self.peers,
             lambda: self.configuration.declarations.limit.key_window,
         )
         self.services.use_keys(self.keys)
+
+    def _add_orders(self) -> None:
+        self.versions = versions.VersionBook()
+        self.leases = pools.PoolLeases(self.outside.log, self.membership)
         self.version_exchange = versions.VersionExchange(
             self.versions,
-            outside.log,
+            self.outside.log,
             self.membership,
             self.peers,
             self.rng,
@@ -151,6 +225,8 @@
         self.weights = placement.Placement(
             self.membership, self.targets, self._make_controller
         )
+
+    def _add_collectors(self) -> None:
         self.collectors = collectors.Collectors(
             collectors.Parts(
                 self.configuration,
@@ -158,70 +234,11 @@
                 self.admission,
                 self.metrics,
                 self._find_version,
-                configured.samples,
+                self.settings.samples,
                 self._make_runner,
             ),
             collectors.Neighbours(self.membership, self.peers),
         )
-        self.refusals: collections.Counter[
-            tuple[outcomes.Reason, outcomes.Ran]
-        ] = collections.Counter()
-        self.background = background.Background()
-
-    async def start(self) -> None:
-        """Starts the node's background work."""
-        for work in (
-            self.distribution.run(),
-            self.snapshots.run(),
-            self.membership.run(),
-            self.keys.run(),
-            self.vms.run(),
-            self.poller.run(),
-            self.version_exchange.run(),
-            self.weights.run(),
-            self.collectors.run(),
-        ):
-            self.background.spawn(work)
-
-    async def stop(self) -> None:
-        """Stops the node's background work."""
-        self.membership.leave()
-        await self.collectors.close()
-        await self.leases.stop()
-        await self.background.stop()
-        await self.peers.close()
-
-    def is_ready(self) -> bool:
-        """Returns whether requests can be taken."""
-        return (
-            self.progress.ready
-            and self.configuration.revision >= 0
-            and len(self.targets) > 0
-        )
-
-    async def publish_version(
-        self,
-        trainer: ids.TrainerName,
-        version: ids.WeightVersion,
-        reference: str,
-    ) -> Result[bool, outcomes.Refusal]:
-        """Takes a trainer's new weight version; returns whether it was new.
-
-        Fails when the version is known under another reference.
-        """
-        return await self.version_exchange.publish(
-            versions.Publication(trainer, version, reference)
-        )
-
-    def note_refusal(self, refusal: outcomes.Refusal) -> None:
-        """Counts a refusal by its reason."""
-        self.refusals[refusal.reason, refusal.ran] += 1
-        self.metrics.count(
-            'waxwingport_refusals_total',
-            'Refused requests by reason, and whether they may have run',
-            reason=refusal.reason.value,
-            ran=refusal.ran.value,
-        )
 
     def _take_hint(self, key: str, value: int) -> None:
         if key == 'configuration':
