Let the virtual clock pass deadlines within its resolution

A pull's wait for 5e-10 s has ready callbacks in every turn of the loop, so that the selector is asked to wait 0 s and the clock stood still while the timer, within the clock's resolution, fired each time. Change: each turn moves the clock by a nanosecond at least.

--- a/waxwingport/measure/virtual.py
+++ b/waxwingport/measure/virtual.py
@@ -15,6 +15,10 @@
 Value = TypeVar('Value')
 
 
+_LEAST_STEP = 1e-9
+"""Seconds."""
+
+
 class _JumpingSelector(selectors.SelectSelector):
     """Moves the clock by the time that it is asked to wait."""
 
@@ -23,10 +27,14 @@
         self.now = 0.0
 
     def select(self, timeout: float | None = None) -> list:
-        """Returns no event and adds ``timeout`` to the clock."""
+        """Returns no event and adds ``timeout`` to the clock.
+
+        The clock moves a little each time, as timers within the clock's
+        resolution fire early and whoever set one could wait for ever.
+        """
         if timeout is None:
             raise RuntimeError('the loop waits for something without a timer')
-        self.now += max(0.0, timeout)
+        self.now += max(_LEAST_STEP, timeout)
         return []
 
 
