Hand the VM list on only when it changes; poll remote engines lazily

Change: the table gets the list after a change; unknown engines of other data centres wait for a digest or for silence. wait_for gives way to asyncio's timeout, which does not swallow a cancellation (Python 3.11).

--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -175,9 +175,10 @@
         )
         self.vms = listing.VmFollower(
             self.outside.vm_list,
-            [self.targets.update, self.membership.update],
+            [self.targets.update],
             self.membership,
             self.peers,
+            self.membership.update,
         )
         self.poller = poller.EnginePoller(
             self.targets,
--- a/waxwingport/requests/progress.py
+++ b/waxwingport/requests/progress.py
@@ -112,7 +112,8 @@
         self._move(_Event.REFUSE)
         on_refuse()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._idle.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
         self._move(_Event.INTERRUPT)
         for request in list(self._active):
             request.interrupt()
@@ -120,7 +121,8 @@
     async def wait_idle(self, timeout: float) -> bool:
         """Returns whether no request is in progress any more."""
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._idle.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
         return self._idle.is_set()
 
     def _move(self, event: _Event) -> None:
--- a/waxwingport/samples/collector.py
+++ b/waxwingport/samples/collector.py
@@ -251,7 +251,8 @@
             if samples or left <= 0 or entry.ledger.is_whole:
                 break
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._grown.wait(), left)
+                async with asyncio.timeout(left):
+                    await self._grown.wait()
             if turn != self._turn:
                 self._grown.set()
                 self._note_idle(entry, start)
--- a/waxwingport/samples/generator.py
+++ b/waxwingport/samples/generator.py
@@ -153,7 +153,8 @@
         while True:
             with contextlib.suppress(TimeoutError):
                 timeout = _TICK if self._tasks or self._has_open() else None
-                await asyncio.wait_for(self._wake.wait(), timeout)
+                async with asyncio.timeout(timeout):
+                    await self._wake.wait()
             self._wake.clear()
             self._cancel_stale()
             if self._loop.time() >= self._paused_until:
--- a/waxwingport/samples/scoring.py
+++ b/waxwingport/samples/scoring.py
@@ -119,9 +119,8 @@
     ) -> Result[Sequence[float], base.TargetFault]:
         timeout = self._limits.score_timeout
         try:
-            return await asyncio.wait_for(
-                service.score(pairs, timeout), timeout
-            )
+            async with asyncio.timeout(timeout):
+                return await service.score(pairs, timeout)
         except TimeoutError:
             return Result.Error(
                 base.TargetFault(
--- a/waxwingport/targets/listing.py
+++ b/waxwingport/targets/listing.py
@@ -46,7 +46,11 @@
 
 
 class VmFollower:
-    """Keeps the list of VMs and hands it to those who want it."""
+    """Keeps the list of VMs and hands it on.
+
+    The takers get the whole list after each change, ``take_nodes`` the nodes
+    each time that the list is known to stand.
+    """
 
     def __init__(
         self,
@@ -54,9 +58,12 @@
         takers: Sequence[Taker],
         members: membership.Membership,
         transport: peers.Peers,
+        take_nodes: Taker = lambda nodes: None,
     ) -> None:
         self._source = source
         self._takers = takers
+        self._take_nodes = take_nodes
+        self._nodes: list[platform.Vm] = []
         self._members = members
         self._peers = transport
         self._vms: dict[str, platform.Vm] = {}
@@ -110,8 +117,13 @@
                 del self._vms[name]
             self._vms.update({row.name: row for row in changes.changed})
             self._checksum = changes.after
-        for taker in self._takers:
-            taker(list(self._vms.values()))
+            rows = list(self._vms.values())
+            self._nodes = [
+                row for row in rows if row.kind is platform.VmKind.NODE
+            ]
+            for taker in self._takers:
+                taker(rows)
+        self._take_nodes(self._nodes)
 
     def _tell(self, changes: VmChanges) -> None:
         body = msgspec.msgpack.encode(changes)
@@ -142,7 +154,8 @@
 
 async def _limit(outcome) -> Result:
     try:
-        return await asyncio.wait_for(outcome, _READ_TIMEOUT)
+        async with asyncio.timeout(_READ_TIMEOUT):
+            return await outcome
     except TimeoutError:
         return Error(platform.PlatformFault('no answer in time'))
 
--- a/waxwingport/targets/poller.py
+++ b/waxwingport/targets/poller.py
@@ -202,9 +202,10 @@
 
     def _find_due(self, name: ids.TargetName, record: _Record) -> float:
         """Returns when to look at an engine next."""
-        if self.is_responsible(name) or not record.polls:
-            return record.next_poll
         target = self._targets.find(name)
+        unknown = not record.polls and not target.remote
+        if self.is_responsible(name) or unknown:
+            return record.next_poll
         silent_at = record.heard_at + _SILENCE + self._intervals[target.remote]
         return max(record.next_poll, silent_at)
 
@@ -382,7 +383,8 @@
 
 async def _limit(outcome) -> Result:
     try:
-        return await asyncio.wait_for(outcome, _POLL_TIMEOUT)
+        async with asyncio.timeout(_POLL_TIMEOUT):
+            return await outcome
     except TimeoutError:
         kind = base.TargetFaultKind.SILENT
         return Error(base.TargetFault(kind, 'no answer to a poll', sent=True))
