--- a/tests/system/test_processes.py
+++ b/tests/system/test_processes.py
@@ -6,6 +6,11 @@
 import pytest
 
 from tests.system import cluster
+from waxwingport.configuration import declarations
+from waxwingport.configuration import keys
+from waxwingport.configuration import reader
+from waxwingport.configuration import records
+from waxwingport import ids
 from waxwingport.trial import deployments
 
 pytestmark = pytest.mark.timeout(120)
@@ -150,3 +155,51 @@
         words = text.removeprefix(prompt).split()
         expected = [f'w{index + 1}' for index in range(len(words))]
         assert words == expected
+
+
+async def test_replaced_node_is_of_use_while_the_log_is_down(running):
+    first, *_ = running.nodes.values()
+    running.outside.log.down = True
+    first.kill()
+    first.start()
+
+    async def answers():
+        status, _ = await cluster.fetch(
+            first.url,
+            'POST',
+            '/v1/completions',
+            {'model': running.deployment.pool, 'prompt': 'x'},
+        )
+        return status == 200
+
+    await running.wait_until(answers)
+
+
+async def test_accepted_configuration_reaches_every_node_and_stays(running):
+    nodes = list(running.nodes.values())
+    _, before = await cluster.fetch(nodes[0].url, 'GET', '/v1/status')
+    declared = declarations.Declarations(
+        limits=(declarations.Limits(queue_length=7),)
+    )
+    change = records.make_change(
+        ids.RecordId('second'),
+        'test',
+        ids.Revision(before['revision']),
+        keys.split(declared),
+    )
+    offset = await running.outside.log.append(
+        reader.STREAM, records.encode(change)
+    )
+
+    async def in_force():
+        seen = [
+            (await cluster.fetch(node.url, 'GET', '/v1/status'))[1]
+            for node in nodes
+        ]
+        return {row['revision'] for row in seen} == {offset.ok}
+
+    await running.wait_until(in_force)
+    nodes[1].kill()
+    nodes[1].start()
+    await running.wait_ready(nodes[1])
+    assert await in_force()
