Take a collector's engines from the router's view

Cause: the collectors matched a selector against every target of the table to list a pool's engines and scoring services, which the router already keeps as a view for the same name, updated with each change. Change: they read that view. Conclusion: one place decides which targets a pool or service has.

--- a/waxwingport/samples/collectors.py
+++ b/waxwingport/samples/collectors.py
@@ -343,8 +343,8 @@
         return total * weight / max(rivals, weight)
 
     def _list_engines(self, pool: ids.PoolName) -> list[table.Target]:
-        selector = self._parts.configuration.find_selector(pool)
-        return self._parts.targets.select(selector or '')
+        view = self._parts.admission.router.find_view(pool)
+        return [] if view is None else list(view)
 
     def _list_scoring(
         self, name: ids.TrainerName
@@ -352,10 +352,10 @@
         declared = self._parts.configuration.declarations.trainer(name)
         if declared is None or declared.scoring is None:
             return []
-        selector = self._parts.configuration.find_selector(declared.scoring)
+        view = self._parts.admission.router.find_view(declared.scoring)
         return [
             row.scoring
-            for row in self._parts.targets.select(selector or '')
+            for row in view or ()
             if row.scoring is not None
             and row.state is candidates.TargetState.LIVE
         ]
