Move the abstract outside systems out of platform/

The package of that name held the product's own abstract log, VM list and weight store.

Change: it is now waxwingport/outside/; imports follow, nothing else.

--- a/tests/bench.py
+++ b/tests/bench.py
@@ -9,7 +9,7 @@
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.limits import admission
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.routing import candidates
 from waxwingport.routing import prefixes
 from waxwingport import settings
--- a/tests/configuration/cluster.py
+++ b/tests/configuration/cluster.py
@@ -12,8 +12,8 @@
 from waxwingport.configuration import state
 from waxwingport import ids
 from waxwingport.membership import base as membership
+from waxwingport.outside import base
 from waxwingport.peers import memory
-from waxwingport.platform import base
 from waxwingport.standins import platform
 
 
--- a/tests/configuration/test_commands.py
+++ b/tests/configuration/test_commands.py
@@ -9,7 +9,7 @@
 from waxwingport.commands import reference
 from waxwingport.configuration import files
 from waxwingport.configuration import reader
-from waxwingport.platform import base
+from waxwingport.outside import base
 from waxwingport.standins import platform
 from waxwingport.trial import deployments
 
--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -7,7 +7,7 @@
 from waxwingport.configuration import records
 from waxwingport.configuration import state
 from waxwingport import ids
-from waxwingport.platform import base
+from waxwingport.outside import base
 from waxwingport.standins import platform
 
 KINDS = publisher.PublishFaultKind
--- a/tests/leases/test_exhaustive.py
+++ b/tests/leases/test_exhaustive.py
@@ -16,7 +16,7 @@
 from waxwingport.leases import fold
 from waxwingport.leases import keeper
 from waxwingport.membership import base as membership
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 
 SETTINGS = keeper.LeaseSettings(duration=1, interval=0, margin=1)
 RETENTION = 3
--- a/tests/leases/test_keeper.py
+++ b/tests/leases/test_keeper.py
@@ -8,7 +8,7 @@
 from waxwingport import ids
 from waxwingport.leases import keeper
 from waxwingport.membership import base as membership
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.standins import engine
 from waxwingport.standins import platform as standin_platform
 from waxwingport.targets import base as targets
--- a/tests/lone_node.py
+++ b/tests/lone_node.py
@@ -6,7 +6,7 @@
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import node
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.requests import settings as request_settings
 from waxwingport import server
 from waxwingport import settings
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -6,8 +6,8 @@
 from waxwingport import ids
 from waxwingport.membership import base
 from waxwingport.membership import live
+from waxwingport.outside import base as platform
 from waxwingport.peers import memory
-from waxwingport.platform import base as platform
 
 HOMES = ('muenchen', 'nuernberg', 'augsburg')
 
--- a/tests/membership/test_live.py
+++ b/tests/membership/test_live.py
@@ -6,7 +6,7 @@
 
 from waxwingport.membership import base
 from waxwingport.membership import rendezvous
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/platform/test_log.py
+++ b/tests/outside/test_log.py
@@ -8,8 +8,8 @@
 
 from waxwingport.http import client
 from waxwingport import ids
-from waxwingport.platform import adapters
-from waxwingport.platform import base
+from waxwingport.outside import adapters
+from waxwingport.outside import base
 from waxwingport.standins import platform as standins
 from waxwingport.standins import servers
 
--- a/tests/samples/conftest.py
+++ b/tests/samples/conftest.py
@@ -12,8 +12,8 @@
 from waxwingport.limits import admission
 from waxwingport.membership import base as membership
 from waxwingport import metrics
+from waxwingport.outside import base as platform
 from waxwingport.peers import memory
-from waxwingport.platform import base as platform
 from waxwingport.samples import collectors
 from waxwingport.samples import settings
 from waxwingport import settings as node_settings
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -11,7 +11,7 @@
 
 from tests import ports
 from waxwingport import ids
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport import settings
 from waxwingport.trial import surroundings
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,7 +6,7 @@
 from waxwingport.configuration import declarations
 from waxwingport import ids
 from waxwingport import outcomes
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.routing import candidates
 from waxwingport.standins import factory
 from waxwingport.targets import base
--- a/tests/test_admission_machine.py
+++ b/tests/test_admission_machine.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests import bench
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.routing import candidates
 from waxwingport.targets import base
 
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -4,7 +4,7 @@
 
 from waxwingport.http import client
 from waxwingport import ids
-from waxwingport.platform import adapters
+from waxwingport.outside import adapters
 from waxwingport.standins import platform
 from waxwingport.standins import servers
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -6,8 +6,8 @@
 from tests import bench
 from waxwingport import ids
 from waxwingport.membership import base as membership
+from waxwingport.outside import base as platform
 from waxwingport.peers import memory
-from waxwingport.platform import base as platform
 from waxwingport.standins import factory
 from waxwingport.standins import platform as standin
 from waxwingport.targets import listing
--- a/tests/weights/test_controller.py
+++ b/tests/weights/test_controller.py
@@ -9,8 +9,8 @@
 from waxwingport.leases import base as leases
 from waxwingport.membership import base as membership
 from waxwingport import metrics
+from waxwingport.outside import base as platform
 from waxwingport.peers import memory
-from waxwingport.platform import base as platform
 from waxwingport.standins import engine as standin
 from waxwingport.standins import platform as standin_platform
 from waxwingport.targets import base
--- a/waxwingport/assembly.py
+++ b/waxwingport/assembly.py
@@ -2,7 +2,7 @@
 
 from waxwingport.http import client
 from waxwingport import node
-from waxwingport.platform import adapters as platform_adapters
+from waxwingport.outside import adapters as platform_adapters
 from waxwingport import settings
 from waxwingport.targets import adapters
 
--- a/waxwingport/commands/channel.py
+++ b/waxwingport/commands/channel.py
@@ -18,7 +18,7 @@
 from waxwingport.configuration import records
 from waxwingport.configuration import state
 from waxwingport import ids
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 
 __all__ = ['Channel', 'Current', 'LogChannel', 'NodeChannel']
 
--- a/waxwingport/configuration/coverage.py
+++ b/waxwingport/configuration/coverage.py
@@ -6,7 +6,7 @@
 from waxwingport.configuration import declarations
 from waxwingport.configuration import labelling
 from waxwingport.configuration import selectors
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = ['find_uncovered']
 
--- a/waxwingport/configuration/distribution.py
+++ b/waxwingport/configuration/distribution.py
@@ -20,8 +20,8 @@
 from waxwingport import ids
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
+from waxwingport.outside import base as platform
 from waxwingport.peers import base as peers
-from waxwingport.platform import base as platform
 
 __all__ = ['Distribution', 'DistributionSettings']
 
--- a/waxwingport/configuration/fold.py
+++ b/waxwingport/configuration/fold.py
@@ -26,7 +26,7 @@
 from waxwingport.configuration import keys
 from waxwingport.configuration import records
 from waxwingport import ids
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = [
     'WINDOW',
--- a/waxwingport/configuration/labelling.py
+++ b/waxwingport/configuration/labelling.py
@@ -4,7 +4,7 @@
 
 from waxwingport.configuration import declarations
 from waxwingport.configuration import selectors
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = ['label']
 
--- a/waxwingport/configuration/messages.py
+++ b/waxwingport/configuration/messages.py
@@ -16,7 +16,7 @@
 from waxwingport.configuration import records
 from waxwingport.configuration import starting
 from waxwingport import ids
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = [
     'Answer',
--- a/waxwingport/configuration/publisher.py
+++ b/waxwingport/configuration/publisher.py
@@ -15,7 +15,7 @@
 from waxwingport.configuration import records
 from waxwingport.configuration import state
 from waxwingport import ids
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = ['PublishFault', 'PublishFaultKind', 'Publisher']
 
--- a/waxwingport/configuration/snapshots.py
+++ b/waxwingport/configuration/snapshots.py
@@ -14,7 +14,7 @@
 from waxwingport import ids
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 
 __all__ = ['SnapshotSettings', 'SnapshotWriter']
 
--- a/waxwingport/configuration/starting.py
+++ b/waxwingport/configuration/starting.py
@@ -10,7 +10,7 @@
 from waxwingport.configuration import keys
 from waxwingport.configuration import records
 from waxwingport import ids
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = ['begin', 'make_snapshot', 'restore', 'start_from']
 
--- a/waxwingport/keys/index.py
+++ b/waxwingport/keys/index.py
@@ -19,8 +19,8 @@
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
 from waxwingport import outcomes
+from waxwingport.outside import base as platform
 from waxwingport.peers import base as peers
-from waxwingport.platform import base as platform
 
 __all__ = ['LogKeyIndex']
 
--- a/waxwingport/keys/shard.py
+++ b/waxwingport/keys/shard.py
@@ -11,7 +11,7 @@
 from waxwingport import ids
 from waxwingport.keys import fold
 from waxwingport.keys import history
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 
 __all__ = ['Pace', 'Shard', 'Verdict', 'VerdictKind']
 
--- a/waxwingport/leases/keeper.py
+++ b/waxwingport/leases/keeper.py
@@ -14,7 +14,7 @@
 from waxwingport.leases import base
 from waxwingport.leases import fold
 from waxwingport.membership import base as membership
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 
 __all__ = ['LeaseEvent', 'LeaseKeeper', 'LeaseSettings', 'LeaseState']
 
--- a/waxwingport/leases/pools.py
+++ b/waxwingport/leases/pools.py
@@ -7,7 +7,7 @@
 from waxwingport.membership import adoption
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport import tasks
 
 __all__ = ['PoolLeases']
--- a/waxwingport/measure/configuration.py
+++ b/waxwingport/measure/configuration.py
@@ -15,8 +15,8 @@
 from waxwingport import ids
 from waxwingport.measure import base
 from waxwingport.membership import base as membership
+from waxwingport.outside import base as platform
 from waxwingport.peers import memory
-from waxwingport.platform import base as platform
 from waxwingport.standins import platform as standins
 
 __all__ = ['ConfigurationFold', 'ConfigurationSpread', 'ConfigurationTraffic']
--- a/waxwingport/measure/control.py
+++ b/waxwingport/measure/control.py
@@ -11,8 +11,8 @@
 from waxwingport import ids
 from waxwingport.measure import base
 from waxwingport import node
+from waxwingport.outside import base as platform
 from waxwingport.peers import memory
-from waxwingport.platform import base as platform
 from waxwingport import settings
 from waxwingport.standins import factory
 from waxwingport.standins import platform as standin_platform
--- a/waxwingport/measure/fixture.py
+++ b/waxwingport/measure/fixture.py
@@ -8,8 +8,8 @@
 from waxwingport import ids
 from waxwingport.limits import admission
 from waxwingport.membership import base as membership
+from waxwingport.outside import base as platform
 from waxwingport.peers import memory
-from waxwingport.platform import base as platform
 from waxwingport import settings
 from waxwingport.standins import factory
 from waxwingport.targets import poller
--- a/waxwingport/measure/loopback.py
+++ b/waxwingport/measure/loopback.py
@@ -13,7 +13,7 @@
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import node
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport import server
 from waxwingport import settings
 from waxwingport.standins import platform as standin_platform
--- a/waxwingport/measure/membership.py
+++ b/waxwingport/measure/membership.py
@@ -10,9 +10,9 @@
 from waxwingport.membership import base as members
 from waxwingport.membership import detector
 from waxwingport.membership import live
+from waxwingport.outside import base as platform
 from waxwingport.peers import base as peers
 from waxwingport.peers import transport
-from waxwingport.platform import base as platform
 
 __all__ = ['Detection', 'MembershipCost', 'PeerRequests']
 
--- a/waxwingport/measure/rollouts.py
+++ b/waxwingport/measure/rollouts.py
@@ -22,7 +22,7 @@
 from waxwingport.limits import admission
 from waxwingport.membership import base as membership
 from waxwingport import metrics
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.samples import bitmap
 from waxwingport.samples import collectors
 from waxwingport.samples import generation
--- a/waxwingport/membership/live.py
+++ b/waxwingport/membership/live.py
@@ -17,8 +17,8 @@
 from waxwingport.membership import remote
 from waxwingport.membership import rendezvous
 from waxwingport.membership import roster
+from waxwingport.outside import base as platform
 from waxwingport.peers import base as peers
-from waxwingport.platform import base as platform
 
 __all__ = ['LiveMembership', 'MembershipSettings']
 
--- a/waxwingport/node.py
+++ b/waxwingport/node.py
@@ -21,9 +21,9 @@
 from waxwingport.membership import live
 from waxwingport import metrics
 from waxwingport import outcomes
+from waxwingport.outside import base as platform
 from waxwingport.peers import base as peers
 from waxwingport.peers import transport
-from waxwingport.platform import base as platform
 from waxwingport.requests import completions
 from waxwingport.requests import progress
 from waxwingport.requests import services
--- a/waxwingport/platform/adapters.py
+++ b/waxwingport/outside/adapters.py
@@ -16,7 +16,7 @@
 
 from waxwingport.http import client
 from waxwingport import ids
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = ['HttpLog', 'HttpVmList', 'HttpWeightStore']
 
--- a/waxwingport/standins/factory.py
+++ b/waxwingport/standins/factory.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from waxwingport import ids
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.standins import engine
 from waxwingport.standins import services
 from waxwingport.targets import base
--- a/waxwingport/standins/platform.py
+++ b/waxwingport/standins/platform.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from waxwingport import ids
-from waxwingport.platform import base
+from waxwingport.outside import base
 
 __all__ = [
     'StandInLog',
--- a/waxwingport/standins/servers.py
+++ b/waxwingport/standins/servers.py
@@ -1,7 +1,7 @@
 """HTTP servers around stand-ins, for loopback.
 
 They serve any implementation of the abstract bases by the interfaces that
-``waxwingport.targets.adapters`` and ``waxwingport.platform.adapters`` expect.
+``waxwingport.targets.adapters`` and ``waxwingport.outside.adapters`` expect.
 """
 
 import asyncio
@@ -16,7 +16,7 @@
 
 from waxwingport.http import sse
 from waxwingport import ids
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.targets import base
 from waxwingport.targets import wire
 
--- a/waxwingport/targets/adapters.py
+++ b/waxwingport/targets/adapters.py
@@ -14,7 +14,7 @@
 from waxwingport.http import client
 from waxwingport.http import headers as http_headers
 from waxwingport import ids
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.targets import base
 from waxwingport.targets import faults
 from waxwingport.targets import streams
--- a/waxwingport/targets/listing.py
+++ b/waxwingport/targets/listing.py
@@ -17,8 +17,8 @@
 from waxwingport import ids
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
+from waxwingport.outside import base as platform
 from waxwingport.peers import base as peers
-from waxwingport.platform import base as platform
 
 __all__ = ['VmChanges', 'VmFollower']
 
--- a/waxwingport/targets/table.py
+++ b/waxwingport/targets/table.py
@@ -11,7 +11,7 @@
 from waxwingport.configuration import selectors
 from waxwingport import ids
 from waxwingport.limits import adaptive
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.routing import candidates
 from waxwingport import settings
 from waxwingport.targets import base
--- a/waxwingport/trial/surroundings.py
+++ b/waxwingport/trial/surroundings.py
@@ -2,7 +2,7 @@
 
 from waxwingport.configuration import reader
 from waxwingport.configuration import records
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport import settings
 from waxwingport.standins import engine
 from waxwingport.standins import platform as standin_platform
--- a/waxwingport/weights/controller.py
+++ b/waxwingport/weights/controller.py
@@ -14,7 +14,7 @@
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
 from waxwingport import metrics
-from waxwingport.platform import base as platform
+from waxwingport.outside import base as platform
 from waxwingport.routing import candidates
 from waxwingport.targets import base
 from waxwingport.targets import table
--- a/waxwingport/weights/versions.py
+++ b/waxwingport/weights/versions.py
@@ -18,8 +18,8 @@
 from waxwingport import ids
 from waxwingport.membership import base as membership
 from waxwingport import outcomes
+from waxwingport.outside import base as platform
 from waxwingport.peers import base as peers
-from waxwingport.platform import base as platform
 
 __all__ = ['STREAM', 'Publication', 'VersionBook', 'VersionExchange']
 
