--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import sys
 from typing import NoReturn
@@ -14,10 +15,12 @@
 import waxwingport
 from waxwingport.commands import check
 from waxwingport.commands import example
+from waxwingport.commands import gating
 from waxwingport.commands import measuring
 from waxwingport.commands import observing
 from waxwingport.commands import publish
 from waxwingport.commands import serving
+from waxwingport.gateway import settings as gateway_settings
 from waxwingport import logs
 from waxwingport.measure import base as measure_base
 from waxwingport.measure import catalogue
@@ -55,6 +58,24 @@
         logs.configure(configured.logging)
         _check(asyncio.run(serving.serve(configured)))
 
+    def gateway(self, settings: str | None = None) -> None:
+        """Runs a gateway node until SIGTERM, then shuts it down gracefully.
+
+        Args:
+            settings: The node's settings, a TOML file; the file that the
+                variable WAXWINGPORT_NODE_FILE names, without it.
+        """
+        path = settings or os.environ.get('WAXWINGPORT_NODE_FILE')
+        if path is None:
+            _fail_usage('gateway needs --settings or WAXWINGPORT_NODE_FILE')
+        match gateway_settings.read_settings(pathlib.Path(path)):
+            case Result(tag='ok', ok=configured):
+                pass
+            case Result(error=reason):
+                _fail(reason)
+        logs.configure(configured.logging, sys.stdout)
+        _check(asyncio.run(gating.run_gateway(configured)))
+
     def status(self, node: str, json: bool = False) -> None:
         """Prints what holds, as one node sees it.
 
--- /dev/null
+++ b/waxwingport/fleet/model.py
@@ -0,0 +1,101 @@
+"""What a target says of itself, and what this node knows of it."""
+
+import enum
+from typing import NewType
+
+import msgspec
+
+from waxwingport import ids
+
+__all__ = [
+    'InstanceId',
+    'LoadReport',
+    'Stage',
+    'Target',
+    'TargetEntry',
+    'compute_others',
+]
+
+InstanceId = NewType('InstanceId', str)
+
+_LOAD_FULL_AGE = 0.5
+"""Seconds for which a load report is believed whole: about the time of one
+generation or a few calls."""
+_LOAD_GONE_AGE = 2.0
+"""Seconds after which it says nothing."""
+
+
+class Stage(enum.Enum):
+    """Whether a target takes new work."""
+
+    DRAINING = 'draining'
+    READY = 'ready'
+
+
+class TargetEntry(msgspec.Struct, frozen=True):
+    """A target as it registered."""
+
+    instance: InstanceId
+    service: ids.ServiceName
+    address: str
+    """``ip:port``."""
+    data_centre: ids.DataCentre
+    slots: int
+    """Requests that it works on at the same time."""
+    stage: Stage
+    born: int | None
+    """Start of this incarnation in milliseconds since 1970, if told."""
+    versions: dict[str, ids.WeightVersion]
+    """Version of the weights of each model that it serves."""
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Work at a target when it answered, and this node's part of it."""
+
+    working: int
+    """Requests that ran or waited there."""
+    own: int
+    """Requests of this node there when the report came."""
+    received_at: float
+    """Loop's time."""
+
+
+def compute_others(report: LoadReport | None, now: float) -> float:
+    """Returns the work of other nodes that a report lets expect at ``now``.
+
+    The report loses weight with its age, as the work that it saw ends.
+    """
+    if report is None:
+        return 0.0
+    seen = max(0, report.working - report.own)
+    age = now - report.received_at
+    faded = (age - _LOAD_FULL_AGE) / (_LOAD_GONE_AGE - _LOAD_FULL_AGE)
+    return seen * min(1.0, max(0.0, 1.0 - faded))
+
+
+class Target(msgspec.Struct, eq=False):
+    """A registered target and what this node has seen of it."""
+
+    entry: TargetEntry
+    running: int = 0
+    """Requests of this node there."""
+    load: LoadReport | None = None
+    failures: int = 0
+    """Failed requests in a row."""
+    avoided_until: float = float('-inf')
+    """Loop's time before which other targets go first."""
+    slowness: float = 1.0
+    """Its time over the usual time for the same work; mean, fading."""
+    removed_at: float | None = None
+    """Loop's time at which its entry went away, if it did."""
+    versions: dict[str, ids.WeightVersion] = {}
+    """Newest version seen of each model, by entry, answer or report."""
+
+    def note_version(self, model: str, version: ids.WeightVersion) -> None:
+        """Takes a version that the target named for a model."""
+        if version > self.versions.get(model, 0):
+            self.versions[model] = version
+
+    def compute_load(self, now: float) -> float:
+        """Returns the requests expected there, of all nodes."""
+        return self.running + compute_others(self.load, now)
--- /dev/null
+++ b/waxwingport/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Passes requests on to targets by the routes in force."""
--- /dev/null
+++ b/waxwingport/gateway/attempts.py
@@ -0,0 +1,164 @@
+"""One request sent to one target."""
+
+import asyncio
+
+from expression import Result
+import msgspec
+
+from waxwingport.fleet import health
+from waxwingport.fleet import model as fleet
+from waxwingport.gateway import dialect
+from waxwingport.http import client
+
+__all__ = ['Answered', 'Lost', 'NotRun', 'Outcome', 'Sender', 'open_attempt']
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """The target's whole answer to this request."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    facts: dialect.AnswerFacts
+
+
+class NotRun(msgspec.Struct, frozen=True):
+    """The target has not run the request and will not."""
+
+    sign: health.Sign
+    detail: str
+    retry_after: float | None = None
+
+
+class Lost(msgspec.Struct, frozen=True):
+    """The request left and no answer of use came: it may have run."""
+
+    sign: health.Sign
+    detail: str
+
+
+Outcome = Answered | NotRun | Lost
+
+
+class Sender:
+    """Sends requests to targets and keeps account of them there."""
+
+    def __init__(
+        self, http: client.HttpClient, spelling: dialect.Dialect
+    ) -> None:
+        self.http = http
+        self.dialect = spelling
+
+    async def send(
+        self,
+        call: dialect.Call,
+        target: fleet.Target,
+        expected: dialect.Expectations,
+        timeout: float,
+        fresh: bool,
+    ) -> Outcome:
+        """Sends ``call`` and returns what came of it.
+
+        ``timeout`` in seconds covers the whole exchange.
+        """
+        request = self.dialect.make_request(call, expected, fresh)
+        target.running += 1
+        try:
+            found = await self.http.fetch(
+                target.entry.address, request, timeout
+            )
+        finally:
+            target.running -= 1
+        outcome = self._judge(call, found)
+        note_outcome(target, outcome)
+        return outcome
+
+    def _judge(
+        self,
+        call: dialect.Call,
+        found: Result[client.WholeResponse, client.TransportFault],
+    ) -> Outcome:
+        match found:
+            case Result(tag='ok', ok=response):
+                pass
+            case Result(error=fault):
+                return judge_fault(fault)
+        facts = self.dialect.read_answer(response.status, response.headers)
+        refusal = judge_head(call, facts)
+        if refusal is not None:
+            return refusal
+        return Answered(
+            response.status, response.headers, response.body, facts
+        )
+
+
+async def open_attempt(
+    sender: Sender,
+    call: dialect.Call,
+    target: fleet.Target,
+    expected: dialect.Expectations,
+    timeout: float,
+    fresh: bool,
+) -> tuple[client.Response, dialect.AnswerFacts] | NotRun | Lost:
+    """Sends ``call`` and returns the head of its answer."""
+    request = sender.dialect.make_request(call, expected, fresh)
+    found = await sender.http.open(target.entry.address, request, timeout)
+    match found:
+        case Result(tag='ok', ok=response):
+            pass
+        case Result(error=fault):
+            return judge_fault(fault)
+    rows = tuple(response.headers.get_all())
+    facts = sender.dialect.read_answer(response.status, rows)
+    refusal = judge_head(call, facts)
+    if refusal is not None:
+        response.close()
+        return refusal
+    return response, facts
+
+
+def judge_fault(fault: client.TransportFault) -> NotRun | Lost:
+    """Returns what a failed exchange says of the request."""
+    if not fault.sent:
+        return NotRun(health.Sign.UNREACHABLE, fault.detail)
+    return Lost(health.Sign.BROKEN, fault.detail)
+
+
+def judge_head(
+    call: dialect.Call, facts: dialect.AnswerFacts
+) -> NotRun | Lost | None:
+    """Returns why an answer is none to ``call``, or ``None`` if it is."""
+    if facts.moved:
+        return NotRun(health.Sign.MOVED, 'another instance has the address')
+    if facts.request_id != call.request_id:
+        # A late or extra answer on a kept connection.
+        detail = f'answer to request {facts.request_id!r}'
+        return Lost(health.Sign.BROKEN, detail)
+    if facts.not_run:
+        return NotRun(
+            health.Sign.FULL, 'turned away by the target', facts.retry_after
+        )
+    return None
+
+
+def note_outcome(target: fleet.Target, outcome: Outcome) -> None:
+    """Takes what an attempt says of its target."""
+    now = asyncio.get_running_loop().time()
+    match outcome:
+        case Answered(status=status, facts=facts):
+            note_facts(target, facts, now)
+            if status >= 500:
+                health.note_failure(target, health.Sign.FAILED, now)
+            else:
+                health.note_success(target)
+        case NotRun(sign=sign) | Lost(sign=sign):
+            health.note_failure(target, sign, now)
+
+
+def note_facts(
+    target: fleet.Target, facts: dialect.AnswerFacts, now: float
+) -> None:
+    """Takes the load that an answer names."""
+    if facts.working is not None:
+        # The answered request itself may still be counted there.
+        target.load = fleet.LoadReport(facts.working, target.running + 1, now)
--- /dev/null
+++ b/waxwingport/gateway/node.py
@@ -0,0 +1,219 @@
+"""One gateway node: its parts and their lives."""
+
+import logging
+import random
+
+from expression import Result
+from tornado import httpserver
+from tornado import httputil
+from tornado import netutil
+
+from waxwingport import background
+from waxwingport import clocks
+from waxwingport.fleet import registry
+from waxwingport.gateway import attempts
+from waxwingport.gateway import calls
+from waxwingport.gateway import configured
+from waxwingport.gateway import server
+from waxwingport.gateway import settings
+from waxwingport.gateway import streams
+from waxwingport.http import client
+from waxwingport import ids
+from waxwingport.log import base
+from waxwingport.log import followers
+from waxwingport.log import groups
+from waxwingport.platform import exchange
+from waxwingport.platform import operators
+from waxwingport.platform import orders
+from waxwingport.platform import store
+from waxwingport.requests import progress
+from waxwingport.rollout import controller
+from waxwingport.rollout import lease
+from waxwingport.submissions import archive
+from waxwingport.submissions import desk
+from waxwingport.submissions import fold
+from waxwingport.submissions import generation
+from waxwingport.submissions import holder
+from waxwingport.submissions import runner
+
+__all__ = ['GatewayNode']
+
+_GROUP = 'waxwingport'
+_EXIT_SLACK = 0.5
+"""Seconds before the platform's kill at which the last requests end."""
+_BACKLOG = 1024
+
+_LOG = logging.getLogger(__name__)
+
+
+class GatewayNode:
+    """Everything that one process runs."""
+
+    def __init__(self, configured_: settings.GatewaySettings) -> None:
+        self._settings = configured_
+        node = configured_.node
+        self._http = client.HttpClient(configured_.client)
+        self._log = store.StoreLog(self._http, configured_.store)
+        self._boot_clock = clocks.BootClock()
+        self._wall = clocks.SystemWallClock()
+        self._dialect = exchange.PlatformDialect()
+        self._book = controller.VersionBook()
+        self.background = background.Background()
+        self.progress = progress.Progress(node.body_memory)
+        self._make_followers()
+        self._make_submissions(node.data_centre)
+        self._make_rollout()
+        self._make_server(node)
+
+    def _make_followers(self) -> None:
+        self.targets = registry.Registry(operators.read_target)
+        self.configuration = configured.Configured(
+            operators.is_configuration,
+            lambda row: operators.read_configuration(row.value or b''),
+            self._take_version,
+        )
+        self._target_follower = followers.KeyedFollower(
+            self._log, operators.TARGET_TOPIC, self.targets
+        )
+        self.targets.watch_store(self._target_follower.dependency)
+        self._operator_follower = followers.KeyedFollower(
+            self._log, operators.OPERATOR_TOPIC, self.configuration
+        )
+
+    def _make_submissions(self, home: ids.DataCentre) -> None:
+        configured_ = self._settings
+        sizes = configured_.store
+        rng = random.Random()
+        sender = attempts.Sender(self._http, self._dialect)
+        self.archive = archive.Archive(
+            self._log, configured_.submissions, self._wall
+        )
+        self.caller = calls.Caller(sender, self.targets, home, rng)
+        self.streamer = streams.Streamer(sender, self.targets, home, rng)
+        self.desk = desk.Desk(
+            self._log, self.archive, sizes.record_size, self._wall
+        )
+        self.runner = runner.ItemRunner(
+            generation.Generator(sender),
+            self.caller,
+            self.targets,
+            self.archive,
+            self.configuration.find_route,
+            home,
+            sizes.record_size,
+            self._wall,
+        )
+        self.targets.add_listener(self.runner.wake)
+        self.holder = holder.Holder(
+            self._log,
+            self.archive,
+            self.runner,
+            sizes.call_size,
+            sizes.record_size,
+        )
+        for shelf in self.archive:
+            shelf.add_listener(self._note_submission)
+
+    def _make_rollout(self) -> None:
+        node = self._settings.node
+        life = base.MemberName(f'{node.name}-{ids.mint_incarnation():x}')
+        self.member = groups.GroupMember(
+            self._log,
+            _GROUP,
+            life,
+            (archive.TOPIC, lease.TOPIC),
+            self._boot_clock,
+        )
+        self.member.add_listener(self.holder)
+        self.lease = lease.OrderLease(
+            self.member, self._settings.rollout.turn_time, self._boot_clock
+        )
+        self.controller = controller.RolloutController(
+            node.name,
+            orders.PlatformControl(self._http),
+            self.targets,
+            self._book,
+            self.lease,
+        )
+
+    def _make_server(self, node: settings.GatewayNode) -> None:
+        self.gateway = server.Gateway(
+            self._dialect,
+            self.configuration,
+            self.caller,
+            self.streamer,
+            self.desk,
+            self.progress,
+            self._wall,
+        )
+        self.gateway.server.add_sockets(_bind(node.listen))
+        self._status_server = httpserver.HTTPServer(self._answer_status)
+        self._status_server.add_sockets(_bind(node.status_listen))
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send new connections here."""
+        return (
+            self.progress.ready
+            and self.configuration.current is not None
+            and self._target_follower.started.is_set()
+        )
+
+    def start(self) -> None:
+        """Starts the node's work."""
+        for work in (
+            self._operator_follower.run(),
+            self._target_follower.run(),
+            self.archive.run(),
+            self.member.run(),
+            self.runner.run(),
+            self.controller.run(),
+        ):
+            self.background.spawn(work)
+
+    async def stop(self) -> None:
+        """Shuts down gracefully within the platform's grace."""
+        node = self._settings.node
+        await self.member.leave()
+        await self.progress.drain(
+            node.drain_delay,
+            node.shutdown_timeout - node.drain_delay - 2 * _EXIT_SLACK,
+            lambda: None,
+        )
+        await self.progress.wait_idle(_EXIT_SLACK)
+        self.gateway.server.stop()
+        await self.background.stop()
+        self._http.close()
+
+    def _take_version(self, row: base.Keyed) -> None:
+        match operators.read_named_version(row.key, row.value or b''):
+            case Result(tag='ok', ok=None):
+                return
+            case Result(tag='ok', ok=named):
+                self._book.note_published(named.model, named.version)
+            case Result(error=reason):
+                _LOG.warning(
+                    'record-skipped', extra={'key': row.key, 'reason': reason}
+                )
+
+    def _note_submission(
+        self, shelf: archive.Shelf, entry: fold.Entry
+    ) -> None:
+        if not entry.results and not entry.ended:
+            submission = entry.submission
+            self._book.note_minimum(
+                submission.model, submission.minimum_version
+            )
+
+    def _answer_status(self, request: httputil.HTTPServerRequest) -> None:
+        status = 200 if self.ready else 503
+        request.connection.write_headers(
+            httputil.ResponseStartLine('', status, ''),
+            httputil.HTTPHeaders({'Content-Length': '0'}),
+        )
+        request.connection.finish()
+
+
+def _bind(address: str) -> list:
+    host, _, port = address.rpartition(':')
+    return netutil.bind_sockets(int(port), host, backlog=_BACKLOG)
--- /dev/null
+++ b/waxwingport/gateway/settings.py
@@ -0,0 +1,72 @@
+"""Settings of a gateway node, read from a TOML file."""
+
+import pathlib
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.configuration import checking
+from waxwingport.configuration import files
+from waxwingport.http import client as http_client
+from waxwingport import ids
+from waxwingport.platform import store as platform_store
+from waxwingport import settings as node_settings
+from waxwingport.submissions import archive
+
+__all__ = ['GatewayNode', 'GatewaySettings', 'read_settings']
+
+
+class GatewayNode(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where this node is and listens; addresses are ``ip:port``."""
+
+    name: ids.NodeName
+    data_centre: ids.DataCentre
+    listen: str
+    """Where callers connect."""
+    status_listen: str
+    """Where the balancer asks whether the node is ready, and metrics are."""
+    shutdown_timeout: float = 8.0
+    """Seconds from SIGTERM after which the platform kills the process."""
+    drain_delay: float = 2.5
+    """Seconds for which a stopping node still takes requests: the balancer
+    asks once a second and takes a node out after two misses."""
+    body_memory: int = 64 * 1024 * 1024
+    """Bytes of all requests' bodies that are held at the same time."""
+
+
+class RolloutSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Orders to engines."""
+
+    turn_time: float = 3.0
+    """Seconds that must lie between the orders of two holders."""
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one gateway node."""
+
+    node: GatewayNode
+    store: platform_store.StoreSettings
+    submissions: archive.ArchiveSettings = archive.ArchiveSettings()
+    rollout: RolloutSettings = RolloutSettings()
+    client: http_client.ClientSettings = http_client.ClientSettings(
+        connect_timeout=0.3, progress_timeout=30.0
+    )
+    logging: node_settings.LogSettings = node_settings.LogSettings()
+
+
+def read_settings(path: pathlib.Path) -> Result[GatewaySettings, str]:
+    """Returns the settings, or a line ``file: key: what is wrong`` each."""
+    match files.read_toml(path):
+        case Result(tag='ok', ok=data):
+            pass
+        case Result(error=fault):
+            return Error(str(fault))
+    found = checking.check(data, GatewaySettings, str(path))
+    if found:
+        return Error('\n'.join(str(fault) for fault in sorted(found)))
+    try:
+        return Ok(msgspec.convert(data, GatewaySettings))
+    except msgspec.ValidationError as error:
+        return Error(f'{path}: {error}')
--- /dev/null
+++ b/waxwingport/gateway/streams.py
@@ -0,0 +1,241 @@
+"""Streams: events passed on as they come, resumed where that is allowed."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import random
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.fleet import choice
+from waxwingport.fleet import health
+from waxwingport.fleet import model as fleet
+from waxwingport.fleet import registry
+from waxwingport.gateway import attempts
+from waxwingport.gateway import dialect
+from waxwingport.gateway import hedging
+from waxwingport.gateway import routes
+from waxwingport.http import client
+from waxwingport import ids
+from waxwingport import outcomes
+
+__all__ = ['Broken', 'Streamer']
+
+_SILENCE_TIMEOUT = 1.5
+"""Seconds without a byte after which a resumable stream goes on elsewhere;
+under the two seconds after which callers leave."""
+_EVENT_END = b'\n\n'
+
+WriteHead = Callable[[int, tuple[tuple[str, str], ...]], Awaitable[None]]
+WriteBody = Callable[[bytes], Awaitable[None]]
+
+_LOG = logging.getLogger(__name__)
+
+
+class Broken(msgspec.Struct, frozen=True):
+    """A stream that ended early after its head had been passed on."""
+
+    detail: str
+
+
+class _Stream(msgspec.Struct, eq=False):
+    call: dialect.Call
+    route: routes.Route
+    service: ids.ServiceName
+    deadline: float
+    tried: set[fleet.InstanceId]
+    head_sent: bool = False
+    last_event: int = 0
+    runs: int = 0
+    sends: int = 0
+
+
+class Streamer:
+    """Passes on answers that come as a series of events."""
+
+    def __init__(
+        self,
+        sender: attempts.Sender,
+        targets: registry.Registry,
+        home: ids.DataCentre,
+        rng: random.Random,
+    ) -> None:
+        self._sender = sender
+        self._targets = targets
+        self._home = home
+        self._rng = rng
+
+    async def run(
+        self,
+        call: dialect.Call,
+        route: routes.Route,
+        write_head: WriteHead,
+        write_body: WriteBody,
+    ) -> Result[None, outcomes.Refusal | Broken]:
+        """Passes an answer on until it is whole.
+
+        Fails with a refusal as long as no head was written, and with
+        ``Broken`` after that.
+        """
+        now = asyncio.get_running_loop().time()
+        patience = call.patience if call.patience is not None else 1e9
+        stream = _Stream(
+            call,
+            route,
+            hedging.pick_service(route, self._rng),
+            now + min(patience, route.timeout),
+            set(),
+        )
+        lost: str | None = None
+        while True:
+            target = self._choose(stream)
+            if target is None:
+                return Error(self._give_up(stream, lost))
+            match await self._attempt(stream, target, write_head, write_body):
+                case None:
+                    return Ok(None)
+                case attempts.NotRun() as outcome:
+                    attempts.note_outcome(target, outcome)
+                case attempts.Lost(detail=detail) as outcome:
+                    attempts.note_outcome(target, outcome)
+                    stream.runs += 1
+                    lost = detail
+
+    def _choose(self, stream: _Stream) -> fleet.Target | None:
+        route = stream.route
+        now = asyncio.get_running_loop().time()
+        if now >= stream.deadline or stream.runs >= route.max_attempts:
+            return None
+        if stream.runs and not route.resumable:
+            return None
+        if stream.sends >= 2 * route.max_attempts + 1:
+            return None
+        ready = self._targets.find_ready(stream.service)
+        fresh = [
+            row for row in ready if row.entry.instance not in stream.tried
+        ]
+        return choice.choose(fresh, self._home, now, self._rng)
+
+    async def _attempt(
+        self,
+        stream: _Stream,
+        target: fleet.Target,
+        write_head: WriteHead,
+        write_body: WriteBody,
+    ) -> attempts.NotRun | attempts.Lost | None:
+        """Returns ``None`` once the answer was passed on whole."""
+        left = stream.deadline - asyncio.get_running_loop().time()
+        stream.tried.add(target.entry.instance)
+        stream.sends += 1
+        expected = dialect.Expectations(
+            target.entry.instance, left, stream.last_event or None
+        )
+        _LOG.info(
+            'stream-routed',
+            extra={
+                'request': stream.call.request_id,
+                'route': stream.route.name,
+                'instance': target.entry.instance,
+                'attempt': stream.sends,
+                'after_event': stream.last_event,
+                'left_s': round(left, 3),
+            },
+        )
+        target.running += 1
+        try:
+            opened = await attempts.open_attempt(
+                self._sender,
+                stream.call,
+                target,
+                expected,
+                left,
+                not stream.route.resumable,
+            )
+            if isinstance(opened, attempts.NotRun | attempts.Lost):
+                return opened
+            response, facts = opened
+            now = asyncio.get_running_loop().time()
+            attempts.note_facts(target, facts, now)
+            try:
+                return await self._pass_on(
+                    stream, target, response, write_head, write_body
+                )
+            finally:
+                response.close()
+        finally:
+            target.running -= 1
+
+    async def _pass_on(
+        self,
+        stream: _Stream,
+        target: fleet.Target,
+        response: client.Response,
+        write_head: WriteHead,
+        write_body: WriteBody,
+    ) -> attempts.Lost | None:
+        if stream.head_sent and response.status != 200:
+            return attempts.Lost(
+                health.Sign.FAILED, f'answered {response.status}'
+            )
+        resumable = stream.route.resumable and response.status == 200
+        rest = b''
+        while True:
+            piece = await self._read(response, resumable)
+            if isinstance(piece, client.TransportFault):
+                return attempts.Lost(health.Sign.BROKEN, piece.detail)
+            if not stream.head_sent:
+                stream.head_sent = True
+                rows = tuple(response.headers.get_all())
+                await write_head(response.status, rows)
+            if piece is None:
+                health.note_success(target)
+                return None
+            if resumable:
+                # Only whole events: what comes next may be another engine's.
+                whole, _, rest = (rest + piece).rpartition(_EVENT_END)
+                piece = whole + _EVENT_END if whole else b''
+                stream.last_event = _find_last_event(piece, stream.last_event)
+            if piece:
+                await write_body(piece)
+
+    async def _read(
+        self, response: client.Response, resumable: bool
+    ) -> bytes | client.TransportFault | None:
+        if not resumable:
+            return await response.read_piece()
+        try:
+            async with asyncio.timeout(_SILENCE_TIMEOUT):
+                return await response.read_piece()
+        except TimeoutError:
+            return client.TransportFault(
+                client.TransportFaultKind.SILENT, 'stream fell silent', True
+            )
+
+    def _give_up(
+        self, stream: _Stream, lost: str | None
+    ) -> outcomes.Refusal | Broken:
+        if stream.head_sent:
+            return Broken(lost or 'no target to go on at')
+        if lost is not None:
+            return outcomes.Refusal(
+                outcomes.Reason.UNKNOWN_OUTCOME, lost, outcomes.Ran.UNKNOWN
+            )
+        ready = self._targets.find_ready(stream.service)
+        now = asyncio.get_running_loop().time()
+        return outcomes.Refusal(
+            outcomes.Reason.NO_TARGET,
+            'no target took the request',
+            retry_after=hedging.compute_retry_after(ready, now, self._rng),
+        )
+
+
+def _find_last_event(data: bytes, before: int) -> int:
+    last = before
+    for line in data.split(b'\n'):
+        if line.startswith(b'id:') and line[3:].strip().isdigit():
+            last = int(line[3:])
+    return last
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -139,9 +139,13 @@
         """Sends a request and returns its whole response."""
         match await self.open(address, request, timeout):
             case Result(tag='ok', ok=response):
-                return await _read_whole(response)
+                pass
             case Result(error=fault):
                 return Error(fault)
+        try:
+            return await _read_whole(response)
+        finally:
+            response.close()
 
     def discard_idle(self, address: str) -> None:
         """Closes the idle connections to ``address``."""
@@ -245,7 +249,8 @@
         headers = httputil.HTTPHeaders()
         for name, value in request.headers:
             headers.add(name, value)
-        headers['Host'] = address
+        if 'Host' not in headers:
+            headers['Host'] = address
         if request.body or request.method not in _BODILESS:
             headers['Content-Length'] = str(len(request.body))
         start = httputil.RequestStartLine(request.method, request.path, '')
--- a/waxwingport/http/exchange.py
+++ b/waxwingport/http/exchange.py
@@ -68,7 +68,14 @@
         return self._room
 
     def finish(self) -> None:
-        """Takes the end of the response."""
+        """Takes the end of the response.
+
+        A body without a length ends with its connection; one that was reset
+        is not whole.
+        """
+        if self._ends_with_connection() and self._stream.error is not None:
+            self.on_connection_close()
+            return
         self._end()
 
     def on_connection_close(self) -> None:
@@ -117,6 +124,12 @@
                 return self.fault
             await self._wait()
 
+    def _ends_with_connection(self) -> bool:
+        return (
+            'Content-Length' not in self.headers
+            and 'Transfer-Encoding' not in self.headers
+        )
+
     def _take(self) -> bytes:
         data = b''.join(self._chunks)
         self._chunks.clear()
--- /dev/null
+++ b/waxwingport/log/__init__.py
@@ -0,0 +1,1 @@
+"""The partitioned log that keeps what must outlive every node."""
--- /dev/null
+++ b/waxwingport/log/dependency.py
@@ -0,0 +1,55 @@
+"""Whether a dependency answers, told once at each loss and return."""
+
+import asyncio
+import logging
+
+__all__ = ['Dependency']
+
+_LOG = logging.getLogger(__name__)
+
+
+class Dependency:
+    """Follows the successes and failures of calls to one dependency.
+
+    ``lost_at`` is the loop's time of the first failure since the last
+    success, or ``None``.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.lost_at: float | None = None
+        self.returned_at: float | None = None
+        self._failures = 0
+
+    @property
+    def available(self) -> bool:
+        """Whether the last call succeeded."""
+        return self.lost_at is None
+
+    def note_success(self) -> None:
+        """Takes an answer."""
+        if self.lost_at is None:
+            return
+        now = asyncio.get_running_loop().time()
+        _LOG.info(
+            'dependency-returned',
+            extra={
+                'dependency': self.name,
+                'away_s': round(now - self.lost_at, 3),
+                'failures': self._failures,
+            },
+        )
+        self.lost_at = None
+        self.returned_at = now
+        self._failures = 0
+
+    def note_failure(self, detail: str) -> None:
+        """Takes a call that got no answer of use."""
+        self._failures += 1
+        if self.lost_at is not None:
+            return
+        self.lost_at = asyncio.get_running_loop().time()
+        _LOG.warning(
+            'dependency-lost',
+            extra={'dependency': self.name, 'reason': detail},
+        )
--- /dev/null
+++ b/waxwingport/log/tails.py
@@ -0,0 +1,128 @@
+"""Reads one partition to its end and keeps on reading."""
+
+import abc
+import asyncio
+import logging
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from waxwingport import ids
+from waxwingport.log import base
+from waxwingport.log import dependency
+
+__all__ = ['PartitionTail', 'RecordListener']
+
+_WAIT = 2.0
+"""Seconds that a read waits for a record; bounds how long a connection that
+fell silent delays what others wrote."""
+_RETRY_INTERVAL = 0.2
+"""Seconds between tries while the log is away."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class RecordListener(abc.ABC):
+    """Takes the records of one partition in their order."""
+
+    @abc.abstractmethod
+    def take(self, record: bytes) -> None:
+        """Takes the next record."""
+
+    @abc.abstractmethod
+    def skip(self) -> None:
+        """Learns that records before the next one have expired unread."""
+
+
+class PartitionTail:
+    """Hands every record of a partition to a listener, once, in order."""
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        partition: base.Partition,
+        listener: RecordListener,
+        store: dependency.Dependency,
+    ) -> None:
+        self._log = log
+        self._listener = listener
+        self._store = store
+        self._advanced = asyncio.Event()
+        self.partition = partition
+        self.position = ids.Offset(0)
+        """Offset of the next record to take."""
+        self.confirmed_at = float('-inf')
+        """Loop's time at which a read that found the end was sent."""
+
+    async def run(self) -> None:
+        """Reads until cancelled."""
+        while True:
+            wait = _WAIT if self.confirmed_at > 0 else 0.0
+            match await self._read(wait):
+                case Result(tag='ok'):
+                    self._store.note_success()
+                case Result(error=fault):
+                    self._store.note_failure(fault.detail)
+                    await asyncio.sleep(_RETRY_INTERVAL)
+
+    async def catch_up(self, within: float) -> Result[None, base.Fault]:
+        """Reads to an end that is at most ``within`` seconds old."""
+        loop = asyncio.get_running_loop()
+        while self.confirmed_at < loop.time() - within:
+            match await self._read(0.0):
+                case Result(tag='error', error=fault):
+                    return Error(fault)
+        return Ok(None)
+
+    async def reach(self, offset: ids.Offset, timeout: float) -> bool:
+        """Waits until all records before ``offset`` were taken."""
+        try:
+            async with asyncio.timeout(timeout):
+                while self.position < offset:
+                    await self.wait_advance()
+        except TimeoutError:
+            return False
+        return True
+
+    async def wait_advance(self) -> None:
+        """Waits until records were taken."""
+        await self._advanced.wait()
+
+    async def _read(self, wait: float) -> Result[None, base.Fault]:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        offset = self.position
+        match await self._log.read(self.partition, offset, wait):
+            case Result(tag='ok', ok=page):
+                self._take_page(offset, page, sent_at)
+                return Ok(None)
+            case Result(error=fault):
+                pass
+        if fault.kind is not base.FaultKind.EXPIRED or fault.oldest is None:
+            return Error(fault)
+        if self.position < fault.oldest:
+            _LOG.info(
+                'records-expired',
+                extra={
+                    'partition': str(self.partition),
+                    'position': self.position,
+                    'oldest': fault.oldest,
+                },
+            )
+            self.position = fault.oldest
+            self._listener.skip()
+        return Ok(None)
+
+    def _take_page(
+        self, offset: ids.Offset, page: base.Page, sent_at: float
+    ) -> None:
+        # Another read may have taken some of these records meanwhile.
+        for record in page.records[max(0, self.position - offset) :]:
+            self._listener.take(record)
+            self.position = ids.Offset(self.position + 1)
+        if self.position >= page.end:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
+        if page.records:
+            self._advanced.set()
+            self._advanced = asyncio.Event()
--- /dev/null
+++ b/waxwingport/log/writers.py
@@ -0,0 +1,162 @@
+"""Writes one partition as its only holder, in batches."""
+
+import asyncio
+import collections
+from collections.abc import Sequence
+import logging
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport import ids
+from waxwingport.log import base
+
+__all__ = ['FencedWriter', 'append_once']
+
+_NAME = 'holder'
+"""One name for all holders, so that each epoch fences all lower ones."""
+_FIRST_RETRY = 0.05
+"""Seconds before an append is repeated, doubled with each try."""
+_LONGEST_RETRY = 0.5
+"""Seconds."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class _Pending(msgspec.Struct, eq=False):
+    records: Sequence[bytes]
+    done: asyncio.Future
+
+
+class FencedWriter:
+    """Appends records under the epoch in which a partition was assigned.
+
+    ``epoch`` must never have been used by another life of any process: a
+    group's generation rises with each change of its members, and every life
+    joins as a new member.  ``call_size`` bounds the bytes of one append.
+    """
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        partition: base.Partition,
+        epoch: base.Generation,
+        call_size: int,
+    ) -> None:
+        self._log = log
+        self._call_size = call_size
+        self._sequence = 0
+        self._queue: collections.deque[_Pending] = collections.deque()
+        self._wake = asyncio.Event()
+        self.partition = partition
+        self.epoch = epoch
+
+    async def fence(self) -> Result[ids.Offset, base.Fault]:
+        """Shuts out every lower epoch; returns the partition's end."""
+        writer = base.Writer(_NAME, self.epoch, 0)
+        answer = await self._log.append(self.partition, (), writer)
+        return answer.map(lambda done: done.end)
+
+    async def write(
+        self, records: Sequence[bytes]
+    ) -> Result[None, base.Fault]:
+        """Appends ``records`` together; returns once they are acknowledged.
+
+        Fails when a later holder has taken the partition.
+        """
+        pending = _Pending(records, asyncio.get_running_loop().create_future())
+        self._queue.append(pending)
+        self._wake.set()
+        return await pending.done
+
+    async def run(self) -> base.Fault:
+        """Appends what is written until the partition is lost."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                batch = self._take_batch()
+                match await self._append(batch):
+                    case Result(tag='ok'):
+                        _resolve(batch, Ok(None))
+                    case Result(error=fault):
+                        self._queue.extendleft(reversed(batch))
+                        return fault
+
+    def abandon(self, fault: base.Fault) -> None:
+        """Fails everything that has not been acknowledged."""
+        _resolve(self._queue, Error(fault))
+        self._queue.clear()
+
+    def _take_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        size = 0
+        while self._queue:
+            size += sum(len(row) + 4 for row in self._queue[0].records)
+            if batch and size > self._call_size:
+                break
+            batch.append(self._queue.popleft())
+        return batch
+
+    async def _append(
+        self, batch: Sequence[_Pending]
+    ) -> Result[base.Appended, base.Fault]:
+        records = [row for pending in batch for row in pending.records]
+        writer = base.Writer(_NAME, self.epoch, self._sequence)
+        pause = _FIRST_RETRY
+        while True:
+            answer = await self._log.append(self.partition, records, writer)
+            match answer:
+                case Result(tag='ok'):
+                    self._sequence += 1
+                    return answer
+                case Result(error=fault) if not _may_repeat(fault):
+                    return answer
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, _LONGEST_RETRY)
+
+
+def _may_repeat(fault: base.Fault) -> bool:
+    return fault.kind in (
+        base.FaultKind.BUSY,
+        base.FaultKind.UNKNOWN,
+        base.FaultKind.UNREACHABLE,
+    )
+
+
+def _resolve(
+    batch: Sequence[_Pending], outcome: Result[None, base.Fault]
+) -> None:
+    for pending in batch:
+        if not pending.done.done():
+            pending.done.set_result(outcome)
+
+
+async def append_once(
+    log: base.PartitionLog,
+    partition: base.Partition,
+    records: Sequence[bytes],
+    deadline: float,
+) -> Result[base.Appended, base.Fault]:
+    """Appends records that do no harm when they stand there twice.
+
+    Repeats the append until the loop's time ``deadline``.  The fault's
+    ``done_nothing`` is true only if no try can have taken effect.
+    """
+    loop = asyncio.get_running_loop()
+    pause = _FIRST_RETRY
+    unknown: base.Fault | None = None
+    while True:
+        match await log.append(partition, records):
+            case Result(tag='ok') as answer:
+                return answer
+            case Result(error=fault):
+                pass
+        if not fault.done_nothing:
+            unknown = fault
+        if not _may_repeat(fault) or loop.time() + pause >= deadline:
+            return Error(unknown or fault)
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, _LONGEST_RETRY)
--- /dev/null
+++ b/waxwingport/platform/operators.py
@@ -0,0 +1,215 @@
+"""What operators and targets keep in the platform's store."""
+
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.fleet import model as fleet
+from waxwingport.gateway import routes
+from waxwingport import ids
+from waxwingport.log import base
+
+__all__ = [
+    'OPERATOR_TOPIC',
+    'TARGET_TOPIC',
+    'NamedVersion',
+    'is_configuration',
+    'read_configuration',
+    'read_named_version',
+    'read_target',
+]
+
+OPERATOR_TOPIC = base.Topic('keyed.op')
+TARGET_TOPIC = base.Topic('keyed.servers')
+
+_CONFIGURATION_KEY = 'config'
+_VERSION_PREFIX = 'version/'
+_KINDS = {
+    'idempotent': routes.RouteKind.IDEMPOTENT,
+    'non_idempotent': routes.RouteKind.NON_IDEMPOTENT,
+    'rollout': routes.RouteKind.BATCH,
+    'streaming': routes.RouteKind.STREAMING,
+}
+_STAGES = {
+    'draining': fleet.Stage.DRAINING,
+    'ready': fleet.Stage.READY,
+}
+_UNREADABLE = (msgspec.DecodeError, UnicodeError, ValueError, TypeError)
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct, frozen=True, rename='kebab'):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    latency_target_ms: float = 1000.0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Share] | None = None
+    max_attempts: int = 1
+    resumable: bool = False
+    streaming: bool = False
+    single_version: bool = False
+    run_target_ms: float = 60_000.0
+    retention_s: float = 300.0
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+
+
+class _Engine(msgspec.Struct, frozen=True, rename='kebab'):
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, frozen=True, rename='kebab'):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 33_554_432
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _LoadedModel(msgspec.Struct, frozen=True):
+    name: str
+    version: int
+
+
+class _Target(msgspec.Struct, frozen=True, rename='kebab'):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    models: list[_LoadedModel] = []
+    born: int | None = None
+
+
+class NamedVersion(msgspec.Struct, frozen=True):
+    """The version of a model's weights that its trainer published last."""
+
+    model: str
+    version: ids.WeightVersion
+
+
+def is_configuration(key: str) -> bool:
+    """Returns whether a record of the operator's is the configuration."""
+    return key == _CONFIGURATION_KEY
+
+
+def read_configuration(
+    value: bytes,
+) -> Result[routes.Configuration, str]:
+    """Returns the configuration; fails with what can't be read."""
+    try:
+        found = msgspec.json.decode(value, type=_Configuration)
+        rows = tuple(_read_route(route) for route in found.routes)
+    except _UNREADABLE as error:
+        return Error(str(error))
+    limits = found.limits
+    return Ok(
+        routes.Configuration(
+            found.version,
+            rows,
+            routes.Limits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_ms / 1000,
+                limits.idle_timeout_ms / 1000,
+            ),
+            {
+                ids.ServiceName(service.name): tuple(
+                    row.name for row in service.engine.models
+                )
+                for service in found.services
+                if service.engine is not None
+            },
+        )
+    )
+
+
+def read_named_version(
+    key: str, value: bytes
+) -> Result[NamedVersion | None, str]:
+    """Returns the version that a record names, ``None`` if it is no such."""
+    if not key.startswith(_VERSION_PREFIX):
+        return Ok(None)
+    try:
+        found = msgspec.json.decode(value, type=dict[str, Any])
+        version = ids.WeightVersion(int(found['version']))
+        return Ok(NamedVersion(str(found['model']), version))
+    except (*_UNREADABLE, KeyError) as error:
+        return Error(str(error))
+
+
+def read_target(key: str, value: bytes) -> Result[fleet.TargetEntry, str]:
+    """Returns a target's entry; fails if it names no target to use."""
+    try:
+        found = msgspec.json.decode(value, type=_Target)
+    except _UNREADABLE as error:
+        return Error(str(error))
+    stage = _STAGES.get(found.state)
+    if stage is None:
+        return Error(f'state {found.state!r} is not known')
+    host, _, port = found.address.rpartition(':')
+    if not host or not port.isdecimal():
+        return Error(f'address {found.address!r} is no ip:port')
+    return Ok(
+        fleet.TargetEntry(
+            fleet.InstanceId(key),
+            ids.ServiceName(found.service),
+            found.address,
+            ids.DataCentre(found.zone),
+            max(1, found.slots),
+            stage,
+            found.born,
+            {row.name: ids.WeightVersion(row.version) for row in found.models},
+        )
+    )
+
+
+def _read_route(route: _Route) -> routes.Route:
+    kind = _KINDS.get(route.kind)
+    if kind is None:
+        raise ValueError(f'route {route.name}: kind {route.kind!r}')
+    if route.streaming:
+        kind = routes.RouteKind.STREAMING
+    split = route.traffic_split or [_Share(route.service or '', 1)]
+    return routes.Route(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        kind,
+        tuple(
+            routes.Share(ids.ServiceName(row.service), row.weight)
+            for row in split
+        ),
+        max(1, route.max_attempts),
+        route.timeout_ms / 1000,
+        route.latency_target_ms / 1000,
+        route.priority,
+        route.resumable,
+        route.single_version,
+        route.run_target_ms / 1000,
+        route.retention_s,
+    )
--- /dev/null
+++ b/waxwingport/platform/orders.py
@@ -0,0 +1,117 @@
+"""Reports of engines and orders to them, as the platform spells them."""
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.fleet import model as fleet
+from waxwingport.http import client
+from waxwingport import ids
+from waxwingport.rollout import base
+
+__all__ = ['PlatformControl']
+
+_TIMEOUT = 1.0
+"""Seconds for a report or the answer to an order, which takes some
+milliseconds."""
+_MODES = {base.LoadMode.KEEP: 'retain', base.LoadMode.WAIT: 'await'}
+_OUTCOMES = {
+    200: base.OrderOutcome.HOLDS,
+    202: base.OrderOutcome.ACCEPTED,
+    400: base.OrderOutcome.REJECTED,
+    409: base.OrderOutcome.REJECTED,
+    412: base.OrderOutcome.STALE,
+    421: base.OrderOutcome.STALE,
+}
+
+
+class _LoadedModel(msgspec.Struct, frozen=True):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct, frozen=True, rename='kebab'):
+    models: list[_LoadedModel]
+    busy: bool
+    seq: int
+    waiting: int = 0
+    running: int = 0
+
+
+class _Order(msgspec.Struct, frozen=True, rename='kebab'):
+    operation: str
+    model: str
+    version: int
+    mode: str
+    holder: str
+    fencing_token: int
+    precondition: int
+
+
+class PlatformControl(base.EngineControl):
+    """Engines that answer ``/report`` and ``/order``."""
+
+    def __init__(self, http: client.HttpClient) -> None:
+        self._http = http
+
+    async def read_report(
+        self, target: fleet.Target
+    ) -> Result[base.EngineReport, str]:
+        """Returns an engine's report."""
+        request = client.Request('GET', '/report', _expect(target))
+        match await self._http.fetch(target.entry.address, request, _TIMEOUT):
+            case Result(tag='ok', ok=response):
+                pass
+            case Result(error=fault):
+                return Error(fault.detail)
+        if response.status != 200:
+            return Error(f'report answered {response.status}')
+        try:
+            found = msgspec.json.decode(response.body, type=_Report)
+        except (msgspec.DecodeError, UnicodeError) as error:
+            return Error(f'report cannot be read: {error}')
+        return Ok(
+            base.EngineReport(
+                {
+                    row.name: ids.WeightVersion(row.version)
+                    for row in found.models
+                },
+                found.busy,
+                found.seq,
+                found.waiting + found.running,
+            )
+        )
+
+    async def give_order(
+        self, target: fleet.Target, order: base.Order
+    ) -> base.OrderOutcome:
+        """Gives an engine an order and returns what came of it."""
+        body = msgspec.json.encode(
+            _Order(
+                'version',
+                order.model,
+                order.version,
+                _MODES[order.mode],
+                order.holder,
+                order.fence,
+                order.accepted_before,
+            )
+        )
+        request = client.Request(
+            'POST',
+            '/order',
+            (('Content-Type', 'application/json'), *_expect(target)),
+            body,
+        )
+        match await self._http.fetch(target.entry.address, request, _TIMEOUT):
+            case Result(tag='ok', ok=response):
+                return _OUTCOMES.get(
+                    response.status, base.OrderOutcome.UNKNOWN
+                )
+            case _:
+                return base.OrderOutcome.UNKNOWN
+
+
+def _expect(target: fleet.Target) -> tuple[tuple[str, str], ...]:
+    return (('Expect-Instance', target.entry.instance),)
--- /dev/null
+++ b/waxwingport/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Moves engines to the versions of the weights that trainers publish."""
--- /dev/null
+++ b/waxwingport/rollout/controller.py
@@ -0,0 +1,191 @@
+"""Gives engines the orders of the plan, while this node holds the lease."""
+
+import asyncio
+import logging
+
+from expression import Result
+import msgspec
+
+from waxwingport.fleet import model as fleet
+from waxwingport.fleet import registry
+from waxwingport import ids
+from waxwingport.rollout import base
+from waxwingport.rollout import lease
+from waxwingport.rollout import plan
+
+__all__ = ['RolloutController', 'VersionBook']
+
+_INTERVAL = 0.1
+"""Seconds between looks at the plan."""
+_REPORT_INTERVAL = 0.25
+"""Seconds between reports of an engine that loads: reports lag by about as
+much."""
+_ORDER_TIMEOUT = 10.0
+"""Seconds after which an order that no report shows is given again."""
+_ERROR_PAUSE = 0.5
+"""Seconds before an engine that gave no answer is asked again."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class VersionBook:
+    """The versions that trainers published and the age that they allow."""
+
+    def __init__(self) -> None:
+        self._newest: dict[str, ids.WeightVersion] = {}
+        self._lags: dict[str, int] = {}
+
+    def note_published(self, model: str, version: ids.WeightVersion) -> None:
+        """Takes a published version; an older one changes nothing."""
+        if version <= self._newest.get(model, 0):
+            return
+        self._newest[model] = version
+        _LOG.info(
+            'version-published', extra={'model': model, 'version': version}
+        )
+
+    def note_minimum(self, model: str, minimum: ids.WeightVersion) -> None:
+        """Takes the oldest version that a submission just made allows."""
+        newest = self._newest.get(model, ids.WeightVersion(1))
+        self._lags[model] = max(0, newest - minimum)
+
+    def get_needs(self) -> dict[str, plan.Need]:
+        """Returns what each trainer wants."""
+        return {
+            name: plan.Need(version, self._lags.get(name, 0))
+            for name, version in self._newest.items()
+        }
+
+
+class _Watch(msgspec.Struct, eq=False):
+    """One engine that is being moved to a version."""
+
+    load: plan.Load
+    ordered_at: float | None = None
+    next_look: float = 0.0
+
+
+class RolloutController:
+    """Moves engines to published versions, one order an engine at a time."""
+
+    def __init__(
+        self,
+        node: ids.NodeName,
+        control: base.EngineControl,
+        targets: registry.Registry,
+        book: VersionBook,
+        right: lease.OrderLease,
+    ) -> None:
+        self._node = node
+        self._control = control
+        self._targets = targets
+        self._book = book
+        self._lease = right
+        self._watches: dict[fleet.InstanceId, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Follows the plan until cancelled."""
+        while True:
+            if self._lease.held:
+                self._start_loads()
+            else:
+                self._stop_all()
+            await asyncio.sleep(_INTERVAL)
+
+    def _start_loads(self) -> None:
+        now = asyncio.get_running_loop().time()
+        engines = [
+            plan.Engine(
+                target.entry.instance,
+                target.versions,
+                target.compute_load(now),
+            )
+            for target in self._targets
+            if target.versions and target.entry.stage is fleet.Stage.READY
+        ]
+        for load in plan.plan_loads(engines, self._book.get_needs()):
+            if load.instance in self._watches:
+                continue
+            task = asyncio.get_running_loop().create_task(
+                self._move(_Watch(load))
+            )
+            self._watches[load.instance] = task
+            task.add_done_callback(
+                lambda _, instance=load.instance: self._watches.pop(
+                    instance, None
+                )
+            )
+
+    def _stop_all(self) -> None:
+        for task in self._watches.values():
+            task.cancel()
+
+    async def _move(self, watch: _Watch) -> None:
+        """Orders one load and waits until the engine reports it."""
+        load = watch.load
+        while True:
+            target = self._targets.find(load.instance)
+            if target is None:
+                return
+            match await self._control.read_report(target):
+                case Result(tag='ok', ok=report):
+                    pass
+                case Result(error=reason):
+                    _LOG.info(
+                        'report-failed',
+                        extra={'instance': load.instance, 'reason': reason},
+                    )
+                    await asyncio.sleep(_ERROR_PAUSE)
+                    continue
+            for name, version in report.versions.items():
+                target.note_version(name, version)
+            if target.versions.get(load.model, 0) >= load.version:
+                return
+            if not report.busy and self._may_order(watch):
+                if not self._lease.held:
+                    return
+                await self._order(watch, target, report)
+            await asyncio.sleep(_REPORT_INTERVAL)
+
+    def _may_order(self, watch: _Watch) -> bool:
+        if watch.ordered_at is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        return now - watch.ordered_at > _ORDER_TIMEOUT
+
+    async def _order(
+        self,
+        watch: _Watch,
+        target: fleet.Target,
+        report: base.EngineReport,
+    ) -> None:
+        load = watch.load
+        order = base.Order(
+            load.model,
+            load.version,
+            base.LoadMode.KEEP,
+            self._node,
+            self._lease.fence,
+            report.accepted,
+        )
+        outcome = await self._control.give_order(target, order)
+        _LOG.info(
+            'order-given',
+            extra={
+                'instance': load.instance,
+                'model': load.model,
+                'version': load.version,
+                'had': target.versions.get(load.model),
+                'urgency': load.urgency.name.lower(),
+                'fence': order.fence,
+                'accepted_before': order.accepted_before,
+                'outcome': outcome.value,
+            },
+        )
+        match outcome:
+            case base.OrderOutcome.ACCEPTED:
+                watch.ordered_at = asyncio.get_running_loop().time()
+            case base.OrderOutcome.HOLDS:
+                target.note_version(load.model, load.version)
+            case _:
+                await asyncio.sleep(_ERROR_PAUSE)
--- /dev/null
+++ b/waxwingport/submissions/archive.py
@@ -0,0 +1,172 @@
+"""Every submission as this node has read it from the log."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import logging
+import zlib
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport import clocks
+from waxwingport.log import base
+from waxwingport.log import dependency
+from waxwingport.log import tails
+from waxwingport.submissions import fold
+from waxwingport.submissions import model
+from waxwingport.submissions import records
+
+__all__ = ['Archive', 'ArchiveSettings', 'Shelf']
+
+TOPIC = base.Topic('submissions')
+_EVICTION_INTERVAL = 5.0
+"""Seconds."""
+
+_LOG = logging.getLogger(__name__)
+
+ChangeListener = Callable[['Shelf', fold.Entry], None]
+
+
+class ArchiveSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How submissions are kept."""
+
+    partitions: int = 12
+    """Partitions of the topic; the log's own number."""
+    status_time: float = 120.0
+    """Seconds after its acceptance for which results can be read."""
+    freshness: float = 0.4
+    """Seconds: age of the newest read on which "not there" may rest; under
+    half of the time in which what was accepted has to be visible."""
+
+
+class Shelf(tails.RecordListener):
+    """One partition: its state and the reader that keeps it up."""
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        partition: base.Partition,
+        store: dependency.Dependency,
+    ) -> None:
+        self.partition = partition
+        self.state = fold.PartitionState()
+        self.tail = tails.PartitionTail(log, partition, self, store)
+        self._assembler = records.Assembler()
+        self._listeners: list[ChangeListener] = []
+
+    def add_listener(self, listener: ChangeListener) -> None:
+        """Tells ``listener`` of each entry that changes."""
+        self._listeners.append(listener)
+
+    def take(self, record: bytes) -> None:
+        """Takes the next record of the partition."""
+        match self._assembler.feed(record):
+            case Result(tag='ok', ok=None):
+                return
+            case Result(tag='ok', ok=found):
+                pass
+            case Result(error=reason):
+                _LOG.warning(
+                    'record-skipped',
+                    extra={
+                        'partition': str(self.partition),
+                        'position': self.tail.position,
+                        'reason': reason,
+                    },
+                )
+                return
+        entry = self.state.apply(found)
+        if entry is None:
+            return
+        for listener in self._listeners:
+            listener(self, entry)
+
+    def skip(self) -> None:
+        """Drops what was read of a record whose rest has expired."""
+        self._assembler.reset()
+
+
+class Archive:
+    """The shelves of all partitions."""
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        settings: ArchiveSettings,
+        wall: clocks.WallClock,
+    ) -> None:
+        self._wall = wall
+        self.settings = settings
+        self.store = dependency.Dependency('log:submissions')
+        self._shelves = [
+            Shelf(log, base.Partition(TOPIC, number), self.store)
+            for number in range(settings.partitions)
+        ]
+
+    def __iter__(self) -> Iterator[Shelf]:
+        return iter(self._shelves)
+
+    async def run(self) -> None:
+        """Follows every partition until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for shelf in self._shelves:
+                group.create_task(shelf.tail.run())
+            group.create_task(self._evict())
+
+    def get_shelf(self, submission_id: model.SubmissionId) -> Shelf:
+        """Returns the shelf on which a submission stands or would stand."""
+        number = zlib.crc32(submission_id.encode()) % len(self._shelves)
+        return self._shelves[number]
+
+    def find_result(self, item_id: model.ItemId) -> model.ItemResult | None:
+        """Returns a completed result of an item in any submission."""
+        for shelf in self._shelves:
+            for entry in shelf.state:
+                found = entry.listed.get(item_id)
+                if found and found.state is model.ItemState.COMPLETED:
+                    return found
+        return None
+
+    def find_draft(self, item_id: model.ItemId) -> model.Draft | None:
+        """Returns the longest text kept of an item in any submission."""
+        drafts = [
+            entry.drafts[item_id]
+            for shelf in self._shelves
+            for entry in shelf.state
+            if item_id in entry.drafts
+        ]
+        return max(drafts, key=lambda row: len(row.events), default=None)
+
+    async def find(
+        self, submission_id: model.SubmissionId
+    ) -> Result[fold.Entry | None, base.Fault]:
+        """Returns a submission, or ``None`` if it certainly is not there.
+
+        Fails when the log can't be read as far as that takes.
+        """
+        shelf = self.get_shelf(submission_id)
+        entry = shelf.state.find(submission_id)
+        if entry is not None:
+            return Ok(entry)
+        match await shelf.tail.catch_up(self.settings.freshness):
+            case Result(tag='error', error=fault):
+                return Error(fault)
+        return Ok(shelf.state.find(submission_id))
+
+    async def _evict(self) -> None:
+        while True:
+            await asyncio.sleep(_EVICTION_INTERVAL)
+            before = self._wall.read() - 2 * self.settings.status_time
+            for shelf in self._shelves:
+                count = shelf.state.evict(before)
+                if count:
+                    _LOG.info(
+                        'submissions-forgotten',
+                        extra={
+                            'partition': str(shelf.partition),
+                            'count': count,
+                        },
+                    )
--- /dev/null
+++ b/waxwingport/submissions/desk.py
@@ -0,0 +1,230 @@
+"""What callers ask of submissions: accept, read, end."""
+
+import asyncio
+from collections.abc import Sequence
+import logging
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport import clocks
+from waxwingport.log import base
+from waxwingport.log import writers
+from waxwingport import outcomes
+from waxwingport.submissions import archive
+from waxwingport.submissions import fold
+from waxwingport.submissions import model
+from waxwingport.submissions import records
+
+__all__ = ['Desk', 'Results']
+
+_APPEND_TIME = 2.5
+"""Seconds for which an append is repeated: a store that restarts takes about
+as long, and the caller's own retry comes later."""
+_RETRY_AFTER = 0.5
+"""Seconds; about what a node takes to reach a store that is back."""
+_READ_TIME = 0.4
+"""Seconds to find out whether something is there before saying so."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class Results(msgspec.Struct, frozen=True):
+    """Results from a position on."""
+
+    total: int
+    results: Sequence[model.ItemResult]
+
+
+class Desk:
+    """Answers callers from the archive, and writes to the log for them."""
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        shelves: archive.Archive,
+        record_size: int,
+        wall: clocks.WallClock,
+    ) -> None:
+        self._log = log
+        self._archive = shelves
+        self._record_size = record_size
+        self._wall = wall
+
+    async def accept(
+        self, submission: model.Submission, patience: float
+    ) -> Result[None, outcomes.Refusal]:
+        """Keeps a submission from now on; repeats have the same outcome.
+
+        ``patience`` is in seconds.
+        """
+        shelf = self._archive.get_shelf(submission.submission_id)
+        if shelf.state.find(submission.submission_id) is not None:
+            self._log_accept(submission, shelf, repeated=True)
+            return Ok(None)
+        if not self._archive.store.available:
+            return Error(_refuse('the log is out of reach'))
+        outcome = await self._append(
+            shelf, records.Accepted(submission), patience
+        )
+        known = shelf.state.find(submission.submission_id) is not None
+        if outcome.is_ok() or known:
+            self._log_accept(submission, shelf, repeated=False)
+            return Ok(None)
+        return outcome
+
+    async def end(
+        self, submission_id: model.SubmissionId, patience: float
+    ) -> Result[None, outcomes.Refusal]:
+        """Ends a submission; repeats have the same outcome."""
+        match await self._find(submission_id):
+            case Result(tag='ok', ok=entry):
+                pass
+            case Result(error=refusal):
+                return Error(refusal)
+        if entry.ended:
+            return Ok(None)
+        shelf = self._archive.get_shelf(submission_id)
+        outcome = await self._append(
+            shelf, records.Ended(submission_id), patience
+        )
+        if outcome.is_ok() or entry.ended:
+            _LOG.info(
+                'submission-ended',
+                extra={
+                    'submission': submission_id,
+                    'listed': len(entry.results),
+                    'total': len(entry.items),
+                },
+            )
+            return Ok(None)
+        return outcome
+
+    async def read(
+        self, submission_id: model.SubmissionId, after: int, wait: float
+    ) -> Result[Results, outcomes.Refusal]:
+        """Returns results from position ``after`` on.
+
+        Waits up to ``wait`` seconds until there is one.
+        """
+        match await self._find(submission_id):
+            case Result(tag='ok', ok=entry):
+                pass
+            case Result(error=refusal):
+                return Error(refusal)
+        shelf = self._archive.get_shelf(submission_id)
+        if len(entry.results) <= after and wait > 0.0:
+            await _wait_for_result(shelf, entry, after, wait)
+        if len(entry.results) <= after:
+            match await self._catch_up(shelf):
+                case Result(tag='error', error=refusal):
+                    return Error(refusal)
+        return Ok(Results(len(entry.items), entry.results[after:]))
+
+    async def read_item(
+        self, submission_id: model.SubmissionId, item_id: model.ItemId
+    ) -> Result[bytes, outcomes.Refusal]:
+        """Returns the body of an item of a submission."""
+        match await self._find(submission_id):
+            case Result(tag='ok', ok=entry):
+                pass
+            case Result(error=refusal):
+                return Error(refusal)
+        item = entry.items.get(item_id)
+        if item is None:
+            return Error(
+                outcomes.Refusal(outcomes.Reason.NOT_FOUND, 'no such item')
+            )
+        return Ok(item.body)
+
+    async def _find(
+        self, submission_id: model.SubmissionId
+    ) -> Result[fold.Entry, outcomes.Refusal]:
+        try:
+            async with asyncio.timeout(_READ_TIME):
+                found = await self._archive.find(submission_id)
+        except TimeoutError:
+            return Error(_refuse('the log did not answer in time'))
+        match found:
+            case Result(tag='ok', ok=None):
+                return Error(
+                    outcomes.Refusal(
+                        outcomes.Reason.NOT_FOUND, 'no such submission'
+                    )
+                )
+            case Result(tag='ok', ok=entry):
+                return Ok(entry)
+            case Result(error=fault):
+                return Error(_refuse(fault.detail))
+
+    async def _catch_up(
+        self, shelf: archive.Shelf
+    ) -> Result[None, outcomes.Refusal]:
+        freshness = self._archive.settings.freshness
+        try:
+            async with asyncio.timeout(_READ_TIME):
+                found = await shelf.tail.catch_up(freshness)
+        except TimeoutError:
+            return Error(_refuse('the log did not answer in time'))
+        return found.map_error(lambda fault: _refuse(fault.detail))
+
+    async def _append(
+        self, shelf: archive.Shelf, record: records.Record, patience: float
+    ) -> Result[None, outcomes.Refusal]:
+        rows = records.encode(record, self._record_size)
+        now = asyncio.get_running_loop().time()
+        deadline = now + min(patience, _APPEND_TIME)
+        done = await writers.append_once(
+            self._log, shelf.partition, rows, deadline
+        )
+        match done:
+            case Result(tag='ok'):
+                return Ok(None)
+            case Result(error=fault) if fault.done_nothing:
+                return Error(_refuse(fault.detail))
+            case Result(error=fault):
+                return Error(
+                    outcomes.Refusal(
+                        outcomes.Reason.UNKNOWN_OUTCOME,
+                        fault.detail,
+                        outcomes.Ran.UNKNOWN,
+                    )
+                )
+
+    def _log_accept(
+        self,
+        submission: model.Submission,
+        shelf: archive.Shelf,
+        repeated: bool,
+    ) -> None:
+        _LOG.info(
+            'submission-accepted',
+            extra={
+                'submission': submission.submission_id,
+                'partition': str(shelf.partition),
+                'step': submission.step,
+                'model': submission.model,
+                'minimum_version': submission.minimum_version,
+                'items': len(submission.items),
+                'repeated': repeated,
+            },
+        )
+
+
+def _refuse(detail: str) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Reason.LOG_UNAVAILABLE, detail, retry_after=_RETRY_AFTER
+    )
+
+
+async def _wait_for_result(
+    shelf: archive.Shelf, entry: fold.Entry, after: int, wait: float
+) -> None:
+    try:
+        async with asyncio.timeout(wait):
+            while len(entry.results) <= after:
+                await shelf.tail.wait_advance()
+    except TimeoutError:
+        return
--- /dev/null
+++ b/waxwingport/submissions/fold.py
@@ -0,0 +1,120 @@
+"""What the records of one partition say, on every node alike."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from waxwingport.submissions import model
+from waxwingport.submissions import records
+
+__all__ = ['Entry', 'PartitionState']
+
+
+class Entry(msgspec.Struct, eq=False):
+    """One submission and what has become of it."""
+
+    submission: model.Submission
+    items: dict[model.ItemId, model.Item]
+    results: list[model.ItemResult]
+    """In the order of their positions."""
+    listed: dict[model.ItemId, model.ItemResult]
+    drafts: dict[model.ItemId, model.Draft]
+    ended: bool = False
+
+    @property
+    def open(self) -> bool:
+        """Whether items of it are still to run."""
+        return not self.ended and len(self.listed) < len(self.items)
+
+    def find_unlisted(self) -> Iterator[model.Item]:
+        """Yields the items that have no result yet."""
+        for item in self.submission.items:
+            if item.item_id not in self.listed:
+                yield item
+
+
+class PartitionState:
+    """Folds the records of one partition.
+
+    The first record of a submission counts, and the first result of an item;
+    later ones are repeats.  Records of a submission that is not known, whose
+    own record has expired, are dropped.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[model.SubmissionId, Entry] = {}
+
+    def __iter__(self) -> Iterator[Entry]:
+        return iter(self._entries.values())
+
+    def find(self, submission_id: model.SubmissionId) -> Entry | None:
+        """Returns a submission's entry, or ``None`` if it is not known."""
+        return self._entries.get(submission_id)
+
+    def apply(self, record: records.Record) -> Entry | None:
+        """Takes the next record; returns the entry that it changed."""
+        match record:
+            case records.Accepted(submission):
+                return self._accept(submission)
+            case records.Listed(submission_id, result):
+                return self._list(submission_id, result)
+            case records.Drafted(submission_id, drafts):
+                return self._keep_drafts(submission_id, drafts)
+            case records.Ended(submission_id):
+                return self._end(submission_id)
+
+    def evict(self, accepted_before: float) -> int:
+        """Forgets submissions accepted before a time in seconds since 1970.
+
+        Those with items to run stay.  Returns how many were forgotten.
+        """
+        gone = [
+            entry.submission.submission_id
+            for entry in self._entries.values()
+            if not entry.open
+            and entry.submission.accepted_at < accepted_before
+        ]
+        for submission_id in gone:
+            del self._entries[submission_id]
+        return len(gone)
+
+    def _accept(self, submission: model.Submission) -> Entry | None:
+        if submission.submission_id in self._entries:
+            return None
+        items = {item.item_id: item for item in submission.items}
+        entry = Entry(submission, items, [], {}, {})
+        self._entries[submission.submission_id] = entry
+        return entry
+
+    def _list(
+        self, submission_id: model.SubmissionId, result: model.ItemResult
+    ) -> Entry | None:
+        entry = self._entries.get(submission_id)
+        if entry is None or result.item_id in entry.listed:
+            return None
+        if result.item_id not in entry.items:
+            return None
+        entry.listed[result.item_id] = result
+        entry.results.append(result)
+        entry.drafts.pop(result.item_id, None)
+        return entry
+
+    def _keep_drafts(
+        self,
+        submission_id: model.SubmissionId,
+        drafts: tuple[model.Draft, ...],
+    ) -> Entry | None:
+        entry = self._entries.get(submission_id)
+        if entry is None:
+            return None
+        for draft in drafts:
+            if draft.item_id not in entry.listed:
+                entry.drafts[draft.item_id] = draft
+        return entry
+
+    def _end(self, submission_id: model.SubmissionId) -> Entry | None:
+        entry = self._entries.get(submission_id)
+        if entry is None or entry.ended:
+            return None
+        entry.ended = True
+        return entry
