Keep a trainer's submissions at one holder, orders under a lease in the log

Change: submissions for one model stand in one partition; a slot is taken when an item is placed; texts begun are written at a handover, at an end and from time to time; runs move off slow engines; two fifths of the engines load at a time, the model with the fewest usable engines first; the right to order is a lease in a partition of its own, with an intent written before each order.

--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -23,6 +23,11 @@
 generation or a few calls."""
 _LOAD_GONE_AGE = 2.0
 """Seconds after which it says nothing."""
+_FIRST_CLOSURE = 0.1
+"""Seconds for which a model that an engine did not take goes elsewhere,
+doubled each time: a load of weights takes about a second."""
+_LONGEST_CLOSURE = 0.4
+"""Seconds."""
 
 
 class Stage(enum.Enum):
@@ -49,6 +54,11 @@
     """Version of the weights of each model that it serves."""
 
 
+_PACE_SMOOTHING = 0.1
+"""Weight of the latest gap between events: about ten events decide, less
+than half of a usual generation."""
+
+
 class LoadReport(msgspec.Struct, frozen=True):
     """Work at a target when it answered, and this node's part of it."""
 
@@ -73,6 +83,15 @@
     return seen * min(1.0, max(0.0, 1.0 - faded))
 
 
+class Closure(msgspec.Struct, frozen=True):
+    """A model whose requests an engine turned away."""
+
+    until: float
+    """Loop's time."""
+    pause: float
+    """Seconds."""
+
+
 class Target(msgspec.Struct, eq=False):
     """A registered target and what this node has seen of it."""
 
@@ -90,12 +109,41 @@
     """Loop's time at which its entry went away, if it did."""
     versions: dict[str, ids.WeightVersion] = {}
     """Newest version seen of each model, by entry, answer or report."""
+    closures: dict[str, Closure] = {}
+    """Models that it turned away lately, as it does while it loads them."""
+    pace: float | None = None
+    """Seconds between two events of a generation there; mean, fading."""
 
     def note_version(self, model: str, version: ids.WeightVersion) -> None:
         """Takes a version that the target named for a model."""
         if version > self.versions.get(model, 0):
             self.versions[model] = version
 
+    def close_model(self, model: str, now: float) -> None:
+        """Takes that a request for a model was turned away."""
+        last = self.closures.get(model)
+        if last is not None and now < last.until:
+            return
+        pause = 2 * last.pause if last else _FIRST_CLOSURE
+        pause = min(pause, _LONGEST_CLOSURE)
+        self.closures[model] = Closure(now + pause, pause)
+
+    def open_model(self, model: str) -> None:
+        """Takes that a request for a model was accepted."""
+        self.closures.pop(model, None)
+
+    def takes_model(self, model: str, now: float) -> bool:
+        """Returns whether a request for a model is worth a try."""
+        closure = self.closures.get(model)
+        return closure is None or closure.until <= now
+
+    def note_pace(self, gap: float) -> None:
+        """Takes the time between two events of a generation."""
+        if self.pace is None:
+            self.pace = gap
+        else:
+            self.pace += _PACE_SMOOTHING * (gap - self.pace)
+
     def compute_load(self, now: float) -> float:
         """Returns the requests expected there, of all nodes."""
         return self.running + compute_others(self.load, now)
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -111,10 +111,14 @@
     rows = tuple(response.headers.get_all())
     facts = sender.dialect.read_answer(response.status, rows)
     refusal = judge_head(call, facts)
-    if refusal is not None:
+    if refusal is None:
+        return response, facts
+    if isinstance(refusal, NotRun):
+        # Its short answer is on its way: the connection serves on.
+        response.release()
+    else:
         response.close()
-        return refusal
-    return response, facts
+    return refusal
 
 
 def judge_fault(fault: client.TransportFault) -> NotRun | Lost:
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -54,7 +54,6 @@
         node = configured_.node
         self._http = client.HttpClient(configured_.client)
         self._log = store.StoreLog(self._http, configured_.store)
-        self._boot_clock = clocks.BootClock()
         self._wall = clocks.SystemWallClock()
         self._dialect = exchange.PlatformDialect()
         self._book = controller.VersionBook()
@@ -102,6 +101,7 @@
             home,
             sizes.record_size,
             self._wall,
+            rng,
         )
         self.targets.add_listener(self.runner.wake)
         self.holder = holder.Holder(
@@ -116,17 +116,21 @@
 
     def _make_rollout(self) -> None:
         node = self._settings.node
+        configured_ = self._settings
         life = base.MemberName(f'{node.name}-{ids.mint_incarnation():x}')
         self.member = groups.GroupMember(
             self._log,
             _GROUP,
             life,
-            (archive.TOPIC, lease.TOPIC),
-            self._boot_clock,
+            (archive.TOPIC,),
         )
         self.member.add_listener(self.holder)
         self.lease = lease.OrderLease(
-            self.member, self._settings.rollout.turn_time, self._boot_clock
+            self._log,
+            life,
+            configured_.rollout,
+            clocks.BootClock(),
+            random.Random(),
         )
         self.controller = controller.RolloutController(
             node.name,
@@ -167,6 +171,8 @@
             self.archive.run(),
             self.member.run(),
             self.runner.run(),
+            self.holder.keep_long_texts(),
+            self.lease.run(),
             self.controller.run(),
         ):
             self.background.spawn(work)
@@ -174,6 +180,7 @@
     async def stop(self) -> None:
         """Shuts down gracefully within the platform's grace."""
         node = self._settings.node
+        await self.lease.resign()
         await self.member.leave()
         await self.progress.drain(
             node.drain_delay,
@@ -187,10 +194,10 @@
 
     def _take_version(self, row: base.Keyed) -> None:
         match operators.read_named_version(row.key, row.value or b''):
-            case Result(tag='ok', ok=None):
-                return
-            case Result(tag='ok', ok=named):
+            case Result(tag='ok', ok=operators.NamedVersion() as named):
                 self._book.note_published(named.model, named.version)
+            case Result(tag='ok'):
+                return
             case Result(error=reason):
                 _LOG.warning(
                     'record-skipped', extra={'key': row.key, 'reason': reason}
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -197,14 +197,14 @@
         match outcome:
             case Result(tag='ok'):
                 taken.connection.finish()
+            case Result(error=outcomes.Refusal() as refusal):
+                await self._refuse(taken, call, refusal)
             case Result(error=streams.Broken(detail=detail)):
                 _LOG.info(
                     'stream-broken',
                     extra={'request': call.request_id, 'reason': detail},
                 )
                 taken.connection.detach().close()
-            case Result(error=refusal):
-                await self._refuse(taken, call, refusal)
 
     async def _answer_batch_call(
         self, taken: _Request, call: dialect.Call
--- a/waxwingport/gateway/settings.py
+++ b/waxwingport/gateway/settings.py
@@ -12,6 +12,7 @@
 from waxwingport.http import client as http_client
 from waxwingport import ids
 from waxwingport.platform import store as platform_store
+from waxwingport.rollout import lease
 from waxwingport import settings as node_settings
 from waxwingport.submissions import archive
 
@@ -36,20 +37,13 @@
     """Bytes of all requests' bodies that are held at the same time."""
 
 
-class RolloutSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Orders to engines."""
-
-    turn_time: float = 3.0
-    """Seconds that must lie between the orders of two holders."""
-
-
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one gateway node."""
 
     node: GatewayNode
     store: platform_store.StoreSettings
     submissions: archive.ArchiveSettings = archive.ArchiveSettings()
-    rollout: RolloutSettings = RolloutSettings()
+    rollout: lease.LeaseSettings = lease.LeaseSettings()
     client: http_client.ClientSettings = http_client.ClientSettings(
         connect_timeout=0.3, progress_timeout=30.0
     )
--- a/waxwingport/log/base.py
+++ b/waxwingport/log/base.py
@@ -141,9 +141,12 @@
         partition: Partition,
         records: Sequence[bytes],
         writer: Writer | None = None,
+        at: ids.Offset | None = None,
     ) -> Result[Appended, Fault]:
         """Appends all ``records`` or none.
 
+        With ``at`` the partition has to end there, else it fails with
+        ``CONFLICT``.
         No records and a ``writer`` set the epoch only, which fences every
         lower one.  A repeat under the same ``writer`` has the first outcome.
         """
--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -67,8 +67,9 @@
     async def _advance(self) -> Result[None, base.Fault]:
         if self._position is None:
             return await self._read_whole()
-        found = await self._log.read(self._partition, self._position, _WAIT)
-        return found.map(self._take_page)
+        offset = self._position
+        found = await self._log.read(self._partition, offset, _WAIT)
+        return found.map(lambda page: self._take_page(offset, page))
 
     async def _read_whole(self) -> Result[None, base.Fault]:
         rows: list[base.Keyed] = []
@@ -92,7 +93,7 @@
         self.started.set()
         return Ok(None)
 
-    def _take_page(self, page: base.Page) -> None:
+    def _take_page(self, offset: ids.Offset, page: base.Page) -> None:
         for record in page.records:
             match self._log.parse_keyed(record):
                 case Result(tag='ok', ok=row):
@@ -105,7 +106,7 @@
                             'reason': fault.detail,
                         },
                     )
-        self._position = ids.Offset(self._position + len(page.records))
+        self._position = ids.Offset(offset + len(page.records))
 
     def _note_fault(self, fault: base.Fault) -> None:
         if fault.kind is base.FaultKind.EXPIRED:
--- a/waxwingport/log/groups.py
+++ b/waxwingport/log/groups.py
@@ -7,7 +7,6 @@
 
 from expression import Result
 
-from waxwingport import clocks
 from waxwingport.log import base
 from waxwingport.log import dependency
 
@@ -17,6 +16,10 @@
 """Seconds between signs of life: three within the shortest time-out of a
 group that the platform allows, and a bit."""
 
+_RELEASE_TIMEOUT = 0.5
+"""Seconds for handing partitions over; with the interval between joins it
+stays within the shortest time-out of a group."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -27,6 +30,15 @@
     def assign(self, assignment: base.Assignment) -> None:
         """Takes the whole present assignment; called after each change."""
 
+    async def release(  # noqa: B027
+        self, lost: frozenset[base.Partition]
+    ) -> None:
+        """Hands partitions over that were assigned elsewhere.
+
+        The group waits with its next holder until this returns; called before
+        ``assign``.
+        """
+
 
 class GroupMember:
     """Stays in a group and tells listeners what it holds.
@@ -41,17 +53,13 @@
         group: str,
         member: base.MemberName,
         topics: Sequence[base.Topic],
-        clock: clocks.SuspendAwareClock,
     ) -> None:
         self._log = log
         self._group = group
         self._topics = topics
-        self._clock = clock
         self._listeners: list[AssignmentListener] = []
         self.member = member
         self.assignment = base.Assignment(base.Generation(0), frozenset())
-        self.renewed_at = float('-inf')
-        """Suspend-aware time at which the last answered join was sent."""
         self.dependency = dependency.Dependency(f'group:{group}')
 
     def add_listener(self, listener: AssignmentListener) -> None:
@@ -66,13 +74,14 @@
 
     async def leave(self) -> None:
         """Hands everything back, so that others need not wait."""
-        self._take(base.Assignment(self.assignment.generation, frozenset()))
+        await self._take(
+            base.Assignment(self.assignment.generation, frozenset())
+        )
         match await self._log.leave(self._group, self.member):
             case Result(tag='error', error=fault):
                 self.dependency.note_failure(fault.detail)
 
     async def _join(self) -> None:
-        sent_at = self._clock.read()
         answer = await self._log.join(
             self._group,
             self.member,
@@ -81,14 +90,16 @@
         )
         match answer:
             case Result(tag='ok', ok=assignment):
-                self.renewed_at = sent_at
                 self.dependency.note_success()
-                self._take(assignment)
+                await self._take(assignment)
             case Result(error=fault):
                 self.dependency.note_failure(fault.detail)
 
-    def _take(self, assignment: base.Assignment) -> None:
+    async def _take(self, assignment: base.Assignment) -> None:
         before = self.assignment
+        lost = before.partitions - assignment.partitions
+        if lost:
+            await self._release(lost)
         self.assignment = assignment
         if assignment.partitions == before.partitions:
             return
@@ -97,12 +108,20 @@
             extra={
                 'generation': assignment.generation,
                 'gained': _name(assignment.partitions - before.partitions),
-                'lost': _name(before.partitions - assignment.partitions),
+                'lost': _name(lost),
             },
         )
         for listener in self._listeners:
             listener.assign(assignment)
 
+    async def _release(self, lost: frozenset[base.Partition]) -> None:
+        try:
+            async with asyncio.timeout(_RELEASE_TIMEOUT):
+                for listener in self._listeners:
+                    await listener.release(lost)
+        except TimeoutError:
+            _LOG.warning('release-timeout', extra={'partitions': _name(lost)})
+
 
 def _name(partitions: frozenset[base.Partition]) -> list[str]:
     return sorted(map(str, partitions))
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -67,9 +67,9 @@
                     await asyncio.sleep(_RETRY_INTERVAL)
 
     async def catch_up(self, within: float) -> Result[None, base.Fault]:
-        """Reads to an end that is at most ``within`` seconds old."""
-        loop = asyncio.get_running_loop()
-        while self.confirmed_at < loop.time() - within:
+        """Reads to an end that is at most ``within`` seconds old by now."""
+        wanted = asyncio.get_running_loop().time() - within
+        while self.confirmed_at < wanted:
             match await self._read(0.0):
                 case Result(tag='error', error=fault):
                     return Error(fault)
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -105,6 +105,7 @@
         partition: base.Partition,
         records: Sequence[bytes],
         writer: base.Writer | None = None,
+        at: ids.Offset | None = None,
     ) -> Result[base.Appended, base.Fault]:
         """Appends all ``records`` or none."""
         query = _address(partition)
@@ -112,6 +113,8 @@
             query['producer'] = writer.name
             query['epoch'] = str(writer.epoch)
             query['seq'] = str(writer.sequence)
+        if at is not None:
+            query['at'] = str(at)
         body = b''.join(
             itertools.chain.from_iterable(
                 (_LENGTH.pack(len(record)), record) for record in records
--- a/waxwingport/rollout/controller.py
+++ b/waxwingport/rollout/controller.py
@@ -17,9 +17,15 @@
 
 _INTERVAL = 0.1
 """Seconds between looks at the plan."""
+_LOAD_TIME = 0.8
+"""Seconds after an order before its effect is looked for: a load takes no
+less."""
 _REPORT_INTERVAL = 0.25
 """Seconds between reports of an engine that loads: reports lag by about as
 much."""
+_DEFAULT_LAG = 1
+"""Versions that a trainer allows a text to be behind, until it is known."""
+_FIRST_VERSION = 1
 _ORDER_TIMEOUT = 10.0
 """Seconds after which an order that no report shows is given again."""
 _ERROR_PAUSE = 0.5
@@ -45,14 +51,18 @@
         )
 
     def note_minimum(self, model: str, minimum: ids.WeightVersion) -> None:
-        """Takes the oldest version that a submission just made allows."""
-        newest = self._newest.get(model, ids.WeightVersion(1))
-        self._lags[model] = max(0, newest - minimum)
+        """Takes the oldest version that a submission just made allows.
+
+        The first version says nothing: there is none before it to allow.
+        """
+        newest = self._newest.get(model)
+        if newest is not None and minimum > _FIRST_VERSION:
+            self._lags[model] = max(0, newest - minimum)
 
     def get_needs(self) -> dict[str, plan.Need]:
         """Returns what each trainer wants."""
         return {
-            name: plan.Need(version, self._lags.get(name, 0))
+            name: plan.Need(version, self._lags.get(name, _DEFAULT_LAG))
             for name, version in self._newest.items()
         }
 
@@ -86,7 +96,7 @@
     async def run(self) -> None:
         """Follows the plan until cancelled."""
         while True:
-            if self._lease.held:
+            if self._lease.may_order():
                 self._start_loads()
             else:
                 self._stop_all()
@@ -103,7 +113,9 @@
             for target in self._targets
             if target.versions and target.entry.stage is fleet.Stage.READY
         ]
-        for load in plan.plan_loads(engines, self._book.get_needs()):
+        free = [row for row in engines if row.instance not in self._watches]
+        needs = self._book.get_needs()
+        for load in plan.plan_loads(free, needs, len(self._watches)):
             if load.instance in self._watches:
                 continue
             task = asyncio.get_running_loop().create_task(
@@ -142,8 +154,6 @@
             if target.versions.get(load.model, 0) >= load.version:
                 return
             if not report.busy and self._may_order(watch):
-                if not self._lease.held:
-                    return
                 await self._order(watch, target, report)
             await asyncio.sleep(_REPORT_INTERVAL)
 
@@ -160,6 +170,14 @@
         report: base.EngineReport,
     ) -> None:
         load = watch.load
+        match await self._lease.declare_intent():
+            case Result(tag='error', error=reason):
+                _LOG.info(
+                    'order-withheld',
+                    extra={'instance': load.instance, 'reason': reason},
+                )
+                await asyncio.sleep(_ERROR_PAUSE)
+                return
         order = base.Order(
             load.model,
             load.version,
@@ -185,6 +203,7 @@
         match outcome:
             case base.OrderOutcome.ACCEPTED:
                 watch.ordered_at = asyncio.get_running_loop().time()
+                await asyncio.sleep(_LOAD_TIME)
             case base.OrderOutcome.HOLDS:
                 target.note_version(load.model, load.version)
             case _:
--- a/waxwingport/rollout/plan.py
+++ b/waxwingport/rollout/plan.py
@@ -1,5 +1,6 @@
 """Pure plan: which engines load which version next."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
@@ -11,6 +12,10 @@
 
 __all__ = ['Engine', 'Load', 'Need', 'Urgency', 'plan_loads']
 
+_LOADING_SHARE = 0.4
+"""Part of the engines that load at the same time: the platform's weight
+store gives each its full rate up to about two fifths of them."""
+
 
 class Urgency(enum.IntEnum):
     """Why an engine loads now; the lower goes first."""
@@ -48,9 +53,11 @@
 
 
 def plan_loads(
-    engines: Sequence[Engine], needs: Mapping[str, Need]
+    engines: Sequence[Engine], needs: Mapping[str, Need], loading: int
 ) -> list[Load]:
-    """Returns the loads to order, the most urgent first.
+    """Returns the loads to order now, the most urgent first.
+
+    ``loading`` engines load already and count towards the bound.
 
     With a lag of one version, half of the engines load at each version and
     the others at the next: the half that is one version behind serves while
@@ -59,12 +66,36 @@
     Load pattern: a step is asked for as soon as its version is published, so
     that engines that load together leave nobody to start it.
     """
-    loads = [
-        load
+    queues = {
+        name: _plan_model(engines, name, need) for name, need in needs.items()
+    }
+    usable = {
+        name: _count_usable(engines, name, need)
         for name, need in needs.items()
-        for load in _plan_model(engines, name, need)
-    ]
-    return sorted(loads, key=lambda load: load.urgency)
+    }
+    room = max(1, int(_LOADING_SHARE * len(engines))) - loading
+    loads: list[Load] = []
+    taken: set[fleet.InstanceId] = set()
+    while len(loads) < room:
+        heads = [queue[0] for queue in queues.values() if queue]
+        if not heads:
+            break
+        # The model with the fewest engines that can serve it goes first.
+        load = min(heads, key=lambda row: (row.urgency, usable[row.model]))
+        queues[load.model].pop(0)
+        if load.instance in taken:
+            continue
+        taken.add(load.instance)
+        usable[load.model] += load.urgency is Urgency.UNUSABLE
+        loads.append(load)
+    return loads
+
+
+def _count_usable(engines: Sequence[Engine], name: str, need: Need) -> int:
+    oldest = need.newest - need.lag
+    return sum(
+        engine.versions.get(name, need.newest) >= oldest for engine in engines
+    )
 
 
 def _plan_model(
@@ -76,7 +107,10 @@
         if engine.versions.get(name, need.newest) < need.newest
     ]
     oldest_usable = need.newest - need.lag
-    unusable = [row for row in behind if row.versions[name] < oldest_usable]
+    unusable = sorted(
+        (row for row in behind if row.versions[name] < oldest_usable),
+        key=_by_age_and_load(name),
+    )
     loads = [
         Load(row.instance, name, need.newest, Urgency.UNUSABLE)
         for row in unusable
@@ -85,10 +119,16 @@
     missing = len(engines) // (need.lag + 1) - serving - len(unusable)
     spare = sorted(
         (row for row in behind if row not in unusable),
-        key=lambda row: (row.versions[name], row.load, row.instance),
+        key=_by_age_and_load(name),
     )
     loads += [
         Load(row.instance, name, need.newest, Urgency.TURN)
         for row in spare[: max(0, missing)]
     ]
     return loads
+
+
+def _by_age_and_load(
+    name: str,
+) -> Callable[[Engine], tuple[ids.WeightVersion, float, str]]:
+    return lambda row: (row.versions[name], row.load, row.instance)
--- a/waxwingport/submissions/archive.py
+++ b/waxwingport/submissions/archive.py
@@ -33,8 +33,9 @@
 class ArchiveSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How submissions are kept."""
 
-    partitions: int = 12
-    """Partitions of the topic; the log's own number."""
+    partitions: int = 4
+    """Partitions in use: each is read by every node and held by one, and all
+    submissions for one model stand in one."""
     status_time: float = 120.0
     """Seconds after its acceptance for which results can be read."""
     freshness: float = 0.4
@@ -64,8 +65,6 @@
     def take(self, record: bytes) -> None:
         """Takes the next record of the partition."""
         match self._assembler.feed(record):
-            case Result(tag='ok', ok=None):
-                return
             case Result(tag='ok', ok=found):
                 pass
             case Result(error=reason):
@@ -78,7 +77,7 @@
                     },
                 )
                 return
-        entry = self.state.apply(found)
+        entry = self.state.apply(found) if found else None
         if entry is None:
             return
         for listener in self._listeners:
@@ -116,11 +115,26 @@
                 group.create_task(shelf.tail.run())
             group.create_task(self._evict())
 
-    def get_shelf(self, submission_id: model.SubmissionId) -> Shelf:
-        """Returns the shelf on which a submission stands or would stand."""
-        number = zlib.crc32(submission_id.encode()) % len(self._shelves)
+    def choose_shelf(self, submission: model.Submission) -> Shelf:
+        """Returns the shelf on which a submission has to stand.
+
+        Those of one trainer stand together, so that one node runs them, which
+        knows the engines' paces and what they have read, and keeps its
+        connections to them.
+        """
+        number = zlib.crc32(submission.model.encode()) % len(self._shelves)
         return self._shelves[number]
 
+    def locate(
+        self, submission_id: model.SubmissionId
+    ) -> tuple[Shelf, fold.Entry] | None:
+        """Returns where a submission stands, if it has been read."""
+        for shelf in self._shelves:
+            entry = shelf.state.find(submission_id)
+            if entry is not None:
+                return shelf, entry
+        return None
+
     def find_result(self, item_id: model.ItemId) -> model.ItemResult | None:
         """Returns a completed result of an item in any submission."""
         for shelf in self._shelves:
@@ -142,19 +156,26 @@
 
     async def find(
         self, submission_id: model.SubmissionId
-    ) -> Result[fold.Entry | None, base.Fault]:
-        """Returns a submission, or ``None`` if it certainly is not there.
+    ) -> Result[tuple[Shelf, fold.Entry] | None, base.Fault]:
+        """Returns where a submission stands, ``None`` if it certainly doesn't.
 
         Fails when the log can't be read as far as that takes.
         """
-        shelf = self.get_shelf(submission_id)
-        entry = shelf.state.find(submission_id)
-        if entry is not None:
-            return Ok(entry)
-        match await shelf.tail.catch_up(self.settings.freshness):
-            case Result(tag='error', error=fault):
-                return Error(fault)
-        return Ok(shelf.state.find(submission_id))
+        found = self.locate(submission_id)
+        if found is not None:
+            return Ok(found)
+        outcomes = await asyncio.gather(
+            *(
+                shelf.tail.catch_up(self.settings.freshness)
+                for shelf in self._shelves
+            )
+        )
+        found = self.locate(submission_id)
+        for outcome in outcomes:
+            match outcome:
+                case Result(tag='error', error=fault) if found is None:
+                    return Error(fault)
+        return Ok(found)
 
     async def _evict(self) -> None:
         while True:
--- a/waxwingport/submissions/desk.py
+++ b/waxwingport/submissions/desk.py
@@ -60,7 +60,7 @@
 
         ``patience`` is in seconds.
         """
-        shelf = self._archive.get_shelf(submission.submission_id)
+        shelf = self._archive.choose_shelf(submission)
         if shelf.state.find(submission.submission_id) is not None:
             self._log_accept(submission, shelf, repeated=True)
             return Ok(None)
@@ -80,13 +80,12 @@
     ) -> Result[None, outcomes.Refusal]:
         """Ends a submission; repeats have the same outcome."""
         match await self._find(submission_id):
-            case Result(tag='ok', ok=entry):
+            case Result(tag='ok', ok=(shelf, entry)):
                 pass
             case Result(error=refusal):
                 return Error(refusal)
         if entry.ended:
             return Ok(None)
-        shelf = self._archive.get_shelf(submission_id)
         outcome = await self._append(
             shelf, records.Ended(submission_id), patience
         )
@@ -110,11 +109,10 @@
         Waits up to ``wait`` seconds until there is one.
         """
         match await self._find(submission_id):
-            case Result(tag='ok', ok=entry):
+            case Result(tag='ok', ok=(shelf, entry)):
                 pass
             case Result(error=refusal):
                 return Error(refusal)
-        shelf = self._archive.get_shelf(submission_id)
         if len(entry.results) <= after and wait > 0.0:
             await _wait_for_result(shelf, entry, after, wait)
         if len(entry.results) <= after:
@@ -128,7 +126,7 @@
     ) -> Result[bytes, outcomes.Refusal]:
         """Returns the body of an item of a submission."""
         match await self._find(submission_id):
-            case Result(tag='ok', ok=entry):
+            case Result(tag='ok', ok=(_, entry)):
                 pass
             case Result(error=refusal):
                 return Error(refusal)
@@ -141,21 +139,21 @@
 
     async def _find(
         self, submission_id: model.SubmissionId
-    ) -> Result[fold.Entry, outcomes.Refusal]:
+    ) -> Result[tuple[archive.Shelf, fold.Entry], outcomes.Refusal]:
         try:
             async with asyncio.timeout(_READ_TIME):
                 found = await self._archive.find(submission_id)
         except TimeoutError:
             return Error(_refuse('the log did not answer in time'))
         match found:
-            case Result(tag='ok', ok=None):
+            case Result(tag='ok', ok=(shelf, entry)):
+                return Ok((shelf, entry))
+            case Result(tag='ok'):
                 return Error(
                     outcomes.Refusal(
                         outcomes.Reason.NOT_FOUND, 'no such submission'
                     )
                 )
-            case Result(tag='ok', ok=entry):
-                return Ok(entry)
             case Result(error=fault):
                 return Error(_refuse(fault.detail))
 
--- a/waxwingport/submissions/events.py
+++ b/waxwingport/submissions/events.py
@@ -6,7 +6,7 @@
 
 from waxwingport import ids
 
-__all__ = ['Event', 'EventReader']
+__all__ = ['Event', 'EventReader', 'VersionReader']
 
 VersionReader = Callable[[bytes], ids.WeightVersion | None]
 
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -1,6 +1,7 @@
 """Generates the text of one item, in one or more runs."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import logging
 
@@ -18,11 +19,13 @@
 from waxwingport.submissions import events
 from waxwingport.submissions import model
 
-__all__ = ['End', 'Generator', 'Text', 'is_usable', 'restore']
+__all__ = ['End', 'Generator', 'Run', 'Text', 'is_usable', 'restore']
 
-_FIRST_EVENT_TIMEOUT = 3.0
-"""Seconds: the longest queue of an engine and a load of weights ahead of a
-run, after which its answer counts as lost."""
+_FIRST_EVENT_TIMEOUT = 1.5
+"""Seconds: a load of weights ahead of a run at an engine with a free slot,
+after which its answer counts as lost."""
+_QUEUE_TIMEOUT = 4.0
+"""Seconds likewise where requests of other nodes may be ahead."""
 _SILENCE_TIMEOUT = 1.2
 """Seconds between two events, ten times the pause that a trainer's sheet
 allows."""
@@ -43,6 +46,8 @@
     """The engine answered that this run failed."""
     IMPOSSIBLE = 'impossible'
     """The engine answered that the item can never be done."""
+    MOVED = 'moved'
+    """It had better go on at another engine."""
     NOT_RUN = 'not-run'
     OUTDATED = 'outdated'
     """The engine's weights are older than the submission allows."""
@@ -85,6 +90,22 @@
     return Text(list(draft.events), list(draft.versions))
 
 
+class Run(msgspec.Struct, frozen=True):
+    """One run of an item at an engine."""
+
+    submission: model.Submission
+    item: model.Item
+    text: Text
+    target: fleet.Target
+    single_version: bool
+    may_move: Callable[[], bool]
+    """Asked between events whether the run had better end here and go on
+    elsewhere."""
+
+
+Outcome = Result[None, tuple[End, str]]
+
+
 class Generator:
     """Runs items at engines."""
 
@@ -95,106 +116,135 @@
         """Returns the request that scores a text."""
         return self._sender.dialect.make_reward_call(reward)
 
-    async def run(
-        self,
-        submission: model.Submission,
-        item: model.Item,
-        text: Text,
-        target: fleet.Target,
-        single_version: bool,
-    ) -> Result[None, tuple[End, str]]:
-        """Adds to ``text`` until it is whole.
+    async def run(self, run: Run) -> Outcome:
+        """Adds to the run's text until it is whole.
 
         Fails with how the run ended and why; what it generated until then
-        stays in ``text``.
+        stays in the text.
         """
-        target.running += 1
-        try:
-            return await self._run(
-                submission, item, text, target, single_version
-            )
-        finally:
-            target.running -= 1
-
-    async def _run(
-        self,
-        submission: model.Submission,
-        item: model.Item,
-        text: Text,
-        target: fleet.Target,
-        single_version: bool,
-    ) -> Result[None, tuple[End, str]]:
-        dialect_ = self._sender.dialect
-        call = dialect_.make_item_call(item, submission.host)
-        pinned = text.versions[-1] if single_version and text.events else None
-        expected = dialect.Expectations(
-            target.entry.instance,
-            remaining=_RUN_TIMEOUT,
-            resume_after=len(text.events) or None,
-            version=pinned,
-        )
-        try:
-            async with asyncio.timeout(_FIRST_EVENT_TIMEOUT):
-                opened = await attempts.open_attempt(
-                    self._sender, call, target, expected, _RUN_TIMEOUT, False
-                )
-        except TimeoutError:
-            opened = attempts.Lost(health.Sign.BROKEN, 'no answer in time')
+        opened = await self._open(run)
+        now = asyncio.get_running_loop().time()
         match opened:
+            case attempts.NotRun(sign=health.Sign.FULL, detail=detail):
+                run.target.close_model(run.submission.model, now)
+                return Error((End.NOT_RUN, detail))
             case attempts.NotRun(detail=detail):
-                attempts.note_outcome(target, opened)
+                attempts.note_outcome(run.target, opened)
                 return Error((End.NOT_RUN, detail))
             case attempts.Lost(detail=detail):
-                attempts.note_outcome(target, opened)
+                attempts.note_outcome(run.target, opened)
                 return Error((End.BROKEN, detail))
             case (response, facts):
                 pass
-        now = asyncio.get_running_loop().time()
-        attempts.note_facts(target, facts, now)
+        attempts.note_facts(run.target, facts, now)
+        run.target.open_model(run.submission.model)
         try:
-            return await self._read(
-                submission, text, target, response, facts, single_version
-            )
+            return await self._read(run, response, facts)
         finally:
             response.close()
 
+    async def _open(
+        self, run: Run
+    ) -> (
+        tuple[client.Response, dialect.AnswerFacts]
+        | attempts.NotRun
+        | attempts.Lost
+    ):
+        spelling = self._sender.dialect
+        call = spelling.make_item_call(run.item, run.submission.host)
+        versions = run.text.versions
+        pinned = versions[-1] if run.single_version and versions else None
+        expected = dialect.Expectations(
+            run.target.entry.instance,
+            remaining=_RUN_TIMEOUT,
+            resume_after=len(run.text.events) or None,
+            version=pinned,
+        )
+        try:
+            async with asyncio.timeout(_choose_head_timeout(run.target)):
+                return await attempts.open_attempt(
+                    self._sender,
+                    call,
+                    run.target,
+                    expected,
+                    _RUN_TIMEOUT,
+                    False,
+                )
+        except TimeoutError:
+            return attempts.Lost(health.Sign.BROKEN, 'no answer in time')
+
     async def _read(
         self,
-        submission: model.Submission,
-        text: Text,
-        target: fleet.Target,
+        run: Run,
         response: client.Response,
         facts: dialect.AnswerFacts,
-        single_version: bool,
-    ) -> Result[None, tuple[End, str]]:
+    ) -> Outcome:
+        now = asyncio.get_running_loop().time()
         if response.status == _NEVER:
             return Error((End.IMPOSSIBLE, f'answered {response.status}'))
         if response.status != 200:
-            now = asyncio.get_running_loop().time()
-            health.note_failure(target, health.Sign.FAILED, now)
+            health.note_failure(run.target, health.Sign.FAILED, now)
             return Error((End.FAILED, f'answered {response.status}'))
-        version = facts.version
-        if version is None:
-            return Error((End.BROKEN, 'answer without a version'))
-        reader = events.EventReader(self._sender.dialect.read_event_version)
+        recorder = _Recorder(
+            run, facts.version, self._sender.dialect.read_event_version
+        )
         while True:
             piece = await _read_piece(response)
             if piece is None:
-                health.note_success(target)
+                health.note_success(run.target)
                 return Ok(None)
             if not isinstance(piece, bytes):
                 now = asyncio.get_running_loop().time()
-                health.note_failure(target, health.Sign.BROKEN, now)
+                health.note_failure(run.target, health.Sign.BROKEN, now)
                 return Error((End.BROKEN, piece.detail))
-            for event in reader.feed(piece):
-                version = event.version or version
-                target.note_version(submission.model, version)
-                problem = _check_event(
-                    event, version, text, submission, single_version
-                )
-                if problem is not None:
-                    return Error(problem)
-                text.add(event.data, version)
+            problem = recorder.feed(piece)
+            if problem is not None:
+                return Error(problem)
+            if run.may_move():
+                return Error((End.MOVED, 'quicker elsewhere'))
+
+
+class _Recorder:
+    """Adds the events of one run to its text."""
+
+    def __init__(
+        self,
+        run: Run,
+        version: ids.WeightVersion | None,
+        read_version: events.VersionReader,
+    ) -> None:
+        self._run = run
+        self._version = version
+        self._reader = events.EventReader(read_version)
+        self._last_at: float | None = None
+
+    def feed(self, data: bytes) -> tuple[End, str] | None:
+        """Takes a piece of the stream; returns why the run has to end."""
+        run = self._run
+        for event in self._reader.feed(data):
+            self._version = event.version or self._version
+            if self._version is None:
+                return End.BROKEN, 'event without a version'
+            run.target.note_version(run.submission.model, self._version)
+            problem = _check_event(event, self._version, run)
+            if problem is not None:
+                return problem
+            run.text.add(event.data, self._version)
+            self._note_pace()
+        return None
+
+    def _note_pace(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._last_at is not None:
+            self._run.target.note_pace(now - self._last_at)
+        self._last_at = now
+
+
+def _choose_head_timeout(target: fleet.Target) -> float:
+    now = asyncio.get_running_loop().time()
+    if target.compute_load(now) > target.entry.slots:
+        return _QUEUE_TIMEOUT
+    return _FIRST_EVENT_TIMEOUT
 
 
 async def _read_piece(
@@ -210,19 +260,15 @@
 
 
 def _check_event(
-    event: events.Event,
-    version: ids.WeightVersion,
-    text: Text,
-    submission: model.Submission,
-    single_version: bool,
+    event: events.Event, version: ids.WeightVersion, run: Run
 ) -> tuple[End, str] | None:
+    text = run.text
     if event.number != len(text.events) + 1:
-        detail = f'event {event.number} after {len(text.events)}'
-        return End.BROKEN, detail
-    if version < submission.minimum_version:
-        detail = f'version {version} < {submission.minimum_version}'
-        return End.OUTDATED, detail
-    if single_version and text.versions and version != text.versions[-1]:
+        return End.BROKEN, f'event {event.number} after {len(text.events)}'
+    minimum = run.submission.minimum_version
+    if version < minimum:
+        return End.OUTDATED, f'version {version} < {minimum}'
+    if run.single_version and text.versions and version != text.versions[-1]:
         # The text has to come from one version: the older part is of no use.
         text.clear()
         return End.BROKEN, f'version changed to {version}'
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -20,6 +20,12 @@
 _REACH_TIMEOUT = 5.0
 """Seconds to read a partition up to its end before the end is asked again."""
 
+_DRAFT_INTERVAL = 1.0
+"""Seconds between looks for texts to keep."""
+_DRAFT_EVENTS = 20
+"""Events that a text has grown by before it is kept again: most texts end
+before, the long ones decide when a step is whole."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -45,6 +51,7 @@
         self._shelves = {shelf.partition: shelf for shelf in shelves}
         self._tenures: dict[base.Partition, asyncio.Task[None]] = {}
         self._writers: dict[base.Partition, writers.FencedWriter] = {}
+        self._writes: set[asyncio.Task[None]] = set()
         self._assignment = base.Assignment(base.Generation(0), frozenset())
         for shelf in shelves:
             shelf.add_listener(self._note_change)
@@ -61,6 +68,24 @@
                 work
             )
 
+    async def release(self, lost: frozenset[base.Partition]) -> None:
+        """Keeps the texts begun, so that the next holder goes on from them."""
+        for partition in lost & self._writers.keys():
+            for batch in self._runner.find_batches(partition):
+                self._runner.drop(batch.entry.submission.submission_id)
+                await self._write_drafts(batch)
+
+    async def keep_long_texts(self) -> None:
+        """Writes texts under way from time to time until cancelled.
+
+        A holder that dies then costs its runs little more than the interval.
+        """
+        while True:
+            await asyncio.sleep(_DRAFT_INTERVAL)
+            for partition in list(self._writers):
+                for batch in self._runner.find_batches(partition):
+                    await self._write_drafts(batch, _DRAFT_EVENTS)
+
     async def _hold(self, shelf: archive.Shelf) -> None:
         """Holds one partition until cancelled, through losses."""
         epoch = base.Generation(0)
@@ -136,17 +161,30 @@
             return
         batch = self._runner.drop(entry.submission.submission_id)
         if batch is not None and entry.ended:
-            self._keep_drafts(batch)
+            # A later submission may hold the same groups.
+            task = asyncio.get_running_loop().create_task(
+                self._write_drafts(batch)
+            )
+            self._writes.add(task)
+            task.add_done_callback(self._writes.discard)
 
-    def _keep_drafts(self, batch: runner.Batch) -> None:
-        """Keeps the texts begun, for a later submission of their groups."""
-        drafts = batch.make_drafts()
+    async def _write_drafts(
+        self, batch: runner.Batch, new_events: int = 1
+    ) -> None:
+        """Writes the texts that have grown by ``new_events`` or more."""
+        drafts = batch.make_drafts(new_events)
         if not drafts:
             return
         submission_id = batch.entry.submission.submission_id
         rows = records.encode(
             records.Drafted(submission_id, drafts), self._record_size
         )
-        task = asyncio.get_running_loop().create_task(batch.writer.write(rows))
-        batch.tasks.add(task)
-        task.add_done_callback(batch.tasks.discard)
+        match await batch.writer.write(rows):
+            case Result(tag='error', error=fault):
+                _LOG.info(
+                    'drafts-dropped',
+                    extra={
+                        'submission': submission_id,
+                        'reason': fault.detail,
+                    },
+                )
--- a/waxwingport/submissions/placement.py
+++ b/waxwingport/submissions/placement.py
@@ -1,16 +1,30 @@
 """Pure choice of the engine for a waiting item."""
 
 from collections.abc import Iterable
+import random
 
-from waxwingport.fleet import choice
 from waxwingport.fleet import model as fleet
 from waxwingport import ids
 
-__all__ = ['count_free', 'find_fitting', 'place']
+__all__ = ['count_free', 'find_fitting', 'place', 'should_move']
 
 _SHARED_PROMPT_WORTH = 0.1
-"""Share of an engine's slots that a prompt read there before is worth: less
-than one place in the usual engine's queue, as prompts are read quickly."""
+"""Part of a run's time that a prompt read there before is worth: prompts are
+read some hundred times as quickly as text is made."""
+_LOAD_WORTH = 0.3
+"""Part of a run's time that a full engine costs over an empty one: runs of
+one batch slow each other down a little, and other nodes may count on the
+same free slots."""
+_DISTANCE_COST = 0.02
+"""Part of a run's time that another data centre costs."""
+_TIE = 0.05
+"""Parts of a run's time within which engines count as equal, so that nodes
+that see the same loads do not all choose the same engine."""
+_MOVE_GAIN = 1.4
+"""How many times as quickly a run has to go on elsewhere to be moved; lower
+ratios are within the noise of ten events."""
+_MOVE_COST = 0.25
+"""Seconds of a move: a connection, a place, and reading the text so far."""
 
 
 def find_fitting(
@@ -25,6 +39,7 @@
         for target in targets
         if target.versions.get(model, minimum) >= minimum
         and target.avoided_until <= now
+        and target.takes_model(model, now)
     ]
 
 
@@ -38,6 +53,7 @@
     home: ids.DataCentre,
     holding: frozenset[fleet.InstanceId],
     now: float,
+    rng: random.Random,
 ) -> fleet.Target | None:
     """Returns the engine with a free slot that suits best, or ``None``.
 
@@ -47,10 +63,50 @@
     together on engines of different speed.
     """
     free = [target for target in fitting if count_free(target, now) >= 1]
+    paces = [target.pace for target in free if target.pace is not None]
+    usual = min(paces, default=1.0)
 
-    def key(target: fleet.Target) -> float:
+    def estimate(target: fleet.Target) -> float:
+        slowness = (target.pace or usual) / usual
+        load = target.compute_load(now) / target.entry.slots
+        away = target.entry.data_centre != home
         held = target.entry.instance in holding
-        worth = _SHARED_PROMPT_WORTH if held else 0.0
-        return choice.score(target, home, now) - worth
+        return (
+            slowness
+            + _LOAD_WORTH * load
+            + (_DISTANCE_COST if away else 0.0)
+            - (_SHARED_PROMPT_WORTH if held else 0.0)
+            + rng.uniform(0.0, _TIE)
+        )
 
-    return min(free, key=key, default=None)
+    return min(free, key=estimate, default=None)
+
+
+def should_move(
+    target: fleet.Target,
+    fitting: Iterable[fleet.Target],
+    events: int,
+    expected: int,
+    now: float,
+) -> bool:
+    """Returns whether a run had better go on at another engine.
+
+    ``events`` came so far of an ``expected`` number, which may be too low:
+    a text that is longer than expected is taken to double once more.
+
+    Load pattern: an engine turns slow, with the longest items of a step on
+    it; the step is whole when they are.
+    """
+    if target.pace is None:
+        return False
+    others = [
+        other.pace
+        for other in fitting
+        if other is not target
+        and other.pace is not None
+        and count_free(other, now) >= 1
+    ]
+    if not others or target.pace < _MOVE_GAIN * min(others):
+        return False
+    left = expected - events if events < expected else events
+    return left * (target.pace - min(others)) > _MOVE_COST
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
+import functools
 import logging
+import random
 
 from expression import Result
 import msgspec
@@ -36,6 +39,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+_EXPECTED_EVENTS = 25
+"""Events expected of an item: the mean of the trainers' sheets."""
+
 FindRoute = Callable[[str, str], routes.Route | None]
 
 
@@ -45,9 +51,25 @@
     item: model.Item
     text: generation.Text
     failures: int = 0
+    kept_events: int = 0
+    """Events of the text that the log holds."""
     not_before: float = 0.0
     """Loop's time."""
-    started: bool = False
+
+
+class _Slot:
+    """A place at an engine, taken before the run begins there."""
+
+    def __init__(self, target: fleet.Target) -> None:
+        self.target = target
+        self._held = True
+        target.running += 1
+
+    def release(self) -> None:
+        """Gives the place back; does nothing the second time."""
+        if self._held:
+            self._held = False
+            self.target.running -= 1
 
 
 class Batch(msgspec.Struct, eq=False):
@@ -61,16 +83,26 @@
     drafts: dict[model.ItemId, _Job]
     """Jobs that have begun and are not listed."""
 
-    def make_drafts(self) -> tuple[model.Draft, ...]:
-        """Returns the texts that were begun and have no result."""
+    def make_drafts(self, new_events: int) -> tuple[model.Draft, ...]:
+        """Returns the texts without a result that have grown.
+
+        ``new_events`` is by how many events at least since they were returned
+        last.
+        """
+        grown = [
+            job
+            for job in self.drafts.values()
+            if len(job.text.events) >= job.kept_events + new_events
+        ]
+        for job in grown:
+            job.kept_events = len(job.text.events)
         return tuple(
             model.Draft(
                 job.item.item_id,
                 tuple(job.text.events),
                 tuple(job.text.versions),
             )
-            for job in self.drafts.values()
-            if job.text.events
+            for job in grown
         )
 
 
@@ -87,7 +119,9 @@
         home: ids.DataCentre,
         record_size: int,
         wall: clocks.WallClock,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._generator = generator
         self._caller = caller
         self._targets = targets
@@ -209,7 +243,9 @@
         draft = self._archive.find_draft(item.item_id)
         minimum = entry.submission.minimum_version
         if draft and generation.is_usable(draft.versions, minimum, False):
-            return _Job(item, generation.restore(draft))
+            return _Job(
+                item, generation.restore(draft), kept_events=len(draft.events)
+            )
         return _Job(item, generation.restore(None))
 
     def _dispatch(self) -> None:
@@ -263,17 +299,14 @@
         if route is None:
             return
         now = asyncio.get_running_loop().time()
-        services = {share.service for share in route.shares if share.weight}
-        ready = [
-            target
-            for service in services
-            for target in self._targets.find_ready(service)
-        ]
+        ready = self._find_ready(route)
         fitting = placement.find_fitting(
             ready, submission.model, submission.minimum_version, now
         )
         holding = self._prompts.setdefault(job.item.group, set())
-        target = placement.place(fitting, self._home, frozenset(holding), now)
+        target = placement.place(
+            fitting, self._home, frozenset(holding), now, self._rng
+        )
         if target is None:
             return
         holding.add(target.entry.instance)
@@ -291,30 +324,64 @@
                 'after_event': len(job.text.events),
             },
         )
-        self._spawn(batch, job, self._run_item(batch, job, target, route))
+        slot = _Slot(target)
+        task = self._spawn(batch, job, self._run_item(batch, job, slot, route))
+        # Also when it is cancelled before it began.
+        task.add_done_callback(lambda _: slot.release())
 
-    def _spawn(self, batch: Batch, job: _Job, work) -> None:
+    def _find_ready(self, route: routes.Route) -> list[fleet.Target]:
+        services = {share.service for share in route.shares if share.weight}
+        return [
+            target
+            for service in services
+            for target in self._targets.find_ready(service)
+        ]
+
+    def _may_move(self, batch: Batch, job: _Job, target: fleet.Target) -> bool:
+        submission = batch.entry.submission
+        route = self._find_route(submission.host, job.item.path)
+        if route is None or route.single_version:
+            return False
+        now = asyncio.get_running_loop().time()
+        fitting = placement.find_fitting(
+            self._find_ready(route),
+            submission.model,
+            submission.minimum_version,
+            now,
+        )
+        return placement.should_move(
+            target, fitting, len(job.text.events), _EXPECTED_EVENTS, now
+        )
+
+    def _spawn(
+        self, batch: Batch, job: _Job, work: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
         batch.waiting.pop(job.item.item_id, None)
         batch.drafts[job.item.item_id] = job
         task = asyncio.get_running_loop().create_task(work)
         batch.tasks.add(task)
         task.add_done_callback(batch.tasks.discard)
         task.add_done_callback(lambda _: self._wake.set())
+        return task
 
     async def _run_item(
         self,
         batch: Batch,
         job: _Job,
-        target: fleet.Target,
+        slot: _Slot,
         route: routes.Route,
     ) -> None:
         outcome = await self._generator.run(
-            batch.entry.submission,
-            job.item,
-            job.text,
-            target,
-            route.single_version,
+            generation.Run(
+                batch.entry.submission,
+                job.item,
+                job.text,
+                slot.target,
+                route.single_version,
+                functools.partial(self._may_move, batch, job, slot.target),
+            )
         )
+        slot.release()
         match outcome:
             case Result(tag='ok'):
                 self._wake.set()
@@ -327,7 +394,7 @@
             extra={
                 'submission': batch.entry.submission.submission_id,
                 'item': job.item.item_id,
-                'instance': target.entry.instance,
+                'instance': slot.target.entry.instance,
                 'end': end.value,
                 'reason': detail,
                 'events': len(job.text.events),
