--- /dev/null
+++ b/tests/log/test_tails.py
@@ -0,0 +1,108 @@
+import asyncio
+
+import pytest
+
+from waxwingport.log import base
+from waxwingport.log import dependency
+from waxwingport.log import followers
+from waxwingport.log import tails
+
+TOPIC = base.Topic('keyed.op')
+
+
+class Records(tails.RecordListener):
+    def __init__(self):
+        self.rows = []
+        self.skips = 0
+
+    def take(self, record):
+        self.rows.append(record)
+
+    def skip(self):
+        self.skips += 1
+
+
+class Rows(followers.KeyedListener):
+    def __init__(self):
+        self.rows = {}
+        self.replaced = 0
+
+    def replace(self, rows):
+        self.replaced += 1
+        self.rows = {row.key: row.value for row in rows}
+
+    def update(self, row):
+        self.rows[row.key] = row.value
+
+
+@pytest.fixture
+def records():
+    return Records()
+
+
+@pytest.fixture
+async def tail(memory, partition, records):
+    store = dependency.Dependency('log')
+    made = tails.PartitionTail(memory, partition, records, store)
+    running = asyncio.ensure_future(made.run())
+    yield made
+    running.cancel()
+
+
+@pytest.fixture
+async def follower(memory):
+    made = followers.KeyedFollower(memory, TOPIC, Rows())
+    running = asyncio.ensure_future(made.run())
+    yield made
+    running.cancel()
+
+
+async def test_two_reads_at_once_take_each_record_once(
+    tail, memory, partition, records
+):
+    rows = [b'%d' % number for number in range(20)]
+    for row in rows:
+        await memory.append(partition, (row,))
+        await asyncio.gather(tail.catch_up(0.0), tail.catch_up(0.0))
+    assert records.rows == rows
+
+
+async def test_catching_up_ends_though_time_goes_on(tail, memory):
+    async with asyncio.timeout(0.5):
+        assert (await tail.catch_up(0.0)).is_ok()
+
+
+async def test_expired_records_are_skipped_and_told(
+    tail, memory, partition, records
+):
+    await tail.catch_up(0.0)
+    memory.down = True
+    await asyncio.sleep(0.01)
+    memory.down = False
+    await memory.append(partition, (b'a', b'b', b'c'))
+    memory.expire(partition, 2)
+    await tail.catch_up(0.0)
+    assert records.rows[-1] == b'c'
+    assert tail.position == 3
+
+
+async def test_a_log_that_is_away_is_no_proof(tail, memory):
+    await tail.catch_up(0.0)
+    memory.down = True
+    assert (await tail.catch_up(0.0)).is_error()
+
+
+async def test_a_follower_begins_again_when_history_is_gone(follower, memory):
+    await follower.started.wait()
+    memory.write_keyed(TOPIC, 'a', b'1')
+    memory.write_keyed(TOPIC, 'b', b'1')
+    await asyncio.sleep(0.01)
+    listener = follower._listener
+    assert listener.rows == {'a': b'1', 'b': b'1'}
+    memory.write_keyed(TOPIC, 'a', b'2')
+    memory.expire(base.Partition(TOPIC, 0), 3)
+    follower._position = 0
+    async with asyncio.timeout(2.0):
+        while listener.replaced < 2:
+            await asyncio.sleep(0.01)
+    assert listener.rows == {}
--- /dev/null
+++ b/tests/log/test_writers.py
@@ -0,0 +1,125 @@
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from waxwingport.log import base
+from waxwingport.log import writers
+from waxwingport.standins import partitions
+
+CALL_SIZE = 64
+FAILURES = st.lists(
+    st.sampled_from(
+        [
+            partitions.LogFailure.NONE,
+            partitions.LogFailure.BUSY,
+            partitions.LogFailure.LOST,
+        ]
+    ),
+    max_size=12,
+)
+
+
+@pytest.fixture
+async def make_writer(memory, partition):
+    """Returns a function that starts a writer in an epoch."""
+    running = []
+
+    def make(epoch, log=memory):
+        writer = writers.FencedWriter(
+            log, partition, base.Generation(epoch), CALL_SIZE
+        )
+        running.append(asyncio.ensure_future(writer.run()))
+        return writer
+
+    yield make
+    for task in running:
+        task.cancel()
+
+
+async def test_batches_stay_within_one_call(make_writer, memory, partition):
+    writer = make_writer(1)
+    rows = [bytes([number]) * 20 for number in range(9)]
+    await asyncio.gather(*(writer.write((row,)) for row in rows))
+    assert memory.get_records(partition) == rows
+    assert memory.appends == 5
+
+
+async def test_a_later_holder_shuts_the_writer_out(make_writer, memory):
+    old = make_writer(1)
+    await old.write((b'a',))
+    new = make_writer(2)
+    assert (await new.fence()).ok == 1
+    pending = asyncio.ensure_future(old.write((b'b',)))
+    await asyncio.sleep(0.01)
+    old.abandon(base.Fault(base.FaultKind.FENCED, 'lost'))
+    assert (await pending).error.kind is base.FaultKind.FENCED
+    assert memory.get_records(new.partition) == [b'a']
+
+
+async def test_a_late_append_of_an_old_holder_is_refused(
+    make_writer, memory, partition
+):
+    memory.failures.append(partitions.LogFailure.LATE)
+    old = base.Writer('holder', base.Generation(1), 1)
+    assert (await memory.append(partition, (b'old',), old)).is_error()
+    new = make_writer(2)
+    await new.fence()
+    await new.write((b'new',))
+    memory.execute_late()
+    assert memory.get_records(partition) == [b'new']
+
+
+def test_every_write_stands_once_and_in_order(partition):
+    @given(FAILURES, st.integers(1, 8))
+    def check(failures, count):
+        asyncio.run(write_through(failures, count, partition))
+
+    check()
+
+
+async def write_through(failures, count, partition):
+    memory = partitions.MemoryLog()
+    memory.failures.extend(failures)
+    writer = writers.FencedWriter(
+        QuickLog(memory), partition, base.Generation(3), CALL_SIZE
+    )
+    running = asyncio.ensure_future(writer.run())
+    rows = [b'%d' % number for number in range(count)]
+    for row in rows:
+        assert (await writer.write((row,))).is_ok()
+    assert memory.get_records(partition) == rows
+    running.cancel()
+
+
+class QuickLog:
+    """Passes appends on; the writer's pauses cost no time."""
+
+    def __init__(self, log):
+        self.append = log.append
+
+
+@pytest.fixture(autouse=True)
+def without_pauses(monkeypatch):
+    monkeypatch.setattr(writers, '_FIRST_RETRY', 0.0)
+    monkeypatch.setattr(writers, '_LONGEST_RETRY', 0.0)
+
+
+async def test_an_append_of_unknown_outcome_stays_unknown(memory, partition):
+    memory.failures += [partitions.LogFailure.LOST] + 400 * [
+        partitions.LogFailure.BUSY
+    ]
+    deadline = asyncio.get_running_loop().time() + 0.001
+    done = await writers.append_once(memory, partition, (b'a',), deadline)
+    assert not done.error.done_nothing
+
+
+async def test_an_append_that_was_only_turned_away_did_nothing(
+    memory, partition
+):
+    memory.down = True
+    deadline = asyncio.get_running_loop().time() + 0.001
+    done = await writers.append_once(memory, partition, (b'a',), deadline)
+    assert done.error.done_nothing
+    assert memory.get_records(partition) == []
--- /dev/null
+++ b/tests/rollout/test_lease.py
@@ -0,0 +1,186 @@
+import asyncio
+import random
+
+import pytest
+
+from waxwingport import clocks
+from waxwingport.log import base
+from waxwingport.rollout import lease
+from waxwingport.standins import partitions
+
+pytestmark = pytest.mark.looptime
+TURN_TIME = 3.0
+
+
+class LoopClock(clocks.SuspendAwareClock):
+    """The loop's clock and the time of suspensions."""
+
+    def __init__(self):
+        self.suspended = 0.0
+
+    def read(self):
+        return asyncio.get_running_loop().time() + self.suspended
+
+
+@pytest.fixture
+def log():
+    return partitions.MemoryLog()
+
+
+@pytest.fixture
+async def start(log):
+    """Returns a function that starts one node's lease."""
+    running = []
+
+    def make(name, through=None):
+        made = lease.OrderLease(
+            through or log,
+            base.MemberName(name),
+            lease.LeaseSettings(TURN_TIME),
+            LoopClock(),
+            random.Random(name),
+        )
+        running.append(asyncio.ensure_future(made.run()))
+        made.task = running[-1]
+        return made
+
+    yield make
+    for task in running:
+        task.cancel()
+
+
+class Switch:
+    """A node's own way to the log, which can be cut."""
+
+    def __init__(self, log):
+        self.log = log
+        self.cut = False
+
+    async def append(self, *arguments):
+        if self.cut:
+            await asyncio.sleep(1.5)
+            return partitions._fail(base.FaultKind.UNKNOWN, 'no answer')
+        return await self.log.append(*arguments)
+
+    async def read(self, *arguments):
+        if self.cut:
+            await asyncio.sleep(1.5)
+            return partitions._fail(base.FaultKind.UNKNOWN, 'no answer')
+        return await self.log.read(*arguments)
+
+
+async def test_one_of_many_holds_it(start):
+    leases = [start(f'n{number}') for number in range(6)]
+    await asyncio.sleep(3.0)
+    assert sum(row.held for row in leases) == 1
+    assert sum(row.may_order() for row in leases) == 1
+
+
+async def test_it_stays_with_its_holder(start):
+    leases = [start(f'n{number}') for number in range(4)]
+    await asyncio.sleep(3.0)
+    before = [row.held for row in leases]
+    leases.append(start('later'))
+    await asyncio.sleep(30.0)
+    assert [row.held for row in leases] == [*before, False]
+
+
+async def test_the_next_holder_waits_for_the_turn(start, log):
+    first, second = start('a'), start('b')
+    await asyncio.sleep(3.0)
+    holder, other = (first, second) if first.held else (second, first)
+    fence = holder.fence
+    assert (await holder.declare_intent()).is_ok()
+    ordered_at = asyncio.get_running_loop().time()
+    holder.task.cancel()
+    while not other.may_order():
+        await asyncio.sleep(0.05)
+    waited = asyncio.get_running_loop().time() - ordered_at
+    assert TURN_TIME <= waited <= TURN_TIME + 1.5
+    assert other.fence > fence
+
+
+async def test_a_holder_that_was_cut_off_cannot_order(start, log):
+    switch = Switch(log)
+    first = start('a', switch)
+    await asyncio.sleep(3.0)
+    assert first.held
+    second = start('b')
+    switch.cut = True
+    await asyncio.sleep(8.0)
+    assert second.may_order()
+    switch.cut = False
+    assert (await first.declare_intent()).is_error()
+
+
+async def test_an_intent_is_worth_nothing_after_a_suspension(start, log):
+    first = start('a')
+    await asyncio.sleep(3.0)
+    append = log.append
+
+    async def append_slowly(*arguments):
+        first._clock.suspended += 2.0
+        return await append(*arguments)
+
+    log.append = append_slowly
+    assert (await first.declare_intent()).is_error()
+
+
+async def test_a_lost_answer_is_no_lost_lease(start, log):
+    first = start('a')
+    await asyncio.sleep(3.0)
+    log.failures.append(partitions.LogFailure.LOST)
+    assert (await first.declare_intent()).is_error()
+    assert (await first.declare_intent()).is_ok()
+    assert first.held
+
+
+async def test_a_resigned_lease_is_taken_up_soon(start):
+    first = start('a')
+    await asyncio.sleep(3.0)
+    second = start('b')
+    await asyncio.sleep(1.0)
+    first.task.cancel()
+    await first.resign()
+    await asyncio.sleep(1.5)
+    assert second.held
+
+
+async def test_a_log_that_was_away_makes_nobody_claim(start, log):
+    leases = [start(f'n{number}') for number in range(3)]
+    await asyncio.sleep(3.0)
+    before = [row.held for row in leases]
+    log.down = True
+    await asyncio.sleep(6.0)
+    log.down = False
+    await asyncio.sleep(5.0)
+    assert [row.held for row in leases] == before
+
+
+@pytest.mark.parametrize('seed', range(12))
+async def test_orders_of_two_holders_lie_a_turn_apart(start, log, seed):
+    """Random cuts, lost and refused appends; every order is an intent."""
+    rng = random.Random(seed)
+    switches = [Switch(log) for _ in range(4)]
+    leases = [
+        start(f'n{number}', switch) for number, switch in enumerate(switches)
+    ]
+    orders = []
+    loop = asyncio.get_running_loop()
+    for _ in range(400):
+        await asyncio.sleep(0.1)
+        if rng.random() < 0.05:
+            log.failures.append(rng.choice(list(partitions.LogFailure)))
+        if rng.random() < 0.03:
+            switch = rng.choice(switches)
+            switch.cut = not switch.cut
+        for number, found in enumerate(leases):
+            if found.may_order() and not switches[number].cut:
+                if (await found.declare_intent()).is_ok():
+                    orders.append((loop.time(), number, found.fence))
+    assert orders
+    for before, after in zip(orders, orders[1:], strict=False):
+        assert after[2] >= before[2]
+        if before[1] != after[1]:
+            assert after[0] - before[0] >= TURN_TIME
+            assert after[2] > before[2]
--- /dev/null
+++ b/tests/rollout/test_plan.py
@@ -0,0 +1,106 @@
+"""Replays of published versions through the pure plan of loads."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waxwingport.rollout import controller
+from waxwingport.rollout import plan
+
+
+def make_engines(*versions, name='m'):
+    return [
+        plan.Engine(f'i{index}', {name: version}, 0.0)
+        for index, version in enumerate(versions)
+    ]
+
+
+def plan_for(engines, newest, lag=1, loading=0):
+    needs = {'m': plan.Need(newest, lag)}
+    return plan.plan_loads(engines, needs, loading)
+
+
+def apply(engines, loads):
+    wanted = {load.instance: load.version for load in loads}
+    return [
+        plan.Engine(
+            row.instance,
+            {'m': wanted.get(row.instance, row.versions['m'])},
+            row.load,
+        )
+        for row in engines
+    ]
+
+
+def test_with_a_lag_half_of_the_engines_load_at_each_version():
+    engines = make_engines(1, 1, 1, 1, 1, 1)
+    total = 0
+    for version in range(2, 12):
+        while loads := plan_for(engines, version):
+            total += len(loads)
+            engines = apply(engines, loads)
+        usable = [row for row in engines if row.versions['m'] >= version - 1]
+        assert len(usable) == 6
+    assert total == 10 * 3
+
+
+def test_without_a_lag_all_load_but_never_all_at_once():
+    engines = make_engines(1, 1, 1, 1, 1)
+    sizes = []
+    while loads := plan_for(engines, 2, lag=0):
+        sizes.append(len(loads))
+        engines = apply(engines, loads)
+    assert sum(sizes) == 5
+    assert max(sizes) == 2
+
+
+def test_two_versions_in_quick_succession_leave_engines_serving():
+    engines = make_engines(5, 5, 4, 4, 4)
+    loads = plan_for(engines, 7)
+    assert len(loads) == 2
+    assert {load.instance for load in loads} <= {'i2', 'i3', 'i4'}
+
+
+def test_loads_under_way_count_towards_the_bound():
+    assert plan_for(make_engines(1, 1, 1, 1, 1), 5, loading=2) == []
+
+
+def test_the_trainer_with_the_fewest_usable_engines_goes_first():
+    engines = [
+        plan.Engine('i0', {'a': 5, 'b': 1}, 0.0),
+        plan.Engine('i1', {'a': 3, 'b': 1}, 0.0),
+        plan.Engine('i2', {'a': 5, 'b': 1}, 0.0),
+    ]
+    needs = {'a': plan.Need(5, 1), 'b': plan.Need(5, 1)}
+    loads = plan.plan_loads(engines, needs, 0)
+    assert [load.model for load in loads] == ['b']
+
+
+@given(
+    st.lists(st.integers(1, 6), min_size=1, max_size=12),
+    st.integers(1, 6),
+    st.integers(0, 3),
+)
+def test_every_engine_becomes_usable_and_none_goes_back(versions, newest, lag):
+    engines = make_engines(*versions)
+    for _ in range(40):
+        loads = plan_for(engines, newest, lag)
+        if not loads:
+            break
+        for load in loads:
+            assert load.version == newest
+        engines = apply(engines, loads)
+    assert all(row.versions['m'] >= newest - lag for row in engines)
+
+
+def test_the_first_version_says_nothing_of_the_lag():
+    book = controller.VersionBook()
+    book.note_published('m', 2)
+    book.note_minimum('m', 1)
+    assert book.get_needs() == {'m': plan.Need(2, 1)}
+
+
+def test_a_trainer_that_allows_no_lag_is_believed():
+    book = controller.VersionBook()
+    book.note_published('m', 3)
+    book.note_minimum('m', 3)
+    assert book.get_needs() == {'m': plan.Need(3, 0)}
--- /dev/null
+++ b/tests/submissions/test_decisions.py
@@ -0,0 +1,172 @@
+"""Replays of load patterns through the pure decisions on items."""
+
+import random
+
+import pytest
+
+from waxwingport.fleet import model as fleet
+from waxwingport.submissions import events
+from waxwingport.submissions import generation
+from waxwingport.submissions import order
+from waxwingport.submissions import placement
+
+HOME = 'here'
+
+
+@pytest.fixture
+def make_engine():
+    """Returns a function that makes an engine."""
+
+    def make(name, pace=0.04, running=0, slots=8, version=1, where=HOME):
+        entry = fleet.TargetEntry(
+            name, 'llm', '', where, slots, fleet.Stage.READY, 1, {}
+        )
+        return fleet.Target(
+            entry, running=running, pace=pace, versions={'m': version}
+        )
+
+    return make
+
+
+def place(engines, holding=frozenset(), now=0.0):
+    return placement.place(engines, HOME, holding, now, random.Random(1))
+
+
+def make_candidate(item, rank, tokens, due=10.0, wanted=2):
+    return order.Candidate('s', item, f'g{rank}', due, rank, wanted, tokens)
+
+
+def test_the_group_with_a_straggler_is_the_one_left_out(make_item):
+    items = [
+        make_item('a', 'short', 800),
+        make_item('b', 'short', 900),
+        make_item('c', 'straggler', 9000),
+        make_item('d', 'straggler', 100),
+        make_item('e', 'middle', 2000),
+    ]
+    ranks = order.rank_groups(items, frozenset())
+    assert ranks == {'short': 0, 'middle': 1, 'straggler': 2}
+
+
+def test_carried_groups_lead_whatever_their_length(make_item):
+    items = [make_item('a', 'new', 10), make_item('b', 'carried', 9000)]
+    ranks = order.rank_groups(items, frozenset({'carried'}))
+    assert ranks == {'carried': 0, 'new': 1}
+
+
+def test_more_items_than_slots_start_longest_first_in_wanted_groups():
+    rows = [
+        make_candidate('short', 0, 100),
+        make_candidate('long', 1, 4000),
+        make_candidate('left-out', 2, 9000),
+    ]
+    found = [row.item_id for row in order.sort_candidates(rows)]
+    assert found == ['long', 'short', 'left-out']
+
+
+def test_the_submission_due_first_goes_first_among_trainers():
+    rows = [
+        make_candidate('later', 0, 9000, due=20.0),
+        make_candidate('sooner', 0, 10, due=10.0),
+    ]
+    assert order.sort_candidates(rows)[0].item_id == 'sooner'
+
+
+def test_a_burst_spreads_over_engines_instead_of_filling_one(make_engine):
+    engines = [make_engine(name) for name in 'abcde']
+    for _ in range(20):
+        place(engines).running += 1
+    assert max(engine.running for engine in engines) <= 5
+
+
+def test_a_slow_engine_gets_items_only_when_the_others_are_full(make_engine):
+    slow = make_engine('slow', pace=0.11)
+    quick = make_engine('quick')
+    for _ in range(8):
+        place([slow, quick]).running += 1
+    assert (slow.running, quick.running) == (0, 8)
+    assert place([slow, quick]) is slow
+
+
+def test_no_slot_free_means_wait(make_engine):
+    assert place([make_engine('a', running=8)]) is None
+
+
+def test_a_prompt_read_before_decides_among_equals(make_engine):
+    engines = [make_engine('a'), make_engine('b')]
+    assert place(engines, frozenset({'b'})).entry.instance == 'b'
+
+
+def test_only_engines_with_allowed_weights_fit(make_engine):
+    engines = [make_engine('old', version=1), make_engine('new', version=2)]
+    found = placement.find_fitting(engines, 'm', 2, 0.0)
+    assert [engine.entry.instance for engine in found] == ['new']
+
+
+def test_a_model_turned_away_is_tried_again_a_little_later(make_engine):
+    engine = make_engine('a')
+    engine.close_model('m', 0.0)
+    assert placement.find_fitting([engine], 'm', 1, 0.05) == []
+    assert placement.find_fitting([engine], 'other', 1, 0.05) == [engine]
+    assert placement.find_fitting([engine], 'm', 1, 0.11) == [engine]
+
+
+def test_closures_grow_until_the_model_is_taken_again(make_engine):
+    engine = make_engine('a')
+    engine.close_model('m', 0.0)
+    engine.close_model('m', 0.2)
+    assert not engine.takes_model('m', 0.35)
+    engine.open_model('m')
+    assert engine.takes_model('m', 0.35)
+
+
+@pytest.mark.parametrize(
+    ('pace', 'events_done', 'moved'),
+    [
+        (0.11, 5, True),
+        (0.045, 5, False),
+        (0.11, 24, False),
+        (0.11, 60, True),
+    ],
+)
+def test_long_texts_leave_an_engine_that_turned_slow(
+    make_engine, pace, events_done, moved
+):
+    slow, quick = make_engine('slow', pace=pace), make_engine('quick')
+    found = placement.should_move(slow, [slow, quick], events_done, 25, 0.0)
+    assert found is moved
+
+
+def test_nothing_moves_to_an_engine_without_a_slot(make_engine):
+    slow = make_engine('slow', pace=0.2)
+    full = make_engine('full', running=8)
+    assert not placement.should_move(slow, [slow, full], 5, 25, 0.0)
+
+
+@pytest.mark.parametrize(
+    ('versions', 'minimum', 'single', 'usable'),
+    [
+        ((2, 3), 2, False, True),
+        ((2, 3), 3, False, False),
+        ((2, 3), 2, True, False),
+        ((3,), 2, True, True),
+        ((), 1, False, False),
+    ],
+)
+def test_a_text_is_used_again_only_if_its_versions_fit(
+    versions, minimum, single, usable
+):
+    assert generation.is_usable(versions, minimum, single) is usable
+
+
+def test_events_are_cut_whatever_pieces_they_come_in():
+    stream = b'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\nid: 3\nda'
+    for size in range(1, len(stream)):
+        reader = events.EventReader(lambda block: None)
+        found = []
+        for start in range(0, len(stream), size):
+            found += reader.feed(stream[start : start + size])
+        assert [(row.number, row.data) for row in found] == [
+            (1, 'a'),
+            (2, 'b\nc'),
+        ]
--- /dev/null
+++ b/tests/submissions/test_fold.py
@@ -0,0 +1,127 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waxwingport.submissions import fold
+from waxwingport.submissions import model
+from waxwingport.submissions import records
+
+SUBMISSIONS = {
+    name: model.Submission(
+        name,
+        'host',
+        '/a/',
+        'm',
+        1,
+        1,
+        1,
+        tuple(
+            model.Item(item, '/a/b', (), b'', 1, None, 'g', None)
+            for item in 'abc'
+        ),
+        0.0,
+    )
+    for name in ('s', 't')
+}
+NAMES = st.sampled_from(['s', 't'])
+ITEMS = st.sampled_from(['a', 'b', 'c', 'unknown'])
+
+
+def make_result(item, output):
+    state = model.ItemState.COMPLETED
+    return model.ItemResult(item, state, output, (1,), None)
+
+
+RECORDS = st.one_of(
+    NAMES.map(lambda name: records.Accepted(SUBMISSIONS[name])),
+    st.builds(
+        records.Listed,
+        NAMES,
+        st.builds(make_result, ITEMS, st.sampled_from(['x', 'y'])),
+    ),
+    NAMES.map(records.Ended),
+    st.builds(
+        records.Drafted,
+        NAMES,
+        st.builds(lambda item: (model.Draft(item, ('e',), (1,)),), ITEMS),
+    ),
+)
+
+
+def fold_naively(rows):
+    """Returns the listed outputs and ends, by scanning all rows."""
+    found = {}
+    for index, row in enumerate(rows):
+        before = rows[:index]
+        match row:
+            case records.Accepted(submission):
+                name = submission.submission_id
+                found.setdefault(name, ([], False))
+            case records.Listed(name, result) if name in found:
+                earlier = [
+                    other.result.item_id
+                    for position, other in enumerate(before)
+                    if isinstance(other, records.Listed)
+                    and other.submission_id == name
+                    and any(
+                        isinstance(start, records.Accepted)
+                        and start.submission.submission_id == name
+                        for start in rows[:position]
+                    )
+                ]
+                fresh = result.item_id not in earlier
+                if fresh and result.item_id != 'unknown':
+                    found[name][0].append((result.item_id, result.output))
+            case records.Ended(name) if name in found:
+                found[name] = (found[name][0], True)
+    return found
+
+
+@given(st.lists(RECORDS, max_size=25))
+def test_first_records_count_as_in_a_naive_fold(rows):
+    state = fold.PartitionState()
+    for row in rows:
+        state.apply(row)
+    found = {
+        entry.submission.submission_id: (
+            [(result.item_id, result.output) for result in entry.results],
+            entry.ended,
+        )
+        for entry in state
+    }
+    assert found == fold_naively(rows)
+
+
+def test_positions_never_change(make_submission, make_result):
+    state = fold.PartitionState()
+    entry = state.apply(records.Accepted(make_submission()))
+    state.apply(records.Listed('s', make_result('b', 'first')))
+    state.apply(records.Listed('s', make_result('a', 'second')))
+    state.apply(records.Listed('s', make_result('b', 'other')))
+    assert [row.output for row in entry.results] == ['first', 'second']
+    assert not entry.open
+
+
+def test_a_draft_is_dropped_with_the_result(make_submission, make_result):
+    state = fold.PartitionState()
+    entry = state.apply(records.Accepted(make_submission()))
+    draft = model.Draft('a', ('one',), (1,))
+    state.apply(records.Drafted('s', (draft,)))
+    assert entry.drafts == {'a': draft}
+    state.apply(records.Listed('s', make_result('a')))
+    assert entry.drafts == {}
+    state.apply(records.Drafted('s', (draft,)))
+    assert entry.drafts == {}
+
+
+def test_only_old_submissions_without_work_are_forgotten(
+    make_submission, make_result
+):
+    state = fold.PartitionState()
+    state.apply(records.Accepted(make_submission('open', accepted_at=1.0)))
+    state.apply(records.Accepted(make_submission('ended', accepted_at=1.0)))
+    state.apply(records.Accepted(make_submission('young', accepted_at=9.0)))
+    state.apply(records.Ended('ended'))
+    state.apply(records.Ended('young'))
+    assert state.evict(5.0) == 1
+    assert state.find('ended') is None
+    assert state.find('open') and state.find('young')
--- /dev/null
+++ b/waxwingport/platform/standin.py
@@ -0,0 +1,171 @@
+"""Stand-in for the platform's store: its HTTP interface on a memory log."""
+
+import base64
+import struct
+
+from expression import Result
+import msgspec
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from waxwingport import ids
+from waxwingport.log import base
+from waxwingport.standins import partitions
+
+__all__ = ['StoreStandin']
+
+_STATUSES = {
+    base.FaultKind.BUSY: 503,
+    base.FaultKind.CONFLICT: 412,
+    base.FaultKind.EXPIRED: 410,
+    base.FaultKind.FENCED: 409,
+    base.FaultKind.INVALID: 400,
+    base.FaultKind.SEQUENCE: 409,
+}
+_WHY = {base.FaultKind.FENCED: 'fenced', base.FaultKind.SEQUENCE: 'seq'}
+
+
+class StoreStandin:
+    """Serves a memory log on loopback; ``address`` is ``ip:port``."""
+
+    def __init__(self, log: partitions.MemoryLog) -> None:
+        application = web.Application(
+            [
+                (r'/log-append', _Append, {'log': log}),
+                (r'/log-read', _Read, {'log': log}),
+                (r'/log-newest', _Newest, {'log': log}),
+                (r'/log-join', _Join, {'log': log}),
+                (r'/log-leave', _Leave, {'log': log}),
+            ]
+        )
+        self._server = httpserver.HTTPServer(application)
+        sockets = netutil.bind_sockets(0, '127.0.0.1')
+        self._server.add_sockets(sockets)
+        self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+
+    async def stop(self) -> None:
+        """Closes every connection."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, log: partitions.MemoryLog) -> None:
+        self.log = log
+
+    def find_partition(self) -> base.Partition:
+        topic = base.Topic(self.get_query_argument('topic'))
+        return base.Partition(topic, int(self.get_query_argument('part')))
+
+    def refuse(self, fault: base.Fault) -> None:
+        """Answers with a fault; one without an answer closes instead."""
+        status = _STATUSES.get(fault.kind)
+        if status is None:
+            self.request.connection.detach().close()
+            raise web.Finish
+        self.set_status(status)
+        self.write({'why': _WHY.get(fault.kind, ''), 'first': fault.oldest})
+
+
+class _Append(_Handler):
+    async def post(self) -> None:
+        writer = None
+        name = self.get_query_argument('producer', None)
+        if name is not None:
+            writer = base.Writer(
+                name,
+                base.Generation(int(self.get_query_argument('epoch'))),
+                int(self.get_query_argument('seq')),
+            )
+        at = self.get_query_argument('at', None)
+        done = await self.log.append(
+            self.find_partition(),
+            _split(self.request.body),
+            writer,
+            ids.Offset(int(at)) if at is not None else None,
+        )
+        match done:
+            case Result(tag='ok', ok=found):
+                self.write({'offset': found.offset, 'end': found.end})
+            case Result(error=fault):
+                self.refuse(fault)
+
+
+class _Read(_Handler):
+    async def get(self) -> None:
+        offset = ids.Offset(int(self.get_query_argument('from')))
+        wait = int(self.get_query_argument('wait-ms', '0')) / 1000
+        match await self.log.read(self.find_partition(), offset, wait):
+            case Result(tag='ok', ok=page):
+                self.write(struct.pack('>QQ', page.end, page.oldest))
+                for record in page.records:
+                    self.write(struct.pack('>I', len(record)) + record)
+            case Result(error=fault):
+                self.refuse(fault)
+
+
+class _Newest(_Handler):
+    async def get(self) -> None:
+        topic = base.Topic(self.get_query_argument('topic'))
+        after = self.get_query_argument('after', None)
+        match await self.log.read_newest(topic, after):
+            case Result(tag='ok', ok=page):
+                self.write(
+                    {
+                        'items': [
+                            {
+                                'key': row.key,
+                                'value': base64.b64encode(
+                                    row.value or b''
+                                ).decode(),
+                                'offset': 0,
+                            }
+                            for row in page.rows
+                        ],
+                        'has-more': page.more,
+                        'end': page.end,
+                    }
+                )
+            case Result(error=fault):
+                self.refuse(fault)
+
+
+class _Join(_Handler):
+    async def post(self) -> None:
+        call = msgspec.json.decode(self.request.body)
+        found = await self.log.join(
+            call['group'],
+            base.MemberName(call['member']),
+            [base.Topic(name) for name in call['topics']],
+            base.Generation(call['generation']),
+        )
+        match found:
+            case Result(tag='ok', ok=assignment):
+                rows = sorted(assignment.partitions)
+                self.write(
+                    {
+                        'generation': assignment.generation,
+                        'parts': [[row.topic, row.number, 0] for row in rows],
+                    }
+                )
+            case Result(error=fault):
+                self.refuse(fault)
+
+
+class _Leave(_Handler):
+    async def post(self) -> None:
+        call = msgspec.json.decode(self.request.body)
+        member = base.MemberName(call['member'])
+        match await self.log.leave(call['group'], member):
+            case Result(tag='error', error=fault):
+                self.refuse(fault)
+
+
+def _split(body: bytes) -> list[bytes]:
+    rows = []
+    while body:
+        (size,) = struct.unpack_from('>I', body)
+        rows.append(body[4 : 4 + size])
+        body = body[4 + size :]
+    return rows
--- /dev/null
+++ b/waxwingport/standins/partitions.py
@@ -0,0 +1,272 @@
+"""Stand-in for the partitioned log, in memory and with faults on demand."""
+
+import asyncio
+import collections
+from collections.abc import Sequence
+import enum
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport import ids
+from waxwingport.log import base
+
+__all__ = ['LogFailure', 'MemoryLog']
+
+_RECENT = 5
+"""Appends of a writer whose repeats get the first answer again."""
+
+
+class LogFailure(enum.Enum):
+    """What goes wrong with a call."""
+
+    BUSY = 'busy'
+    """Turned away; nothing is done."""
+    LOST = 'lost'
+    """Done, but the answer is lost."""
+    LATE = 'late'
+    """Not answered, and done when ``MemoryLog.execute_late`` is called."""
+    NONE = 'none'
+
+
+class _WriterState(msgspec.Struct):
+    epoch: int = -1
+    sequence: int | None = None
+    recent: collections.deque[tuple[int, base.Appended]] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=_RECENT)
+    )
+
+
+class _PartitionState(msgspec.Struct):
+    records: list[bytes] = msgspec.field(default_factory=list)
+    oldest: int = 0
+    writers: dict[str, _WriterState] = msgspec.field(default_factory=dict)
+    grown: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
+
+    @property
+    def end(self) -> ids.Offset:
+        return ids.Offset(self.oldest + len(self.records))
+
+
+class MemoryLog(base.PartitionLog):
+    """All partitions of one log; several clients share one object.
+
+    ``failures`` holds what goes wrong with the next appends, in order;
+    ``down`` makes every call fail.
+    """
+
+    def __init__(self, partitions: int = 4) -> None:
+        self._partitions = partitions
+        self._states: dict[base.Partition, _PartitionState] = {}
+        self._members: dict[str, list[base.MemberName]] = {}
+        self._generations: dict[str, int] = {}
+        self._late: list[tuple] = []
+        self.failures: collections.deque[LogFailure] = collections.deque()
+        self.down = False
+        self.appends = 0
+
+    def get_records(self, partition: base.Partition) -> list[bytes]:
+        """Returns the records that a partition holds."""
+        return list(self._find(partition).records)
+
+    def expire(self, partition: base.Partition, count: int) -> None:
+        """Forgets the oldest ``count`` records."""
+        state = self._find(partition)
+        del state.records[:count]
+        state.oldest += count
+
+    def execute_late(self) -> None:
+        """Does the appends that were held back, in their order."""
+        late, self._late = self._late, []
+        for call in late:
+            self._append(*call)
+
+    async def append(
+        self,
+        partition: base.Partition,
+        records: Sequence[bytes],
+        writer: base.Writer | None = None,
+        at: ids.Offset | None = None,
+    ) -> Result[base.Appended, base.Fault]:
+        """Appends all ``records`` or none."""
+        await asyncio.sleep(0)
+        self.appends += 1
+        failure = self.failures.popleft() if self.failures else None
+        if self.down or failure is LogFailure.BUSY:
+            return _fail(base.FaultKind.BUSY, 'turned away')
+        if failure is LogFailure.LATE:
+            self._late.append((partition, records, writer, at))
+            return _fail(base.FaultKind.UNKNOWN, 'no answer')
+        done = self._append(partition, records, writer, at)
+        if failure is LogFailure.LOST:
+            return _fail(base.FaultKind.UNKNOWN, 'answer lost')
+        return done
+
+    async def read(
+        self, partition: base.Partition, offset: ids.Offset, wait: float = 0.0
+    ) -> Result[base.Page, base.Fault]:
+        """Returns records from ``offset`` on."""
+        await asyncio.sleep(0)
+        if self.down:
+            return _fail(base.FaultKind.BUSY, 'turned away')
+        state = self._find(partition)
+        if state.end <= offset and wait:
+            await _wait(state.grown, wait)
+        if offset < state.oldest:
+            return Error(
+                base.Fault(
+                    base.FaultKind.EXPIRED,
+                    'records expired',
+                    ids.Offset(state.oldest),
+                )
+            )
+        rows = tuple(state.records[offset - state.oldest :])
+        return Ok(base.Page(rows, state.end, ids.Offset(state.oldest)))
+
+    async def read_newest(
+        self, topic: base.Topic, after: str | None = None
+    ) -> Result[base.KeyedPage, base.Fault]:
+        """Returns the newest records of a keyed topic's keys."""
+        await asyncio.sleep(0)
+        if self.down:
+            return _fail(base.FaultKind.BUSY, 'turned away')
+        state = self._find(base.Partition(topic, 0))
+        newest: dict[str, bytes | None] = {}
+        for record in state.records:
+            row = self.parse_keyed(record).default_value(base.Keyed('', None))
+            newest[row.key] = row.value
+        rows = tuple(
+            base.Keyed(key, value)
+            for key, value in sorted(newest.items())
+            if value is not None and (after is None or key > after)
+        )
+        return Ok(base.KeyedPage(rows, False, state.end))
+
+    async def join(
+        self,
+        group: str,
+        member: base.MemberName,
+        topics: Sequence[base.Topic],
+        generation: base.Generation,
+    ) -> Result[base.Assignment, base.Fault]:
+        """Joins a group or stays in it, and tells what the member holds."""
+        await asyncio.sleep(0)
+        if self.down:
+            return _fail(base.FaultKind.BUSY, 'turned away')
+        members = self._members.setdefault(group, [])
+        if member not in members:
+            members.append(member)
+            self._bump(group)
+        place = members.index(member)
+        held = frozenset(
+            base.Partition(topic, number)
+            for topic in topics
+            for number in range(self._partitions)
+            if number % len(members) == place
+        )
+        found = base.Generation(self._generations[group])
+        return Ok(base.Assignment(found, held))
+
+    async def leave(
+        self, group: str, member: base.MemberName
+    ) -> Result[None, base.Fault]:
+        """Gives up all that the member holds."""
+        await asyncio.sleep(0)
+        if self.down:
+            return _fail(base.FaultKind.BUSY, 'turned away')
+        members = self._members.get(group, [])
+        if member in members:
+            members.remove(member)
+            self._bump(group)
+        return Ok(None)
+
+    def write_keyed(
+        self, topic: base.Topic, key: str, value: bytes = b''
+    ) -> None:
+        """Writes as another party does; no value removes the key."""
+        name = key.encode()
+        record = bytes([len(name)]) + name + value
+        self._append(base.Partition(topic, 0), (record,), None, None)
+
+    def parse_keyed(self, record: bytes) -> Result[base.Keyed, base.Fault]:
+        """Returns the key and value of one record of a keyed topic."""
+        size = record[0] if record else 0
+        if len(record) < 1 + size:
+            return _fail(base.FaultKind.INVALID, 'record without its key')
+        key = record[1 : 1 + size].decode()
+        return Ok(base.Keyed(key, record[1 + size :] or None))
+
+    def _find(self, partition: base.Partition) -> _PartitionState:
+        return self._states.setdefault(partition, _PartitionState())
+
+    def _bump(self, group: str) -> None:
+        self._generations[group] = self._generations.get(group, 0) + 1
+
+    def _append(
+        self,
+        partition: base.Partition,
+        records: Sequence[bytes],
+        writer: base.Writer | None,
+        at: ids.Offset | None,
+    ) -> Result[base.Appended, base.Fault]:
+        state = self._find(partition)
+        if writer is not None:
+            answer = _check_writer(state, writer, bool(records))
+            if answer is not None:
+                return answer
+        if at is not None and at != state.end:
+            return _fail(base.FaultKind.CONFLICT, f'ends at {state.end}')
+        offset = state.end
+        state.records.extend(records)
+        done = base.Appended(offset, state.end)
+        if writer is not None:
+            _note_writer(state, writer, done if records else None)
+        if records:
+            state.grown.set()
+            state.grown = asyncio.Event()
+        return Ok(done)
+
+
+def _check_writer(
+    state: _PartitionState, writer: base.Writer, writes: bool
+) -> Result[base.Appended, base.Fault] | None:
+    """Returns the answer to an append that is not done, if it isn't."""
+    known = state.writers.get(writer.name, _WriterState())
+    if writer.epoch < known.epoch:
+        return _fail(base.FaultKind.FENCED, f'epoch {known.epoch} was seen')
+    if not writes or writer.epoch > known.epoch or known.sequence is None:
+        return None
+    for sequence, answer in known.recent:
+        if sequence == writer.sequence:
+            return Ok(answer)
+    if writer.sequence != known.sequence + 1:
+        detail = f'expected {known.sequence + 1}'
+        return _fail(base.FaultKind.SEQUENCE, detail)
+    return None
+
+
+def _note_writer(
+    state: _PartitionState, writer: base.Writer, done: base.Appended | None
+) -> None:
+    known = state.writers.setdefault(writer.name, _WriterState())
+    if writer.epoch > known.epoch:
+        known.epoch = writer.epoch
+        known.sequence = None
+        known.recent.clear()
+    if done is not None:
+        known.sequence = writer.sequence
+        known.recent.append((writer.sequence, done))
+
+
+def _fail(kind: base.FaultKind, detail: str) -> Result:
+    return Error(base.Fault(kind, detail))
+
+
+async def _wait(grown: asyncio.Event, wait: float) -> None:
+    try:
+        async with asyncio.timeout(wait):
+            await grown.wait()
+    except TimeoutError:
+        return
