Prove the gateway's promises by a table of targets' faults

Cause: two faults that the table found. Bytes after an answer on a kept connection made the next call fail, since only a closed connection was noticed; a POST without a route was read as a submission and refused with 400 in place of 404.

Change: an idle connection is used again only if nothing is to be read from it; a submission needs a route. Runs move to engines that are 1.15 times as quick (1.4 before), by a pace over about 25 events.

--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,137 @@
+import random
+
+from expression import Ok
+import pytest
+
+from tests.gateway import raw_server
+from waxwingport import clocks
+from waxwingport.fleet import model as fleet
+from waxwingport.fleet import registry
+from waxwingport.gateway import attempts
+from waxwingport.gateway import calls
+from waxwingport.gateway import configured
+from waxwingport.gateway import routes
+from waxwingport.gateway import server
+from waxwingport.gateway import streams
+from waxwingport.http import client
+from waxwingport import ids
+from waxwingport.log import base
+from waxwingport.platform import exchange
+from waxwingport.requests import progress
+from waxwingport.standins import partitions
+from waxwingport.submissions import archive
+from waxwingport.submissions import desk
+
+SERVICE = ids.ServiceName('booking')
+
+
+class Harness:
+    """A gateway before raw servers, without the log's followers."""
+
+    def __init__(self):
+        self.http = client.HttpClient(
+            client.ClientSettings(connect_timeout=0.3)
+        )
+        self.outside = client.HttpClient()
+        self.log = partitions.MemoryLog()
+        self.targets = registry.Registry(self._decode)
+        self.configuration = configured.Configured(
+            lambda key: True, lambda row: Ok(row.value), lambda row: None
+        )
+        spelling = exchange.PlatformDialect()
+        sender = attempts.Sender(self.http, spelling)
+        rng = random.Random(1)
+        centre = ids.DataCentre('here')
+        wall = clocks.SystemWallClock()
+        self.archive = archive.Archive(
+            self.log, archive.ArchiveSettings(), wall
+        )
+        self.progress = progress.Progress(1 << 20)
+        self.gateway = server.Gateway(
+            spelling,
+            self.configuration,
+            calls.Caller(sender, self.targets, centre, rng),
+            streams.Streamer(sender, self.targets, centre, rng),
+            desk.Desk(self.log, self.archive, 1 << 16, wall),
+            self.progress,
+            wall,
+        )
+        sockets = server.bind_sockets('127.0.0.1:0')
+        self.gateway.server.add_sockets(sockets)
+        self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+        self._entries = {}
+
+    def _decode(self, key, value):
+        return Ok(self._entries[key])
+
+    def register(self, name, address):
+        """Registers a target of the one service."""
+        instance = fleet.InstanceId(name)
+        self._entries[name] = fleet.TargetEntry(
+            instance,
+            SERVICE,
+            address,
+            ids.DataCentre('here'),
+            4,
+            fleet.Stage.READY,
+            1,
+            {},
+        )
+        self.targets.update(base.Keyed(name, b'x'))
+
+    def configure(self, version=1, **options):
+        """Puts one route into force."""
+        fields = {
+            'name': 'r',
+            'host': 'shop.example',
+            'prefix': '/a/',
+            'kind': routes.RouteKind.IDEMPOTENT,
+            'shares': (routes.Share(SERVICE, 1),),
+            'max_attempts': 3,
+            'timeout': 1.0,
+            'target_time': 0.2,
+        } | options
+        found = routes.Configuration(
+            version, (routes.Route(**fields),), routes.Limits(), {}
+        )
+        self.configuration.update(base.Keyed('config', found))
+
+    async def call(self, name='q1', path='/a/b', patience=2000, method='POST'):
+        """Sends a request as a caller does."""
+        rows = (
+            ('Host', 'shop.example'),
+            ('Request-Id', name),
+            ('Deadline-Ms', str(patience)),
+        )
+        request = client.Request(method, path, rows, b'x' * 10)
+        return await self.outside.fetch(self.address, request, 5.0)
+
+    async def stop(self):
+        self.http.close()
+        self.outside.close()
+        self.gateway.server.stop()
+        await self.gateway.server.close_all_connections()
+
+
+@pytest.fixture
+async def harness():
+    found = Harness()
+    yield found
+    await found.stop()
+
+
+@pytest.fixture
+async def start_servers(harness):
+    """Returns a function that starts servers with their ways to answer."""
+    started = []
+
+    async def start(*ways_of_each):
+        for number, ways in enumerate(ways_of_each):
+            made = await raw_server.RawServer(*ways).start()
+            harness.register(f'i{number}', made.address)
+            started.append(made)
+        return started
+
+    yield start
+    for made in started:
+        await made.stop()
--- a/tests/rollout/test_lease.py
+++ b/tests/rollout/test_lease.py
@@ -175,9 +175,10 @@
             switch = rng.choice(switches)
             switch.cut = not switch.cut
         for number, found in enumerate(leases):
-            if found.may_order() and not switches[number].cut:
-                if (await found.declare_intent()).is_ok():
-                    orders.append((loop.time(), number, found.fence))
+            if switches[number].cut or not found.may_order():
+                continue
+            if (await found.declare_intent()).is_ok():
+                orders.append((loop.time(), number, found.fence))
     assert orders
     for before, after in zip(orders, orders[1:], strict=False):
         assert after[2] >= before[2]
--- a/tests/submissions/test_decisions.py
+++ b/tests/submissions/test_decisions.py
@@ -125,6 +125,7 @@
     [
         (0.11, 5, True),
         (0.045, 5, False),
+        (0.052, 60, True),
         (0.11, 24, False),
         (0.11, 60, True),
     ],
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -54,9 +54,9 @@
     """Version of the weights of each model that it serves."""
 
 
-_PACE_SMOOTHING = 0.1
-"""Weight of the latest gap between events: about ten events decide, less
-than half of a usual generation."""
+_PACE_SMOOTHING = 0.04
+"""Weight of the latest gap between events: about 25 events decide, which
+eight runs at an engine make in an eighth of a second."""
 
 
 class LoadReport(msgspec.Struct, frozen=True):
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -6,7 +6,6 @@
 from expression import Result
 from tornado import httpserver
 from tornado import httputil
-from tornado import netutil
 
 from waxwingport import background
 from waxwingport import clocks
@@ -41,7 +40,6 @@
 _GROUP = 'waxwingport'
 _EXIT_SLACK = 0.5
 """Seconds before the platform's kill at which the last requests end."""
-_BACKLOG = 1024
 
 _LOG = logging.getLogger(__name__)
 
@@ -150,9 +148,11 @@
             self.progress,
             self._wall,
         )
-        self.gateway.server.add_sockets(_bind(node.listen))
+        self.gateway.server.add_sockets(server.bind_sockets(node.listen))
         self._status_server = httpserver.HTTPServer(self._answer_status)
-        self._status_server.add_sockets(_bind(node.status_listen))
+        self._status_server.add_sockets(
+            server.bind_sockets(node.status_listen)
+        )
 
     @property
     def ready(self) -> bool:
@@ -219,8 +219,3 @@
             httputil.HTTPHeaders({'Content-Length': '0'}),
         )
         request.connection.finish()
-
-
-def _bind(address: str) -> list:
-    host, _, port = address.rpartition(':')
-    return netutil.bind_sockets(int(port), host, backlog=_BACKLOG)
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import logging
+import socket
 
 from expression import Result
 from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
+from tornado import netutil
 
 from waxwingport import clocks
 from waxwingport.gateway import attempts
@@ -20,7 +22,7 @@
 from waxwingport.requests import progress
 from waxwingport.submissions import desk
 
-__all__ = ['Gateway']
+__all__ = ['Gateway', 'bind_sockets']
 
 _STATUSES = {
     outcomes.Reason.BAD_REQUEST: 400,
@@ -36,6 +38,7 @@
 }
 _DEFAULT_PATIENCE = 10.0
 """Seconds for a call whose caller names no deadline."""
+_BACKLOG = 1024
 _STARTING_RETRY_AFTER = 0.5
 """Seconds: about what a start takes."""
 
@@ -212,6 +215,8 @@
         """Answers a call on submissions; returns whether it was one."""
         path = call.path.partition('?')[0]
         route = self._configuration.find_route(call.host, path)
+        if route is None and call.method == 'POST':
+            return False
         if route is not None and route.kind is not routes.RouteKind.BATCH:
             return False
         match self._dialect.read_batch_call(call, self._wall.read()):
@@ -331,3 +336,9 @@
 
 def _name_status(status: int) -> str:
     return httputil.responses.get(status, 'Unknown')
+
+
+def bind_sockets(address: str) -> list[socket.socket]:
+    """Returns listening sockets for ``ip:port``; raises ``OSError``."""
+    host, _, port = address.rpartition(':')
+    return netutil.bind_sockets(int(port), host, backlog=_BACKLOG)
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import AsyncIterator
 import functools
+import socket
 
 from expression import Error
 from expression import Ok
@@ -264,8 +265,7 @@
         )
         while idle:
             since, stream = idle.pop()
-            if since >= oldest and not stream.closed():
-                stream.set_close_callback(None)
+            if since >= oldest and _is_quiet(stream):
                 return stream
             stream.close()
         return None
@@ -273,16 +273,28 @@
     def _keep_idle(self, address: str, stream: iostream.IOStream) -> None:
         if stream.closed():
             return
-        # A callback makes tornado watch for the other side's close.
-        stream.set_close_callback(_ignore_close)
         idle = self._idle.setdefault(address, collections.deque())
         idle.append((asyncio.get_running_loop().time(), stream))
         if len(idle) > self._settings.idle_connections:
             idle.popleft()[1].close()
 
 
-def _ignore_close() -> None:
-    """Does nothing; ``_take_idle`` drops a closed connection."""
+def _is_quiet(stream: iostream.IOStream) -> bool:
+    """Returns whether an idle connection is open and has nothing to read.
+
+    Bytes that came after the end of a response belong to no request.
+    """
+    # tornado may have read them along with the response; it has no public
+    # way to tell.
+    if stream.closed() or stream._read_buffer_size:
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
 
 
 async def _read_whole(
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -20,6 +20,8 @@
 _RETRY_INTERVAL = 0.2
 """Seconds between tries while the log is away."""
 
+_NEVER = float('-inf')
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -52,13 +54,13 @@
         self.partition = partition
         self.position = ids.Offset(0)
         """Offset of the next record to take."""
-        self.confirmed_at = float('-inf')
+        self.confirmed_at = _NEVER
         """Loop's time at which a read that found the end was sent."""
 
     async def run(self) -> None:
         """Reads until cancelled."""
         while True:
-            wait = _WAIT if self.confirmed_at > 0 else 0.0
+            wait = 0.0 if self.confirmed_at == _NEVER else _WAIT
             match await self._read(wait):
                 case Result(tag='ok'):
                     self._store.note_success()
--- a/waxwingport/submissions/placement.py
+++ b/waxwingport/submissions/placement.py
@@ -20,9 +20,9 @@
 _TIE = 0.05
 """Parts of a run's time within which engines count as equal, so that nodes
 that see the same loads do not all choose the same engine."""
-_MOVE_GAIN = 1.4
+_MOVE_GAIN = 1.15
 """How many times as quickly a run has to go on elsewhere to be moved; lower
-ratios are within the noise of ten events."""
+ratios are within the noise of an engine's pace."""
 _MOVE_COST = 0.25
 """Seconds of a move: a connection, a place, and reading the text so far."""
 
