--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -16,6 +16,7 @@
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.log import base
+from waxwingport import metrics
 from waxwingport.platform import exchange
 from waxwingport.requests import progress
 from waxwingport.standins import partitions
@@ -55,6 +56,7 @@
             desk.Desk(self.log, self.archive, 1 << 16, wall),
             self.progress,
             wall,
+            metrics.Metrics(),
         )
         sockets = server.bind_sockets('127.0.0.1:0')
         self.gateway.server.add_sockets(sockets)
--- /dev/null
+++ b/tests/gateway/standin_engine.py
@@ -0,0 +1,112 @@
+"""An engine and a plain service as the platform's pages describe them."""
+
+import asyncio
+
+import msgspec
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+EVENTS = 6
+"""Events of each text."""
+
+
+class StandinEngine:
+    """Generates ``EVENTS`` events a text; scores by its signature."""
+
+    def __init__(self, name, pause=0.005):
+        self.name = name
+        self.pause = pause
+        self.version = 1
+        self.accepted = 0
+        self.orders = []
+        self.runs = []
+        """Request id and the event after which it was asked to go on."""
+        self.break_after = {}
+        """Event after which the connection breaks, once, by request id."""
+        application = web.Application(
+            [
+                (r'/report', _Report, {'engine': self}),
+                (r'/order', _Order, {'engine': self}),
+                (r'/gen/.*', _Generate, {'engine': self}),
+                (r'/score/.*', _Score, {'engine': self}),
+            ]
+        )
+        self._server = httpserver.HTTPServer(application)
+        sockets = netutil.bind_sockets(0, '127.0.0.1')
+        self._server.add_sockets(sockets)
+        self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+
+    def make_entry(self, service):
+        """Returns the engine's entry in the store."""
+        return msgspec.json.encode(
+            {
+                'service': service,
+                'address': self.address,
+                'zone': 'here',
+                'slots': 8,
+                'state': 'ready',
+                'models': [{'name': 'm', 'version': self.version}],
+                'born': 1,
+                'seq': 1,
+            }
+        )
+
+    async def stop(self):
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, engine):
+        self.engine = engine
+
+    def set_default_headers(self):
+        name = self.request.headers.get('Request-Id')
+        if name:
+            self.set_header('Request-Id', name)
+
+
+class _Report(_Handler):
+    def get(self):
+        models = [{'name': 'm', 'version': self.engine.version}]
+        self.write(
+            {'models': models, 'busy': False, 'seq': self.engine.accepted}
+        )
+
+
+class _Order(_Handler):
+    def post(self):
+        order = msgspec.json.decode(self.request.body)
+        self.engine.orders.append(order)
+        if order['precondition'] != self.engine.accepted:
+            self.set_status(409)
+            return
+        self.engine.accepted += 1
+        self.engine.version = order['version']
+        self.set_status(202)
+
+
+class _Generate(_Handler):
+    async def post(self):
+        name = self.request.headers['Request-Id']
+        start = int(self.request.headers.get('Last-Event-Id', 0))
+        self.engine.runs.append((name, start))
+        self.set_header('Weight-Versions', str(self.engine.version))
+        self.set_header('Content-Type', 'text/event-stream')
+        for number in range(start + 1, EVENTS + 1):
+            await asyncio.sleep(self.engine.pause)
+            self.write(f'id: {number}\ndata: {name}-{number}\n\n')
+            await self.flush()
+            if self.engine.break_after.get(name) == number:
+                del self.engine.break_after[name]
+                self.request.connection.stream.close()
+                raise web.Finish
+
+
+class _Score(_Handler):
+    def post(self):
+        name = self.request.headers['Request-Id']
+        self.engine.runs.append((name, 0))
+        self.set_header('Response-Signature', f'signed-{name}')
+        self.write('scored')
--- /dev/null
+++ b/tests/gateway/test_node.py
@@ -0,0 +1,289 @@
+"""Whole nodes before stand-ins of the store, an engine and a service."""
+
+import asyncio
+import base64
+
+import msgspec
+import pytest
+
+from tests.gateway import standin_engine
+from waxwingport.gateway import node
+from waxwingport.gateway import settings
+from waxwingport.http import client
+from waxwingport.log import base
+from waxwingport.platform import standin
+from waxwingport.platform import store
+from waxwingport.standins import partitions
+
+OPERATOR = base.Topic('keyed.op')
+TARGETS = base.Topic('keyed.servers')
+HOST = 'shop.example'
+ROUTES = [
+    {'name': 'r1', 'path-prefix': '/gen/', 'kind': 'rollout'},
+    {'name': 'r2', 'path-prefix': '/score/', 'kind': 'idempotent'},
+]
+
+
+class Deployment:
+    """A store, an engine, and nodes that come and go."""
+
+    def __init__(self):
+        self.log = partitions.MemoryLog()
+        self.store = standin.StoreStandin(self.log)
+        self.engine = standin_engine.StandinEngine('i1')
+        self.http = client.HttpClient()
+        self.nodes = []
+        self.write_entry()
+        self.configure()
+
+    def write_entry(self):
+        entry = self.engine.make_entry('llm')
+        self.log.write_keyed(TARGETS, 'i1', entry)
+
+    def configure(self):
+        fields = {
+            'host': HOST,
+            'service': 'llm',
+            'timeout-ms': 2000,
+            'latency-target-ms': 500,
+            'max-attempts': 3,
+            'run-target-ms': 5000,
+            'retention-s': 60,
+        }
+        found = {
+            'version': 1,
+            'routes': [fields | row for row in ROUTES],
+            'services': [{'name': 'llm'}],
+        }
+        self.log.write_keyed(OPERATOR, 'config', msgspec.json.encode(found))
+
+    def publish(self, version):
+        value = msgspec.json.encode({'model': 'm', 'version': version})
+        self.log.write_keyed(OPERATOR, 'version/m', value)
+
+    async def start_node(self):
+        name = f'n{len(self.nodes)}'
+        found = node.GatewayNode(
+            settings.GatewaySettings(
+                settings.GatewayNode(
+                    name, 'here', '127.0.0.1:0', '127.0.0.1:0'
+                ),
+                store.StoreSettings(self.store.address),
+            )
+        )
+        found.start()
+        self.nodes.append(found)
+        async with asyncio.timeout(5.0):
+            while not found.ready:
+                await asyncio.sleep(0.01)
+        return found
+
+    async def call(self, served, method, path, body=b'', name='s1'):
+        rows = (('Host', HOST), ('Request-Id', name))
+        request = client.Request(method, path, rows, body)
+        found = await self.http.fetch(served.address, request, 10.0)
+        return found.ok
+
+    async def submit(self, served, items=4, name='s1', minimum=1):
+        rows = [
+            {
+                'id': f'{name}-{number}',
+                'path': '/gen/x',
+                'headers': {'Model': 'm'},
+                'body': base64.b64encode(b'prompt').decode(),
+                'tokens': 10,
+                'group': f'g{number % 2}',
+                'scorer-url': {
+                    'id': f'score-{name}-{number}',
+                    'host': HOST,
+                    'path': '/score/x',
+                    'body': '',
+                },
+            }
+            for number in range(items)
+        ]
+        body = {
+            'step': 1,
+            'model': 'm',
+            'min-version': minimum,
+            'target-groups': 2,
+            'items': rows,
+        }
+        encoded = msgspec.json.encode(body)
+        return await self.call(served, 'POST', '/gen/s', encoded, name)
+
+    async def read_all(self, served, total=4, name='s1'):
+        async with asyncio.timeout(8.0):
+            while True:
+                answer = await self.call(served, 'GET', f'/lots/{name}')
+                if answer.status == 200:
+                    found = msgspec.json.decode(answer.body)
+                    if len(found['results']) == total:
+                        return found['results']
+                await asyncio.sleep(0.05)
+
+    async def stop(self):
+        for served in self.nodes:
+            await served.close()
+        self.http.close()
+        await self.engine.stop()
+        await self.store.stop()
+
+
+@pytest.fixture
+async def deployment():
+    found = Deployment()
+    yield found
+    await found.stop()
+
+
+async def test_a_submission_is_run_scored_and_listed_at_every_node(deployment):
+    first = await deployment.start_node()
+    second = await deployment.start_node()
+    assert (await deployment.submit(first)).status == 202
+    rows = await deployment.read_all(second)
+    assert rows == await deployment.read_all(first)
+    for row in rows:
+        texts = [f'{row["id"]}-{n}' for n in range(1, 7)]
+        assert row['output'] == '\n'.join(texts)
+        assert row['state'] == 'completed'
+        assert row['versions'] == [1]
+        assert row['score'] == f'signed-score-{row["id"]}'
+
+
+async def test_a_repeated_submission_is_accepted_once(deployment):
+    first = await deployment.start_node()
+    second = await deployment.start_node()
+    assert (await deployment.submit(first)).status == 202
+    assert (await deployment.submit(second)).status == 202
+    await deployment.read_all(first)
+    ids = [name for name, _ in deployment.engine.runs if name[0] == 's']
+    assert len([name for name in ids if '-' in name]) == len(ids)
+
+
+async def test_a_text_that_breaks_off_goes_on_where_it_was(deployment):
+    served = await deployment.start_node()
+    deployment.engine.break_after = {'s1-0': 4}
+    await deployment.submit(served)
+    rows = {row['id']: row for row in await deployment.read_all(served)}
+    assert rows['s1-0']['output'].count('\n') == standin_engine.EVENTS - 1
+    starts = [
+        start for name, start in deployment.engine.runs if name == 's1-0'
+    ]
+    assert starts[0] == 0
+    assert starts[1] in (3, 4)
+
+
+async def test_accepted_work_goes_on_after_the_loss_of_every_node(deployment):
+    served = await deployment.start_node()
+    deployment.engine.pause = 0.3
+    assert (await deployment.submit(served)).status == 202
+    await asyncio.sleep(0.5)
+    await served.close()
+    deployment.log.forget_members()
+    deployment.engine.pause = 0.0
+    again = await deployment.start_node()
+    assert len(await deployment.read_all(again)) == 4
+
+
+async def test_bodies_can_be_read_until_the_end(deployment):
+    served = await deployment.start_node()
+    await deployment.submit(served)
+    path = '/items/s1?id=s1-1'
+    assert (await deployment.call(served, 'GET', path)).body == b'prompt'
+    path = '/items/s1?id=unknown'
+    assert (await deployment.call(served, 'GET', path)).status == 404
+
+
+async def test_an_ended_submission_runs_no_more(deployment):
+    served = await deployment.start_node()
+    deployment.engine.pause = 0.5
+    await deployment.submit(served)
+    for _ in range(2):
+        answer = await deployment.call(served, 'DELETE', '/lots/s1')
+        assert answer.status == 200
+    count = len(deployment.engine.runs)
+    await asyncio.sleep(0.6)
+    assert len(deployment.engine.runs) == count
+
+
+async def test_what_is_not_there_is_404_only_when_the_log_says_so(deployment):
+    served = await deployment.start_node()
+    answer = await deployment.call(served, 'GET', '/lots/none')
+    assert answer.status == 404
+    deployment.log.down = True
+    await asyncio.sleep(0.5)
+    answer = await deployment.call(served, 'GET', '/lots/none')
+    assert answer.status == 503
+    assert (await deployment.submit(served)).status == 503
+
+
+async def test_a_submission_of_unknown_outcome_is_not_called_refused(
+    deployment,
+):
+    served = await deployment.start_node()
+    failures = [partitions.LogFailure.LATE]
+    failures += 200 * [partitions.LogFailure.BUSY]
+    deployment.log.failures.extend(failures)
+    assert (await deployment.submit(served)).status == 502
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'{}',
+        b'[]',
+        b'{"items": []}',
+        b'{"items": [{"id": 3}]}',
+        b'{"items": [{"id": "a", "path": "/", "headers": {}, "body": "%"}]}',
+        b'\xff\xfe',
+    ],
+)
+async def test_a_submission_that_cannot_be_read_is_a_bad_request(
+    deployment, body
+):
+    served = await deployment.start_node()
+    answer = await deployment.call(served, 'POST', '/gen/s', body)
+    assert answer.status == 400
+
+
+async def test_engines_follow_a_published_version(deployment):
+    served = await deployment.start_node()
+    await deployment.submit(served, minimum=1)
+    await deployment.read_all(served)
+    async with asyncio.timeout(5.0):
+        while not served.lease.may_order():
+            await asyncio.sleep(0.05)
+    deployment.publish(2)
+    assert (
+        await deployment.submit(served, name='s2', minimum=2)
+    ).status == 202
+    rows = await deployment.read_all(served, name='s2')
+    assert {tuple(row['versions']) for row in rows} == {(2,)}
+    (order,) = deployment.engine.orders
+    assert (order['model'], order['version']) == ('m', 2)
+    assert order['fencing-token'] >= 1
+
+
+async def test_unreadable_entries_name_no_target_and_stop_nothing(deployment):
+    deployment.log.write_keyed(TARGETS, 'bad1', b'\xff')
+    deployment.log.write_keyed(TARGETS, 'bad2', b'{"service": 3}')
+    deployment.log.write_keyed(OPERATOR, 'version/m', b'nonsense')
+    served = await deployment.start_node()
+    assert len(served.targets) == 1
+    await deployment.submit(served)
+    assert len(await deployment.read_all(served)) == 4
+
+
+async def test_metrics_and_readiness_are_served_apart(deployment):
+    served = await deployment.start_node()
+    await deployment.submit(served)
+    request = client.Request('GET', '/metrics')
+    found = (
+        await deployment.http.fetch(served.status_address, request, 5.0)
+    ).ok
+    assert b'waxwingport_gateway_requests_total' in found.body
+    request = client.Request('GET', '/readiness')
+    found = await deployment.http.fetch(served.status_address, request, 5.0)
+    assert found.ok.status == 200
--- a/tests/log/conftest.py
+++ b/tests/log/conftest.py
@@ -2,6 +2,7 @@
 
 from waxwingport.http import client
 from waxwingport.log import base
+from waxwingport import metrics
 from waxwingport.platform import standin
 from waxwingport.platform import store
 from waxwingport.standins import partitions
@@ -23,7 +24,7 @@
     served = standin.StoreStandin(memory)
     http = client.HttpClient()
     settings = store.StoreSettings(served.address, timeout=2.0)
-    yield store.StoreLog(http, settings)
+    yield store.StoreLog(http, settings, metrics.Metrics())
     http.close()
     await served.stop()
 
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -1,5 +1,6 @@
 """One gateway node: its parts and their lives."""
 
+import asyncio
 import logging
 import random
 
@@ -21,6 +22,7 @@
 from waxwingport.log import base
 from waxwingport.log import followers
 from waxwingport.log import groups
+from waxwingport import metrics
 from waxwingport.platform import exchange
 from waxwingport.platform import operators
 from waxwingport.platform import orders
@@ -38,6 +40,7 @@
 __all__ = ['GatewayNode']
 
 _GROUP = 'waxwingport'
+_METRICS_PATH = '/metrics'
 _EXIT_SLACK = 0.5
 """Seconds before the platform's kill at which the last requests end."""
 
@@ -51,7 +54,8 @@
         self._settings = configured_
         node = configured_.node
         self._http = client.HttpClient(configured_.client)
-        self._log = store.StoreLog(self._http, configured_.store)
+        self.metrics = metrics.Metrics()
+        self._log = store.StoreLog(self._http, configured_.store, self.metrics)
         self._wall = clocks.SystemWallClock()
         self._dialect = exchange.PlatformDialect()
         self._book = controller.VersionBook()
@@ -100,6 +104,7 @@
             sizes.record_size,
             self._wall,
             rng,
+            self.metrics,
         )
         self.targets.add_listener(self.runner.wake)
         self.holder = holder.Holder(
@@ -136,6 +141,7 @@
             self.targets,
             self._book,
             self.lease,
+            self.metrics,
         )
 
     def _make_server(self, node: settings.GatewayNode) -> None:
@@ -147,12 +153,15 @@
             self.desk,
             self.progress,
             self._wall,
+            self.metrics,
         )
-        self.gateway.server.add_sockets(server.bind_sockets(node.listen))
+        sockets = server.bind_sockets(node.listen)
+        self.gateway.server.add_sockets(sockets)
+        self.address = server.name_address(sockets[0])
         self._status_server = httpserver.HTTPServer(self._answer_status)
-        self._status_server.add_sockets(
-            server.bind_sockets(node.status_listen)
-        )
+        sockets = server.bind_sockets(node.status_listen)
+        self._status_server.add_sockets(sockets)
+        self.status_address = server.name_address(sockets[0])
 
     @property
     def ready(self) -> bool:
@@ -188,9 +197,17 @@
             lambda: None,
         )
         await self.progress.wait_idle(_EXIT_SLACK)
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends everything at once."""
         self.gateway.server.stop()
+        self._status_server.stop()
         await self.background.stop()
+        self.holder.close()
         self._http.close()
+        await self.gateway.server.close_all_connections()
+        await self._status_server.close_all_connections()
 
     def _take_version(self, row: base.Keyed) -> None:
         match operators.read_named_version(row.key, row.value or b''):
@@ -214,8 +231,42 @@
 
     def _answer_status(self, request: httputil.HTTPServerRequest) -> None:
         status = 200 if self.ready else 503
+        body = b''
+        headers = httputil.HTTPHeaders()
+        if request.path == _METRICS_PATH:
+            status = 200
+            body, rendered = self._render_metrics()
+            headers.update(rendered)
+        headers['Content-Length'] = str(len(body))
         request.connection.write_headers(
-            httputil.ResponseStartLine('', status, ''),
-            httputil.HTTPHeaders({'Content-Length': '0'}),
+            httputil.ResponseStartLine('', status, ''), headers, body or None
         )
         request.connection.finish()
+
+    def _render_metrics(self) -> tuple[bytes, dict[str, str]]:
+        now = asyncio.get_running_loop().time()
+        for name, help_text, value in (
+            (
+                'items_waiting',
+                'Items without a slot.',
+                self.runner.count_waiting(),
+            ),
+            ('targets', 'Registered targets.', len(self.targets)),
+            (
+                'partitions_held',
+                'Partitions of submissions held here.',
+                len(self.member.assignment.partitions),
+            ),
+            (
+                'order_lease_held',
+                'Whether this node may order engines.',
+                int(self.lease.held),
+            ),
+            (
+                'configuration_age_seconds',
+                'Time since the configuration in force came.',
+                now - self.configuration.taken_at,
+            ),
+        ):
+            self.metrics.set(f'waxwingport_{name}', help_text, value)
+        return self.metrics.render()
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -18,11 +18,12 @@
 from waxwingport.gateway import routes
 from waxwingport.gateway import streams
 from waxwingport.http import headers as http_headers
+from waxwingport import metrics
 from waxwingport import outcomes
 from waxwingport.requests import progress
 from waxwingport.submissions import desk
 
-__all__ = ['Gateway', 'bind_sockets']
+__all__ = ['Gateway', 'bind_sockets', 'name_address']
 
 _STATUSES = {
     outcomes.Reason.BAD_REQUEST: 400,
@@ -52,8 +53,12 @@
         self, request: httputil.HTTPServerRequest, draining: bool
     ) -> None:
         self.connection = request.connection
-        self.started = False
         self.draining = draining
+        self.started_at = asyncio.get_running_loop().time()
+        self.status = 0
+        """Status of the answer, 0 until it began."""
+        self.kind = 'none'
+        """Kind of its route, for the metrics."""
         self.task: asyncio.Task[None] | None = None
 
     def interrupt(self) -> None:
@@ -65,7 +70,7 @@
         self, status: int, rows: tuple[tuple[str, str], ...], body: bytes = b''
     ) -> None:
         """Starts an answer whose body follows."""
-        self.started = True
+        self.status = status
         await self.connection.write_headers(
             httputil.ResponseStartLine('', status, _name_status(status)),
             self._make_headers(rows),
@@ -103,7 +108,9 @@
         submissions: desk.Desk,
         held: progress.Progress,
         wall: clocks.WallClock,
+        counters: metrics.Metrics,
     ) -> None:
+        self._metrics = counters
         self._dialect = spelling
         self._configuration = configuration
         self._caller = caller
@@ -134,6 +141,7 @@
 
     def _end(self, taken: _Request, done: asyncio.Task[None]) -> None:
         self._progress.leave(taken)
+        self._count(taken)
         if done.cancelled():
             stream = taken.connection.detach()
             stream.close()
@@ -144,6 +152,21 @@
         _LOG.critical('request-handler-failed', exc_info=error)
         taken.connection.detach().close()
 
+    def _count(self, taken: _Request) -> None:
+        self._metrics.count(
+            'waxwingport_gateway_requests_total',
+            'Requests by kind of route and status; 0 is no answer.',
+            kind=taken.kind,
+            status=str(taken.status),
+        )
+        now = asyncio.get_running_loop().time()
+        self._metrics.observe(
+            'waxwingport_gateway_request_seconds',
+            'Time from a whole request to the end of its answer.',
+            now - taken.started_at,
+            kind=taken.kind,
+        )
+
     async def _answer(
         self, taken: _Request, request: httputil.HTTPServerRequest
     ) -> None:
@@ -171,7 +194,9 @@
                 outcomes.Reason.NOT_FOUND, 'no route for this host and path'
             )
             await self._refuse(taken, call, refusal)
-        elif route.kind is routes.RouteKind.STREAMING:
+            return
+        taken.kind = route.kind.value
+        if route.kind is routes.RouteKind.STREAMING:
             await self._answer_stream(taken, call, route)
         else:
             await self._answer_call(taken, call, route)
@@ -219,6 +244,7 @@
             return False
         if route is not None and route.kind is not routes.RouteKind.BATCH:
             return False
+        taken.kind = routes.RouteKind.BATCH.value
         match self._dialect.read_batch_call(call, self._wall.read()):
             case Result(tag='ok', ok=wanted):
                 pass
@@ -239,6 +265,7 @@
                 found = await self._desk.read_item(submission_id, item_id)
                 await self._answer_body(taken, call, found)
             case _:
+                taken.kind = 'none'
                 return False
         return True
 
@@ -342,3 +369,9 @@
     """Returns listening sockets for ``ip:port``; raises ``OSError``."""
     host, _, port = address.rpartition(':')
     return netutil.bind_sockets(int(port), host, backlog=_BACKLOG)
+
+
+def name_address(listening: socket.socket) -> str:
+    """Returns where a socket listens, as ``ip:port``."""
+    host, port = listening.getsockname()[:2]
+    return f'{host}:{port}'
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -16,6 +16,7 @@
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.log import base
+from waxwingport import metrics
 
 __all__ = ['StoreLog', 'StoreSettings']
 
@@ -95,8 +96,12 @@
     """The platform's store behind HTTP."""
 
     def __init__(
-        self, http: client.HttpClient, settings: StoreSettings
+        self,
+        http: client.HttpClient,
+        settings: StoreSettings,
+        counters: metrics.Metrics,
     ) -> None:
+        self._metrics = counters
         self._http = http
         self._settings = settings
 
@@ -210,6 +215,12 @@
         answer = await self._http.fetch(
             self._settings.address, request, timeout
         )
+        self._metrics.count(
+            'waxwingport_log_calls_total',
+            'Calls to the log by path and status; 0 is no answer.',
+            call=request.path.partition('?')[0],
+            status=str(answer.map(lambda row: row.status).default_value(0)),
+        )
         return answer.map_error(_from_transport)
 
 
--- a/waxwingport/rollout/controller.py
+++ b/waxwingport/rollout/controller.py
@@ -9,6 +9,7 @@
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport import ids
+from waxwingport import metrics
 from waxwingport.rollout import base
 from waxwingport.rollout import lease
 from waxwingport.rollout import plan
@@ -85,7 +86,9 @@
         targets: registry.Registry,
         book: VersionBook,
         right: lease.OrderLease,
+        counters: metrics.Metrics,
     ) -> None:
+        self._metrics = counters
         self._node = node
         self._control = control
         self._targets = targets
@@ -187,6 +190,11 @@
             report.accepted,
         )
         outcome = await self._control.give_order(target, order)
+        self._metrics.count(
+            'waxwingport_orders_given_total',
+            'Orders to engines by what came of them.',
+            outcome=outcome.value,
+        )
         _LOG.info(
             'order-given',
             extra={
--- a/waxwingport/standins/partitions.py
+++ b/waxwingport/standins/partitions.py
@@ -77,6 +77,10 @@
         del state.records[:count]
         state.oldest += count
 
+    def forget_members(self) -> None:
+        """Lets the members of all groups lapse."""
+        self._members.clear()
+
     def execute_late(self) -> None:
         """Does the appends that were held back, in their order."""
         late, self._late = self._late, []
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -19,7 +19,15 @@
 from waxwingport.submissions import events
 from waxwingport.submissions import model
 
-__all__ = ['End', 'Generator', 'Run', 'Text', 'is_usable', 'restore']
+__all__ = [
+    'End',
+    'Generator',
+    'Outcome',
+    'Run',
+    'Text',
+    'is_usable',
+    'restore',
+]
 
 _FIRST_EVENT_TIMEOUT = 1.5
 """Seconds: a load of weights ahead of a run at an engine with a free slot,
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -75,6 +75,11 @@
                 self._runner.drop(batch.entry.submission.submission_id)
                 await self._write_drafts(batch)
 
+    def close(self) -> None:
+        """Gives every partition up at once."""
+        for task in (*self._tenures.values(), *self._writes):
+            task.cancel()
+
     async def keep_long_texts(self) -> None:
         """Writes texts under way from time to time until cancelled.
 
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -19,6 +19,7 @@
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import writers
+from waxwingport import metrics
 from waxwingport.submissions import archive
 from waxwingport.submissions import fold
 from waxwingport.submissions import generation
@@ -120,7 +121,9 @@
         record_size: int,
         wall: clocks.WallClock,
         rng: random.Random,
+        counters: metrics.Metrics,
     ) -> None:
+        self._metrics = counters
         self._rng = rng
         self._generator = generator
         self._caller = caller
@@ -169,6 +172,10 @@
         self._reuse_results(batch)
         self._wake.set()
 
+    def count_waiting(self) -> int:
+        """Returns the items that wait for a slot."""
+        return sum(len(batch.waiting) for batch in self._batches.values())
+
     def drop(self, submission_id: model.SubmissionId) -> Batch | None:
         """Stops every run of a submission; returns what was under way."""
         batch = self._batches.pop(submission_id, None)
@@ -382,6 +389,7 @@
             )
         )
         slot.release()
+        self._count_run(outcome)
         match outcome:
             case Result(tag='ok'):
                 self._wake.set()
@@ -402,6 +410,18 @@
         )
         await self._run_again(batch, job, route, end)
 
+    def _count_run(self, outcome: generation.Outcome) -> None:
+        match outcome:
+            case Result(tag='ok'):
+                end = generation.End.COMPLETE
+            case Result(error=(end, _)):
+                pass
+        self._metrics.count(
+            'waxwingport_item_runs_total',
+            'Runs of items by how they ended.',
+            end=end.value,
+        )
+
     async def _run_again(
         self,
         batch: Batch,
@@ -498,6 +518,11 @@
         match await batch.writer.write(rows):
             case Result(tag='ok'):
                 batch.drafts.pop(result.item_id, None)
+                self._metrics.count(
+                    'waxwingport_items_listed_total',
+                    'Items listed by their state.',
+                    state=result.state.value,
+                )
                 _LOG.info(
                     'item-listed',
                     extra={
