Hold partitions by leases kept in them, in place of the log's groups

Change: log/leases.py keeps a claim and renewals in the partition itself; the claim's epoch fences earlier holders.

--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -21,7 +21,6 @@
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import followers
-from waxwingport.log import groups
 from waxwingport import metrics
 from waxwingport.platform import exchange
 from waxwingport.platform import operators
@@ -39,7 +38,6 @@
 
 __all__ = ['GatewayNode']
 
-_GROUP = 'waxwingport'
 _METRICS_PATH = '/metrics'
 _EXIT_SLACK = 0.5
 """Seconds before the platform's kill at which the last requests end."""
@@ -59,6 +57,7 @@
         self._wall = clocks.SystemWallClock()
         self._dialect = exchange.PlatformDialect()
         self._book = controller.VersionBook()
+        self._life = base.MemberName(f'{node.name}-{ids.mint_incarnation():x}')
         self.background = background.Background()
         self.progress = progress.Progress(node.body_memory)
         self._make_followers()
@@ -111,27 +110,19 @@
             self._log,
             self.archive,
             self.runner,
-            sizes.call_size,
-            sizes.record_size,
+            holder.HolderSettings(sizes.record_size, sizes.call_size),
+            self._life,
+            rng,
         )
         for shelf in self.archive:
             shelf.add_listener(self._note_submission)
 
     def _make_rollout(self) -> None:
         node = self._settings.node
-        configured_ = self._settings
-        life = base.MemberName(f'{node.name}-{ids.mint_incarnation():x}')
-        self.member = groups.GroupMember(
-            self._log,
-            _GROUP,
-            life,
-            (archive.TOPIC,),
-        )
-        self.member.add_listener(self.holder)
         self.lease = lease.OrderLease(
             self._log,
-            life,
-            configured_.rollout,
+            self._life,
+            self._settings.rollout,
             clocks.BootClock(),
             random.Random(),
         )
@@ -178,9 +169,8 @@
             self._operator_follower.run(),
             self._target_follower.run(),
             self.archive.run(),
-            self.member.run(),
             self.runner.run(),
-            self.holder.keep_long_texts(),
+            self.holder.run(),
             self.lease.run(),
             self.controller.run(),
         ):
@@ -190,7 +180,7 @@
         """Shuts down gracefully within the platform's grace."""
         node = self._settings.node
         await self.lease.resign()
-        await self.member.leave()
+        await self.holder.resign()
         await self.progress.drain(
             node.drain_delay,
             node.shutdown_timeout - node.drain_delay - 2 * _EXIT_SLACK,
@@ -204,7 +194,6 @@
         self.gateway.server.stop()
         self._status_server.stop()
         await self.background.stop()
-        self.holder.close()
         self._http.close()
         await self.gateway.server.close_all_connections()
         await self._status_server.close_all_connections()
@@ -255,7 +244,7 @@
             (
                 'partitions_held',
                 'Partitions of submissions held here.',
-                len(self.member.assignment.partitions),
+                self.holder.count_held(),
             ),
             (
                 'order_lease_held',
--- a/waxwingport/log/base.py
+++ b/waxwingport/log/base.py
@@ -1,4 +1,4 @@
-"""Abstract partitioned log: appends, reads, newest records, groups.
+"""Abstract partitioned log: appends, reads, newest records.
 
 The adapter for the platform in use and the stand-in for tests implement it;
 one contract suite runs on both.
@@ -16,10 +16,9 @@
 
 __all__ = [
     'Appended',
-    'Assignment',
+    'Epoch',
     'Fault',
     'FaultKind',
-    'Generation',
     'Keyed',
     'KeyedPage',
     'MemberName',
@@ -30,10 +29,10 @@
     'Writer',
 ]
 
-Generation = NewType('Generation', int)
-"""Counts the changes of a group's membership; never falls."""
+Epoch = NewType('Epoch', int)
+"""Counts the holders of a partition; never falls."""
 MemberName = NewType('MemberName', str)
-"""Name of one life of a process in a group."""
+"""Name of one life of a process."""
 Topic = NewType('Topic', str)
 
 
@@ -90,7 +89,7 @@
     """
 
     name: str
-    epoch: Generation
+    epoch: Epoch
     sequence: int
 
 
@@ -125,13 +124,6 @@
     end: ids.Offset
 
 
-class Assignment(msgspec.Struct, frozen=True):
-    """What a group's member holds in a generation."""
-
-    generation: Generation
-    partitions: frozenset[Partition]
-
-
 class PartitionLog(abc.ABC):
     """A log of topics with numbered partitions."""
 
@@ -167,22 +159,6 @@
     ) -> Result[KeyedPage, Fault]:
         """Returns the newest records of a keyed topic's keys."""
 
-    @abc.abstractmethod
-    async def join(
-        self,
-        group: str,
-        member: MemberName,
-        topics: Sequence[Topic],
-        generation: Generation,
-    ) -> Result[Assignment, Fault]:
-        """Joins a group or stays in it, and tells what the member holds."""
-
-    @abc.abstractmethod
-    async def leave(
-        self, group: str, member: MemberName
-    ) -> Result[None, Fault]:
-        """Gives up all that the member holds."""
-
     @abc.abstractmethod
     def parse_keyed(self, record: bytes) -> Result[Keyed, Fault]:
         """Returns the key and value of one record of a keyed topic."""
--- /dev/null
+++ b/waxwingport/log/leases.py
@@ -0,0 +1,254 @@
+"""Which process holds a partition, kept in the partition itself.
+
+A process that wants a partition appends a claim under an epoch of its own,
+which fences every earlier holder at once; the claims' order in the log is the
+order of the holders.  A holder renews its claim, and the others claim once
+nothing was heard of it.  Against the groups that the log offers, a holder
+keeps its partition while other processes come and go.
+"""
+
+import abc
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import logging
+import random
+
+from expression import Result
+import msgspec
+
+from waxwingport.log import base
+from waxwingport.log import tails
+from waxwingport.log import writers
+
+__all__ = [
+    'Claim',
+    'LeaseListener',
+    'LeaseRecord',
+    'PartitionLease',
+    'Renewal',
+    'Resignation',
+]
+
+_RENEWAL_INTERVAL = 0.5
+"""Seconds between signs of life of a holder."""
+_SILENCE = 1.6
+"""Seconds without a sign of life after which a partition is claimed: three
+renewals and the time of a slow one."""
+_CLAIM_SPREAD = 0.2
+"""Seconds over which claimants spread, so that most see another's claim."""
+_HELD_DELAY = 0.1
+"""Seconds that a claimant waits longer for each partition that it holds."""
+_CLAIM_TIMEOUT = 1.5
+"""Seconds after which a claim that was not seen done is given up."""
+_FRESHNESS = 3.0
+"""Seconds: age of the newest read of the partition's end on which "nothing
+was heard" may rest; a read waits for two."""
+_SEQUENCE_BITS = 40
+"""Claims start at a random number, so that a claim of another process in the
+same epoch never passes for a repeat of this one."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class Claim(msgspec.Struct, frozen=True, tag='claim', array_like=True):
+    """A process holds the partition from here on."""
+
+    member: base.MemberName
+    epoch: base.Epoch
+
+
+class Renewal(msgspec.Struct, frozen=True, tag='renewal', array_like=True):
+    """The holder lives."""
+
+    epoch: base.Epoch
+
+
+class Resignation(
+    msgspec.Struct, frozen=True, tag='resignation', array_like=True
+):
+    """The holder gives the partition up."""
+
+    epoch: base.Epoch
+
+
+LeaseRecord = Claim | Renewal | Resignation
+
+
+class LeaseListener(abc.ABC):
+    """Learns when this process holds a partition."""
+
+    @abc.abstractmethod
+    def gain(self, writer: writers.FencedWriter) -> None:
+        """Takes the partition up; all that was written before was read."""
+
+    @abc.abstractmethod
+    def lose(self, reason: str) -> None:
+        """Gives the partition up; nothing can be written any more."""
+
+
+class PartitionLease:
+    """Claims and renews one partition.
+
+    ``member`` has to name one life of a process.  ``count_held`` returns how
+    many partitions this process holds; one that holds fewer claims sooner.
+    """
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        tail: tails.PartitionTail,
+        member: base.MemberName,
+        listener: LeaseListener,
+        call_size: int,
+        rng: random.Random,
+        count_held: Callable[[], int] = lambda: 0,
+    ) -> None:
+        self._log = log
+        self._tail = tail
+        self._member = member
+        self._listener = listener
+        self._call_size = call_size
+        self._rng = rng
+        self._count_held = count_held
+        self._holder: base.MemberName | None = None
+        self._heard_at = float('-inf')
+        """Loop's time of the holder's last sign of life."""
+        self._writer: writers.FencedWriter | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self.epoch = base.Epoch(0)
+        """Highest epoch that was claimed; rises with each holder."""
+        self.held = False
+        self._retired = False
+        """Whether this process claims no more."""
+
+    async def run(self) -> None:
+        """Claims and renews until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(_RENEWAL_INTERVAL)
+                if self.held and self._writer is not None:
+                    self._write(self._writer, Renewal(self.epoch))
+                elif not self._retired and self._is_free():
+                    await self._try_claim()
+        finally:
+            self.close()
+
+    def take(self, record: LeaseRecord) -> None:
+        """Takes the next record about the partition's holder."""
+        match record:
+            case Claim(member, epoch):
+                self._take_claim(member, epoch)
+            case Renewal(epoch) if epoch == self.epoch:
+                self._heard_at = asyncio.get_running_loop().time()
+            case Resignation(epoch) if epoch == self.epoch:
+                self._holder = None
+
+    async def resign(self) -> None:
+        """Gives the partition up for good, so that others need not wait."""
+        self._retired = True
+        writer = self._writer
+        if writer is None or not self.held:
+            return
+        await writer.write((msgspec.msgpack.encode(Resignation(self.epoch)),))
+        self._end(writer, 'resigned')
+
+    def close(self) -> None:
+        """Ends what runs for the partition, without a word to the log."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _take_claim(self, member: base.MemberName, epoch: base.Epoch) -> None:
+        if epoch <= self.epoch:
+            return
+        writer = self._writer
+        own = writer is not None and writer.epoch == epoch
+        self.epoch = epoch
+        self._holder = member
+        self._heard_at = asyncio.get_running_loop().time()
+        _LOG.info(
+            'partition-claimed',
+            extra={
+                'partition': str(self._tail.partition),
+                'holder': member,
+                'epoch': epoch,
+                'own': own,
+            },
+        )
+        if writer is None:
+            return
+        if own:
+            self.held = True
+            self._listener.gain(writer)
+        else:
+            self._end(writer, f'claimed by {member}')
+
+    def _is_free(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        store = self._tail.store
+        if self._writer is not None:
+            return False
+        if not store.available or self._tail.confirmed_at < now - _FRESHNESS:
+            return False
+        if self._holder is None:
+            return True
+        heard_at = max(self._heard_at, store.returned_at or self._heard_at)
+        return now - heard_at > _SILENCE
+
+    async def _try_claim(self) -> None:
+        spread = self._rng.uniform(0.0, _CLAIM_SPREAD)
+        await asyncio.sleep(spread + _HELD_DELAY * self._count_held())
+        match await self._tail.catch_up(0.0):
+            case Result(tag='error'):
+                return
+        if self._is_free() and not self._retired:
+            self._claim()
+
+    def _claim(self) -> None:
+        epoch = base.Epoch(self.epoch + 1)
+        writer = writers.FencedWriter(
+            self._log,
+            self._tail.partition,
+            epoch,
+            self._rng.getrandbits(_SEQUENCE_BITS),
+            self._call_size,
+        )
+        self._writer = writer
+        self._spawn(self._serve(writer))
+        self._write(writer, Claim(self._member, epoch))
+        asyncio.get_running_loop().call_later(
+            _CLAIM_TIMEOUT, self._give_claim_up, writer
+        )
+
+    async def _serve(self, writer: writers.FencedWriter) -> None:
+        fault = await writer.run()
+        if writer is self._writer:
+            self._end(writer, fault.detail)
+
+    def _give_claim_up(self, writer: writers.FencedWriter) -> None:
+        # If it is done late, nobody renews it and it falls silent.
+        if writer is self._writer and not self.held:
+            self._end(writer, 'claim not seen done')
+
+    def _end(self, writer: writers.FencedWriter, reason: str) -> None:
+        was_held = self.held
+        self._writer = None
+        self.held = False
+        # What comes next is the word of another process.
+        self._heard_at = asyncio.get_running_loop().time()
+        if was_held:
+            self._listener.lose(reason)
+        writer.abandon(base.Fault(base.FaultKind.FENCED, reason))
+        for task in list(self._tasks):
+            if task is not asyncio.current_task():
+                task.cancel()
+
+    def _write(
+        self, writer: writers.FencedWriter, record: LeaseRecord
+    ) -> None:
+        self._spawn(writer.write((msgspec.msgpack.encode(record),)))
+
+    def _spawn(self, work: Coroutine[None, None, object]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -49,7 +49,7 @@
     ) -> None:
         self._log = log
         self._listener = listener
-        self._store = store
+        self.store = store
         self._advanced = asyncio.Event()
         self.partition = partition
         self.position = ids.Offset(0)
@@ -63,9 +63,9 @@
             wait = 0.0 if self.confirmed_at == _NEVER else _WAIT
             match await self._read(wait):
                 case Result(tag='ok'):
-                    self._store.note_success()
+                    self.store.note_success()
                 case Result(error=fault):
-                    self._store.note_failure(fault.detail)
+                    self.store.note_failure(fault.detail)
                     await asyncio.sleep(_RETRY_INTERVAL)
 
     async def catch_up(self, within: float) -> Result[None, base.Fault]:
--- a/waxwingport/log/writers.py
+++ b/waxwingport/log/writers.py
@@ -10,7 +10,6 @@
 from expression import Result
 import msgspec
 
-from waxwingport import ids
 from waxwingport.log import base
 
 __all__ = ['FencedWriter', 'append_once']
@@ -31,34 +30,30 @@
 
 
 class FencedWriter:
-    """Appends records under the epoch in which a partition was assigned.
+    """Appends records under one epoch.
 
-    ``epoch`` must never have been used by another life of any process: a
-    group's generation rises with each change of its members, and every life
-    joins as a new member.  ``call_size`` bounds the bytes of one append.
+    ``epoch`` must not have been used by another life of any process.  The
+    first append has the number ``sequence``.  ``call_size`` bounds the bytes
+    of one append.
     """
 
     def __init__(
         self,
         log: base.PartitionLog,
         partition: base.Partition,
-        epoch: base.Generation,
+        epoch: base.Epoch,
+        sequence: int,
         call_size: int,
     ) -> None:
         self._log = log
         self._call_size = call_size
-        self._sequence = 0
+        self._sequence = sequence
         self._queue: collections.deque[_Pending] = collections.deque()
         self._wake = asyncio.Event()
+        self._lost: base.Fault | None = None
         self.partition = partition
         self.epoch = epoch
 
-    async def fence(self) -> Result[ids.Offset, base.Fault]:
-        """Shuts out every lower epoch; returns the partition's end."""
-        writer = base.Writer(_NAME, self.epoch, 0)
-        answer = await self._log.append(self.partition, (), writer)
-        return answer.map(lambda done: done.end)
-
     async def write(
         self, records: Sequence[bytes]
     ) -> Result[None, base.Fault]:
@@ -66,6 +61,8 @@
 
         Fails when a later holder has taken the partition.
         """
+        if self._lost is not None:
+            return Error(self._lost)
         pending = _Pending(records, asyncio.get_running_loop().create_future())
         self._queue.append(pending)
         self._wake.set()
@@ -86,7 +83,8 @@
                         return fault
 
     def abandon(self, fault: base.Fault) -> None:
-        """Fails everything that has not been acknowledged."""
+        """Fails what has not been acknowledged and all that comes."""
+        self._lost = fault
         _resolve(self._queue, Error(fault))
         self._queue.clear()
 
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -25,7 +25,6 @@
 _LENGTH = struct.Struct('>I')
 _PAGE_HEAD = struct.Struct('>QQ')
 _BINARY = ('Content-Type', 'application/octet-stream')
-_JSON = ('Content-Type', 'application/json')
 _UNREADABLE = (msgspec.DecodeError, binascii.Error, UnicodeError, ValueError)
 _KIB = 1024
 
@@ -46,8 +45,6 @@
     timeout: float = 1.5
     """Seconds for an answer; several times that of a store 60 times slower
     than its usual 4 ms."""
-    join_timeout: float = 1.5
-    """Seconds for which a group waits for a member's next sign of life."""
 
 
 class _AppendAnswer(msgspec.Struct, frozen=True):
@@ -74,24 +71,6 @@
     has_more: bool = False
 
 
-class _JoinCall(msgspec.Struct, frozen=True, rename='kebab'):
-    group: str
-    member: str
-    topics: Sequence[str]
-    ttl_ms: int
-    generation: int
-
-
-class _JoinAnswer(msgspec.Struct, frozen=True):
-    generation: base.Generation
-    parts: list[tuple[str, int, int]]
-
-
-class _LeaveCall(msgspec.Struct, frozen=True):
-    group: str
-    member: str
-
-
 class StoreLog(base.PartitionLog):
     """The platform's store behind HTTP."""
 
@@ -162,34 +141,6 @@
         answer = await self._call(request, self._settings.timeout)
         return answer.bind(_check_status).bind(_read_newest)
 
-    async def join(
-        self,
-        group: str,
-        member: base.MemberName,
-        topics: Sequence[base.Topic],
-        generation: base.Generation,
-    ) -> Result[base.Assignment, base.Fault]:
-        """Joins a group or stays in it, and tells what the member holds."""
-        ttl = round(self._settings.join_timeout * 1000)
-        call = _JoinCall(group, member, topics, ttl, generation)
-        answer = await self._post('/log-join', call)
-        return answer.bind(lambda found: _decode(found, _JoinAnswer)).map(
-            lambda found: base.Assignment(
-                found.generation,
-                frozenset(
-                    base.Partition(base.Topic(topic), number)
-                    for topic, number, _ in found.parts
-                ),
-            )
-        )
-
-    async def leave(
-        self, group: str, member: base.MemberName
-    ) -> Result[None, base.Fault]:
-        """Gives up all that the member holds."""
-        answer = await self._post('/log-leave', _LeaveCall(group, member))
-        return answer.map(lambda _: None)
-
     def parse_keyed(self, record: bytes) -> Result[base.Keyed, base.Fault]:
         """Returns the key and value of one record of a keyed topic."""
         size = record[0] if record else 0
@@ -201,14 +152,6 @@
             return _fail_reading(f'key of a keyed record: {error}')
         return Ok(base.Keyed(key, record[1 + size :] or None))
 
-    async def _post(
-        self, path: str, call: msgspec.Struct
-    ) -> Result[client.WholeResponse, base.Fault]:
-        body = msgspec.json.encode(call)
-        request = client.Request('POST', path, (_JSON,), body)
-        answer = await self._call(request, self._settings.timeout)
-        return answer.bind(_check_status)
-
     async def _call(
         self, request: client.Request, timeout: float
     ) -> Result[client.WholeResponse, base.Fault]:
--- a/waxwingport/rollout/base.py
+++ b/waxwingport/rollout/base.py
@@ -35,7 +35,7 @@
     version: ids.WeightVersion
     mode: LoadMode
     holder: ids.NodeName
-    fence: base.Generation
+    fence: base.Epoch
     """Rises with each holder of the right to order."""
     accepted_before: int
     """Orders that the engine must have accepted so far for this one."""
--- a/waxwingport/submissions/archive.py
+++ b/waxwingport/submissions/archive.py
@@ -14,6 +14,7 @@
 from waxwingport import clocks
 from waxwingport.log import base
 from waxwingport.log import dependency
+from waxwingport.log import leases
 from waxwingport.log import tails
 from waxwingport.submissions import fold
 from waxwingport.submissions import model
@@ -55,6 +56,8 @@
         self.partition = partition
         self.state = fold.PartitionState()
         self.tail = tails.PartitionTail(log, partition, self, store)
+        self.lease: leases.PartitionLease | None = None
+        """Learns who holds the partition."""
         self._assembler = records.Assembler()
         self._listeners: list[ChangeListener] = []
 
@@ -77,6 +80,10 @@
                     },
                 )
                 return
+        if isinstance(found, leases.LeaseRecord):
+            if self.lease is not None:
+                self.lease.take(found)
+            return
         entry = self.state.apply(found) if found else None
         if entry is None:
             return
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -1,36 +1,42 @@
-"""Holds partitions of submissions: fences, takes over, hands back."""
+"""Holds partitions of submissions: takes them over, hands them on."""
 
 import asyncio
 import logging
+import random
 
 from expression import Result
+import msgspec
 
 from waxwingport.log import base
-from waxwingport.log import groups
+from waxwingport.log import leases
 from waxwingport.log import writers
 from waxwingport.submissions import archive
 from waxwingport.submissions import fold
 from waxwingport.submissions import records
 from waxwingport.submissions import runner
 
-__all__ = ['Holder']
-
-_RETRY_INTERVAL = 0.2
-"""Seconds before a partition is asked for again."""
-_REACH_TIMEOUT = 5.0
-"""Seconds to read a partition up to its end before the end is asked again."""
+__all__ = ['Holder', 'HolderSettings']
 
 _DRAFT_INTERVAL = 1.0
 """Seconds between looks for texts to keep."""
 _DRAFT_EVENTS = 20
 """Events that a text has grown by before it is kept again: most texts end
 before, the long ones decide when a step is whole."""
+_RESIGN_TIMEOUT = 1.0
+"""Seconds for handing a partition on before a stop."""
 
 _LOG = logging.getLogger(__name__)
 
 
-class Holder(groups.AssignmentListener):
-    """Runs the submissions of the partitions that this node is assigned.
+class HolderSettings(msgspec.Struct, frozen=True):
+    """Bounds of the log, in bytes."""
+
+    record_size: int
+    call_size: int
+
+
+class Holder:
+    """Runs the submissions of the partitions that this process holds.
 
     A later holder fences this one in the log, so that two that both believe
     to hold a partition can run an item twice but never list it twice.
@@ -41,124 +47,119 @@
         log: base.PartitionLog,
         shelves: archive.Archive,
         items: runner.ItemRunner,
-        call_size: int,
-        record_size: int,
+        settings: HolderSettings,
+        member: base.MemberName,
+        rng: random.Random,
     ) -> None:
-        self._log = log
-        self._runner = items
-        self._call_size = call_size
-        self._record_size = record_size
-        self._shelves = {shelf.partition: shelf for shelf in shelves}
-        self._tenures: dict[base.Partition, asyncio.Task[None]] = {}
-        self._writers: dict[base.Partition, writers.FencedWriter] = {}
-        self._writes: set[asyncio.Task[None]] = set()
-        self._assignment = base.Assignment(base.Generation(0), frozenset())
-        for shelf in shelves:
-            shelf.add_listener(self._note_change)
-
-    def assign(self, assignment: base.Assignment) -> None:
-        """Takes up the partitions gained and gives up those lost."""
-        self._assignment = assignment
-        wanted = assignment.partitions & self._shelves.keys()
-        for partition in self._tenures.keys() - wanted:
-            self._tenures.pop(partition).cancel()
-        for partition in wanted - self._tenures.keys():
-            work = self._hold(self._shelves[partition])
-            self._tenures[partition] = asyncio.get_running_loop().create_task(
-                work
+        self._tenures = [
+            _Tenure(shelf, items, settings.record_size) for shelf in shelves
+        ]
+        self._leases = [
+            leases.PartitionLease(
+                log,
+                tenure.shelf.tail,
+                member,
+                tenure,
+                settings.call_size,
+                rng,
+                self.count_held,
+            )
+            for tenure in self._tenures
+        ]
+        for tenure, lease in zip(self._tenures, self._leases, strict=True):
+            tenure.shelf.lease = lease
+
+    def count_held(self) -> int:
+        """Returns how many partitions this process holds."""
+        return sum(tenure.writer is not None for tenure in self._tenures)
+
+    async def run(self) -> None:
+        """Claims partitions and keeps long texts until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for lease in self._leases:
+                group.create_task(lease.run())
+            group.create_task(self._keep_long_texts())
+
+    async def resign(self) -> None:
+        """Hands every partition on, with the texts begun."""
+        try:
+            async with asyncio.timeout(_RESIGN_TIMEOUT):
+                for tenure, lease in zip(
+                    self._tenures, self._leases, strict=True
+                ):
+                    await tenure.hand_on()
+                    await lease.resign()
+        except TimeoutError:
+            _LOG.warning(
+                'resignation-timeout', extra={'held': self.count_held()}
             )
 
-    async def release(self, lost: frozenset[base.Partition]) -> None:
-        """Keeps the texts begun, so that the next holder goes on from them."""
-        for partition in lost & self._writers.keys():
-            for batch in self._runner.find_batches(partition):
-                self._runner.drop(batch.entry.submission.submission_id)
-                await self._write_drafts(batch)
-
-    def close(self) -> None:
-        """Gives every partition up at once."""
-        for task in (*self._tenures.values(), *self._writes):
-            task.cancel()
-
-    async def keep_long_texts(self) -> None:
-        """Writes texts under way from time to time until cancelled.
+    async def _keep_long_texts(self) -> None:
+        """Writes texts under way from time to time.
 
         A holder that dies then costs its runs little more than the interval.
         """
         while True:
             await asyncio.sleep(_DRAFT_INTERVAL)
-            for partition in list(self._writers):
-                for batch in self._runner.find_batches(partition):
-                    await self._write_drafts(batch, _DRAFT_EVENTS)
+            for tenure in self._tenures:
+                await tenure.keep_texts(_DRAFT_EVENTS)
 
-    async def _hold(self, shelf: archive.Shelf) -> None:
-        """Holds one partition until cancelled, through losses."""
-        epoch = base.Generation(0)
-        while True:
-            if self._assignment.generation <= epoch:
-                # This epoch was fenced: only a later assignment helps.
-                await asyncio.sleep(_RETRY_INTERVAL)
-                continue
-            epoch = self._assignment.generation
-            writer = writers.FencedWriter(
-                self._log, shelf.partition, epoch, self._call_size
-            )
-            if not await self._take_over(shelf, writer):
-                continue
-            try:
-                fault = await self._serve(shelf, writer)
-            finally:
-                self._stop(shelf)
-            _LOG.warning(
-                'partition-lost',
-                extra={
-                    'partition': str(shelf.partition),
-                    'epoch': epoch,
-                    'reason': fault.detail,
-                },
-            )
 
-    async def _take_over(
-        self, shelf: archive.Shelf, writer: writers.FencedWriter
-    ) -> bool:
-        """Fences earlier holders and reads all that they wrote."""
-        while True:
-            match await writer.fence():
-                case Result(tag='ok', ok=end):
-                    pass
-                case Result(error=fault):
-                    if fault.kind is base.FaultKind.FENCED:
-                        return False
-                    await asyncio.sleep(_RETRY_INTERVAL)
-                    continue
-            if await shelf.tail.reach(end, _REACH_TIMEOUT):
-                break
-        _LOG.info(
-            'partition-held',
-            extra={
-                'partition': str(shelf.partition),
-                'epoch': writer.epoch,
-                'position': end,
-            },
-        )
-        return True
+class _Tenure(leases.LeaseListener):
+    """The work on one partition while this process holds it."""
+
+    def __init__(
+        self,
+        shelf: archive.Shelf,
+        items: runner.ItemRunner,
+        record_size: int,
+    ) -> None:
+        self.shelf = shelf
+        self.writer: writers.FencedWriter | None = None
+        self._runner = items
+        self._record_size = record_size
+        self._writes: set[asyncio.Task[None]] = set()
+        shelf.add_listener(self._note_change)
 
-    async def _serve(
-        self, shelf: archive.Shelf, writer: writers.FencedWriter
-    ) -> base.Fault:
-        self._writers[shelf.partition] = writer
-        for entry in shelf.state:
+    def gain(self, writer: writers.FencedWriter) -> None:
+        """Runs what is open."""
+        self.writer = writer
+        for entry in self.shelf.state:
             self._runner.add(entry, writer)
-        return await writer.run()
 
-    def _stop(self, shelf: archive.Shelf) -> None:
-        writer = self._writers.pop(shelf.partition)
-        for batch in self._runner.find_batches(shelf.partition):
+    def lose(self, reason: str) -> None:
+        """Stops every run."""
+        _LOG.warning(
+            'partition-lost',
+            extra={'partition': str(self.shelf.partition), 'reason': reason},
+        )
+        self._stop_runs()
+
+    async def hand_on(self) -> None:
+        """Stops every run and keeps the texts begun."""
+        writer = self.writer
+        if writer is None:
+            return
+        for batch in self._stop_runs():
+            await self._write_texts(batch, writer, 1)
+
+    async def keep_texts(self, new_events: int) -> None:
+        """Writes the texts that have grown by ``new_events`` or more."""
+        writer = self.writer
+        if writer is None:
+            return
+        for batch in self._runner.find_batches(self.shelf.partition):
+            await self._write_texts(batch, writer, new_events)
+
+    def _stop_runs(self) -> list[runner.Batch]:
+        self.writer = None
+        batches = self._runner.find_batches(self.shelf.partition)
+        for batch in batches:
             self._runner.drop(batch.entry.submission.submission_id)
-        writer.abandon(base.Fault(base.FaultKind.FENCED, 'partition given up'))
+        return batches
 
     def _note_change(self, shelf: archive.Shelf, entry: fold.Entry) -> None:
-        writer = self._writers.get(shelf.partition)
+        writer = self.writer
         if writer is None:
             return
         if entry.open:
@@ -168,15 +169,17 @@
         if batch is not None and entry.ended:
             # A later submission may hold the same groups.
             task = asyncio.get_running_loop().create_task(
-                self._write_drafts(batch)
+                self._write_texts(batch, writer, 1)
             )
             self._writes.add(task)
             task.add_done_callback(self._writes.discard)
 
-    async def _write_drafts(
-        self, batch: runner.Batch, new_events: int = 1
+    async def _write_texts(
+        self,
+        batch: runner.Batch,
+        writer: writers.FencedWriter,
+        new_events: int,
     ) -> None:
-        """Writes the texts that have grown by ``new_events`` or more."""
         drafts = batch.make_drafts(new_events)
         if not drafts:
             return
@@ -184,7 +187,7 @@
         rows = records.encode(
             records.Drafted(submission_id, drafts), self._record_size
         )
-        match await batch.writer.write(rows):
+        match await writer.write(rows):
             case Result(tag='error', error=fault):
                 _LOG.info(
                     'drafts-dropped',
--- a/waxwingport/submissions/records.py
+++ b/waxwingport/submissions/records.py
@@ -13,6 +13,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport.log import leases
 from waxwingport.submissions import model
 
 __all__ = [
@@ -63,7 +64,7 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Record | _Fragment)
+_DECODER = msgspec.msgpack.Decoder(Record | leases.LeaseRecord | _Fragment)
 _FRAGMENT_SLACK = 128
 """Bytes by which a fragment's encoding exceeds its data at most."""
 
@@ -92,7 +93,9 @@
     def __init__(self) -> None:
         self._fragments: list[_Fragment] = []
 
-    def feed(self, row: bytes) -> Result[Record | None, str]:
+    def feed(
+        self, row: bytes
+    ) -> Result[Record | leases.LeaseRecord | None, str]:
         """Returns the record that ``row`` completes, if it does.
 
         Fails for a row that can't be read, which completes nothing.
@@ -111,7 +114,9 @@
         """Drops fragments whose rest is missing."""
         self._fragments.clear()
 
-    def _join(self, fragment: _Fragment) -> Result[Record | None, str]:
+    def _join(
+        self, fragment: _Fragment
+    ) -> Result[Record | leases.LeaseRecord | None, str]:
         if not _follows(self._fragments, fragment):
             self.reset()
             if fragment.index:
