--- /dev/null
+++ b/tests/log/test_leases.py
@@ -0,0 +1,158 @@
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from waxwingport.log import base
+from waxwingport.log import dependency
+from waxwingport.log import leases
+from waxwingport.log import tails
+from waxwingport.standins import partitions
+
+pytestmark = pytest.mark.looptime
+DECODER = msgspec.msgpack.Decoder(leases.LeaseRecord | str)
+
+
+class Process(tails.RecordListener, leases.LeaseListener):
+    """One process that wants the partition."""
+
+    def __init__(self, log, partition, name):
+        store = dependency.Dependency(name)
+        self.name = name
+        self.writer = None
+        self.gains = 0
+        self.tail = tails.PartitionTail(log, partition, self, store)
+        self.lease = leases.PartitionLease(
+            log,
+            self.tail,
+            base.MemberName(name),
+            self,
+            1 << 16,
+            random.Random(name),
+        )
+
+    async def run(self):
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.tail.run())
+            group.create_task(self.lease.run())
+
+    def take(self, record):
+        found = DECODER.decode(record)
+        if not isinstance(found, str):
+            self.lease.take(found)
+
+    def skip(self):
+        pass
+
+    def gain(self, writer):
+        self.gains += 1
+        self.writer = writer
+
+    def lose(self, reason):
+        self.writer = None
+
+
+class SlowAnswers:
+    """A way to the log on which the answers to appends take longer."""
+
+    def __init__(self, log):
+        self.read = log.read
+        self._append = log.append
+
+    async def append(self, *arguments):
+        answer = await self._append(*arguments)
+        await asyncio.sleep(0.05)
+        return answer
+
+
+@pytest.fixture
+async def start(memory, partition):
+    """Returns a function that starts a process by name."""
+    running = []
+
+    def make(name, log=memory):
+        made = Process(log, partition, name)
+        running.append(asyncio.ensure_future(made.run()))
+        made.task = running[-1]
+        return made
+
+    yield make
+    for task in running:
+        task.cancel()
+
+
+async def test_two_claims_of_one_epoch_make_one_holder(start, memory):
+    """Both read the end before either claims; the first record counts."""
+    found = [start(name, SlowAnswers(memory)) for name in 'ab']
+    await asyncio.sleep(0.2)
+    for process in found:
+        process.lease._claim()
+    await asyncio.sleep(0.2)
+    assert sorted(process.gains for process in found) == [0, 1]
+    await asyncio.sleep(5.0)
+    assert sum(process.lease.held for process in found) == 1
+
+
+async def test_a_holder_that_is_silent_is_followed_by_another(start):
+    found = [start(name) for name in 'abc']
+    await asyncio.sleep(2.0)
+    (holder,) = [process for process in found if process.lease.held]
+    holder.task.cancel()
+    await asyncio.sleep(3.0)
+    others = [process for process in found if process is not holder]
+    assert sum(process.lease.held for process in others) == 1
+    assert max(process.lease.epoch for process in others) == 2
+
+
+async def test_what_an_earlier_holder_writes_is_refused(
+    start, memory, partition
+):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    writer = first.writer
+    second = start('b')
+    await asyncio.sleep(0.1)
+    second.lease._claim()
+    await asyncio.sleep(0.1)
+    assert second.lease.held
+    assert not first.lease.held
+    done = await writer.write((msgspec.msgpack.encode('late'),))
+    assert done.is_error()
+    assert msgspec.msgpack.encode('late') not in memory.get_records(partition)
+
+
+async def test_a_holder_keeps_it_while_others_come_and_go(start):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    for number in range(5):
+        other = start(f'b{number}')
+        await asyncio.sleep(3.0)
+        other.task.cancel()
+    assert first.gains == 1
+    assert first.lease.held
+
+
+async def test_one_that_resigned_claims_no_more(start):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    await first.lease.resign()
+    await asyncio.sleep(10.0)
+    assert not first.lease.held
+
+
+async def test_a_claim_that_is_done_late_leaves_nobody_holding_for_long(
+    start, memory
+):
+    first = start('a')
+    await asyncio.sleep(0.1)
+    memory.failures.extend([partitions.LogFailure.LATE])
+    memory.failures.extend(100 * [partitions.LogFailure.BUSY])
+    first.lease._claim()
+    await asyncio.sleep(2.0)
+    assert not first.lease.held
+    memory.failures.clear()
+    memory.execute_late()
+    second = start('b')
+    await asyncio.sleep(6.0)
+    assert first.lease.held + second.lease.held == 1
--- a/waxwingport/log/leases.py
+++ b/waxwingport/log/leases.py
@@ -162,7 +162,11 @@
         if epoch <= self.epoch:
             return
         writer = self._writer
-        own = writer is not None and writer.epoch == epoch
+        own = (
+            writer is not None
+            and member == self._member
+            and writer.epoch == epoch
+        )
         self.epoch = epoch
         self._holder = member
         self._heard_at = asyncio.get_running_loop().time()
@@ -181,6 +185,7 @@
             self.held = True
             self._listener.gain(writer)
         else:
+            # Also another claim under the same epoch, which came first.
             self._end(writer, f'claimed by {member}')
 
     def _is_free(self) -> bool:
