Believe an engine's pace after 15 gaps; claim a resigned partition at once

Cause: a new holder moved texts to and fro on the first gaps it saw, and a resigned partition waited up to half a second for the next look.

--- a/tests/log/test_leases.py
+++ b/tests/log/test_leases.py
@@ -156,3 +156,15 @@
     second = start('b')
     await asyncio.sleep(6.0)
     assert first.lease.held + second.lease.held == 1
+
+
+async def test_a_resigned_partition_is_claimed_without_waiting_for_silence(
+    start,
+):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    second = start('b')
+    await asyncio.sleep(1.0)
+    await first.lease.resign()
+    await asyncio.sleep(0.3)
+    assert second.lease.held
--- a/tests/submissions/test_decisions.py
+++ b/tests/submissions/test_decisions.py
@@ -22,7 +22,11 @@
             name, 'llm', '', where, slots, fleet.Stage.READY, 1, {}
         )
         return fleet.Target(
-            entry, running=running, pace=pace, versions={'m': version}
+            entry,
+            running=running,
+            gaps=100,
+            mean_gap=pace,
+            versions={'m': version},
         )
 
     return make
@@ -171,3 +175,15 @@
             (1, 'a'),
             (2, 'b\nc'),
         ]
+
+
+def test_the_first_gaps_of_an_engine_move_nothing(make_engine):
+    """A holder that took over knows no pace yet and sees a prompt read."""
+    fresh, quick = make_engine('fresh'), make_engine('quick')
+    fresh.gaps = 0
+    for _ in range(10):
+        fresh.note_pace(0.5)
+    assert not placement.should_move(fresh, [fresh, quick], 60, 25, 0.0)
+    for _ in range(10):
+        fresh.note_pace(0.5)
+    assert placement.should_move(fresh, [fresh, quick], 60, 25, 0.0)
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -59,6 +59,11 @@
 eight runs at an engine make in an eighth of a second."""
 
 
+_PACE_GAPS = 15
+"""Gaps before a pace is believed: the first ones hold the reading of prompts
+and events that come together."""
+
+
 class LoadReport(msgspec.Struct, frozen=True):
     """Work at a target when it answered, and this node's part of it."""
 
@@ -111,7 +116,9 @@
     """Newest version seen of each model, by entry, answer or report."""
     closures: dict[str, Closure] = {}
     """Models that it turned away lately, as it does while it loads them."""
-    pace: float | None = None
+    gaps: int = 0
+    """Times between events that were noted."""
+    mean_gap: float = 0.0
     """Seconds between two events of a generation there; mean, fading."""
 
     def note_version(self, model: str, version: ids.WeightVersion) -> None:
@@ -139,10 +146,14 @@
 
     def note_pace(self, gap: float) -> None:
         """Takes the time between two events of a generation."""
-        if self.pace is None:
-            self.pace = gap
-        else:
-            self.pace += _PACE_SMOOTHING * (gap - self.pace)
+        self.gaps += 1
+        weight = max(_PACE_SMOOTHING, 1.0 / self.gaps)
+        self.mean_gap += weight * (gap - self.mean_gap)
+
+    @property
+    def pace(self) -> float | None:
+        """Seconds between two events there, once enough were seen."""
+        return self.mean_gap if self.gaps >= _PACE_GAPS else None
 
     def compute_load(self, now: float) -> float:
         """Returns the requests expected there, of all nodes."""
--- a/waxwingport/log/leases.py
+++ b/waxwingport/log/leases.py
@@ -119,6 +119,7 @@
         self.epoch = base.Epoch(0)
         """Highest epoch that was claimed; rises with each holder."""
         self.held = False
+        self._vacated = asyncio.Event()
         self._retired = False
         """Whether this process claims no more."""
 
@@ -126,7 +127,7 @@
         """Claims and renews until cancelled."""
         try:
             while True:
-                await asyncio.sleep(_RENEWAL_INTERVAL)
+                await self._wait()
                 if self.held and self._writer is not None:
                     self._write(self._writer, Renewal(self.epoch))
                 elif not self._retired and self._is_free():
@@ -143,6 +144,7 @@
                 self._heard_at = asyncio.get_running_loop().time()
             case Resignation(epoch) if epoch == self.epoch:
                 self._holder = None
+                self._vacated.set()
 
     async def resign(self) -> None:
         """Gives the partition up for good, so that others need not wait."""
@@ -158,6 +160,15 @@
         for task in self._tasks:
             task.cancel()
 
+    async def _wait(self) -> None:
+        """Waits for the next renewal, or until the partition is vacated."""
+        self._vacated.clear()
+        try:
+            async with asyncio.timeout(_RENEWAL_INTERVAL):
+                await self._vacated.wait()
+        except TimeoutError:
+            return
+
     def _take_claim(self, member: base.MemberName, epoch: base.Epoch) -> None:
         if epoch <= self.epoch:
             return
