Start sooner after the loss of all nodes

Change: records are compressed, nodes spread over the pages of a long history, and at a start one missed renewal is enough.

--- a/tests/log/test_leases.py
+++ b/tests/log/test_leases.py
@@ -168,3 +168,22 @@
     await first.lease.resign()
     await asyncio.sleep(0.3)
     assert second.lease.held
+
+
+async def test_after_the_loss_of_all_one_renewal_is_waited_for(start):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    first.task.cancel()
+    await asyncio.sleep(0.1)
+    second = start('b')
+    await asyncio.sleep(1.9)
+    assert second.lease.held
+
+
+async def test_a_start_beside_a_living_holder_takes_nothing(start):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    second = start('b')
+    await asyncio.sleep(5.0)
+    assert first.gains == 1
+    assert second.gains == 0
--- a/waxwingport/log/leases.py
+++ b/waxwingport/log/leases.py
@@ -35,6 +35,9 @@
 _SILENCE = 1.6
 """Seconds without a sign of life after which a partition is claimed: three
 renewals and the time of a slow one."""
+_START_SILENCE = 0.9
+"""Seconds likewise after a start, from the first read of the end on: a holder
+that lives renews once within it."""
 _CLAIM_SPREAD = 0.2
 """Seconds over which claimants spread, so that most see another's claim."""
 _HELD_DELAY = 0.1
@@ -141,7 +144,7 @@
             case Claim(member, epoch):
                 self._take_claim(member, epoch)
             case Renewal(epoch) if epoch == self.epoch:
-                self._heard_at = asyncio.get_running_loop().time()
+                self._note_life()
             case Resignation(epoch) if epoch == self.epoch:
                 self._holder = None
                 self._vacated.set()
@@ -180,7 +183,7 @@
         )
         self.epoch = epoch
         self._holder = member
-        self._heard_at = asyncio.get_running_loop().time()
+        self._note_life()
         _LOG.info(
             'partition-claimed',
             extra={
@@ -211,6 +214,15 @@
         heard_at = max(self._heard_at, store.returned_at or self._heard_at)
         return now - heard_at > _SILENCE
 
+    def _note_life(self) -> None:
+        """Takes a sign of life; what stood there at the start is history."""
+        first = self._tail.first_confirmed_at
+        now = asyncio.get_running_loop().time()
+        if first is None:
+            self._heard_at = now - (_SILENCE - _START_SILENCE)
+        else:
+            self._heard_at = now
+
     async def _try_claim(self) -> None:
         spread = self._rng.uniform(0.0, _CLAIM_SPREAD)
         await asyncio.sleep(spread + _HELD_DELAY * self._count_held())
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import logging
+import random
 
 from expression import Error
 from expression import Ok
@@ -20,6 +21,10 @@
 _RETRY_INTERVAL = 0.2
 """Seconds between tries while the log is away."""
 
+_SPREAD = 0.2
+"""Seconds over which nodes spread for each page of history."""
+_LONGEST_SPREAD = 1.5
+"""Seconds; a start has to be over long before callers' patience is."""
 _NEVER = float('-inf')
 
 _LOG = logging.getLogger(__name__)
@@ -46,19 +51,25 @@
         partition: base.Partition,
         listener: RecordListener,
         store: dependency.Dependency,
+        rng: random.Random | None = None,
     ) -> None:
         self._log = log
+        self._rng = rng or random.Random()
         self._listener = listener
         self.store = store
         self._advanced = asyncio.Event()
         self.partition = partition
+        self._end = ids.Offset(0)
         self.position = ids.Offset(0)
         """Offset of the next record to take."""
         self.confirmed_at = _NEVER
         """Loop's time at which a read that found the end was sent."""
+        self.first_confirmed_at: float | None = None
+        """The same of the first such read: what came before is history."""
 
     async def run(self) -> None:
         """Reads until cancelled."""
+        await self._read_history()
         while True:
             wait = 0.0 if self.confirmed_at == _NEVER else _WAIT
             match await self._read(wait):
@@ -68,6 +79,21 @@
                     self.store.note_failure(fault.detail)
                     await asyncio.sleep(_RETRY_INTERVAL)
 
+    async def _read_history(self) -> None:
+        """Reads the first page, and spreads the nodes if there are more.
+
+        Nodes that start together would share the log's bandwidth, and none
+        would know the present before all of them do.
+        """
+        match await self._read(0.0):
+            case Result(tag='error', error=fault):
+                self.store.note_failure(fault.detail)
+                return
+        if self.position and self.confirmed_at == _NEVER:
+            pages = (self._end - self.position) / self.position
+            spread = min(_LONGEST_SPREAD, _SPREAD * pages)
+            await asyncio.sleep(self._rng.uniform(0.0, spread))
+
     async def catch_up(self, within: float) -> Result[None, base.Fault]:
         """Reads to an end that is at most ``within`` seconds old by now."""
         wanted = asyncio.get_running_loop().time() - within
@@ -123,8 +149,11 @@
         for record in page.records[max(0, self.position - offset) :]:
             self._listener.take(record)
             self.position = ids.Offset(self.position + 1)
+        self._end = page.end
         if self.position >= page.end:
             self.confirmed_at = max(self.confirmed_at, sent_at)
+            if self.first_confirmed_at is None:
+                self.first_confirmed_at = sent_at
         if page.records:
             self._advanced.set()
             self._advanced = asyncio.Event()
--- a/waxwingport/submissions/records.py
+++ b/waxwingport/submissions/records.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 import math
 import uuid
+import zlib
 
 from expression import Error
 from expression import Ok
@@ -63,15 +64,27 @@
     data: bytes
 
 
+class _Packed(msgspec.Struct, frozen=True, tag='packed', array_like=True):
+    data: bytes
+
+
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Record | leases.LeaseRecord | _Fragment)
+_DECODER = msgspec.msgpack.Decoder(
+    Record | leases.LeaseRecord | _Packed | _Fragment
+)
+_SMALLEST_PACKED = 512
+"""Bytes from which on compression is worth its time."""
+_PACKING_LEVEL = 1
+"""The quickest: texts shrink to two thirds at some 50 MB/s."""
+_PACKING_GAIN = 0.9
+"""Part of its size to which a record has to shrink to be kept compressed."""
 _FRAGMENT_SLACK = 128
 """Bytes by which a fragment's encoding exceeds its data at most."""
 
 
 def encode(record: Record, record_size: int) -> tuple[bytes, ...]:
     """Returns the rows to append together, each within ``record_size``."""
-    data = _ENCODER.encode(record)
+    data = _pack(_ENCODER.encode(record))
     if len(data) <= record_size:
         return (data,)
     size = record_size - _FRAGMENT_SLACK
@@ -87,6 +100,16 @@
     )
 
 
+def _pack(data: bytes) -> bytes:
+    """Compresses a large record: every node reads all of them at a start."""
+    if len(data) < _SMALLEST_PACKED:
+        return data
+    packed = zlib.compress(data, _PACKING_LEVEL)
+    if len(packed) > _PACKING_GAIN * len(data):
+        return data
+    return _ENCODER.encode(_Packed(packed))
+
+
 class Assembler:
     """Decodes the rows of one partition in their order."""
 
@@ -105,6 +128,8 @@
         except (msgspec.DecodeError, UnicodeError) as error:
             self.reset()
             return Error(f'row cannot be read: {error}')
+        if isinstance(found, _Packed):
+            return self._unpack(found)
         if not isinstance(found, _Fragment):
             self.reset()
             return Ok(found)
@@ -114,6 +139,16 @@
         """Drops fragments whose rest is missing."""
         self._fragments.clear()
 
+    def _unpack(
+        self, packed: _Packed
+    ) -> Result[Record | leases.LeaseRecord | None, str]:
+        try:
+            data = zlib.decompress(packed.data)
+        except zlib.error as error:
+            self.reset()
+            return Error(f'record cannot be unpacked: {error}')
+        return self.feed(data)
+
     def _join(
         self, fragment: _Fragment
     ) -> Result[Record | leases.LeaseRecord | None, str]:
