--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,169 @@
+"""Streams that are passed on as they come, and go on at another target."""
+
+import asyncio
+
+import pytest
+
+from waxwingport.gateway import routes
+from waxwingport.http import client
+
+EVENTS = 6
+
+
+class StreamServer:
+    """Sends events; ends after ``stop_after`` in the way ``end`` names."""
+
+    def __init__(self, stop_after=EVENTS, end='whole', pause=0.01):
+        self.stop_after = stop_after
+        self.end = end
+        self.pause = pause
+        self.starts = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return self
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        fields = dict(line.split(': ', 1) for line in head.split('\r\n')[1:-2])
+        await reader.readexactly(int(fields.get('content-length', 0)))
+        start = int(fields.get('last-event-id', 0))
+        self.starts.append(start)
+        if self.end == 'full':
+            writer.write(
+                b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: q1\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+            return
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n'
+            b'Response-Signature: sig-%d\r\n'
+            b'Content-Type: text/event-stream\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n' % start
+        )
+        for number in range(start + 1, self.stop_after + 1):
+            self._write_chunk(
+                writer, b'id: %d\ndata: e%d\n\n' % (number, number)
+            )
+            await writer.drain()
+            await asyncio.sleep(self.pause)
+        if self.end == 'whole':
+            writer.write(b'0\r\n\r\n')
+        elif self.end == 'inside-an-event':
+            self._write_chunk(writer, b'id: 4\nda')
+            await writer.drain()
+            writer.close()
+        elif self.end == 'silent':
+            await reader.read()
+        else:
+            writer.close()
+
+    def _write_chunk(self, writer, data):
+        writer.write(b'%x\r\n%s\r\n' % (len(data), data))
+
+
+def make_text(last):
+    return b''.join(b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, last))
+
+
+@pytest.fixture
+async def start_streams(harness):
+    """Returns a function that starts stream servers."""
+    started = []
+
+    async def start(*servers):
+        for number, server in enumerate(servers):
+            await server.start()
+            harness.register(f'i{number}', server.address)
+            started.append(server)
+
+    yield start
+    for server in started:
+        await server.stop()
+
+
+def configure(harness, **options):
+    harness.configure(kind=routes.RouteKind.STREAMING, timeout=10.0, **options)
+
+
+async def test_a_stream_comes_whole_with_its_signature(harness, start_streams):
+    configure(harness)
+    await start_streams(StreamServer())
+    response = (await harness.call()).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert dict(response.headers)['Response-Signature'] == 'sig-0'
+
+
+async def test_events_come_as_they_are_made(harness, start_streams):
+    configure(harness)
+    await start_streams(StreamServer(pause=0.1))
+    rows = (('Host', 'shop.example'), ('Request-Id', 'q1'))
+    request = client.Request('POST', '/a/b', rows)
+    opened = await harness.outside.open(harness.address, request, 5.0)
+    async with asyncio.timeout(0.3):
+        assert (await opened.ok.read_piece()).startswith(b'id: 1')
+    opened.ok.close()
+
+
+@pytest.mark.parametrize('end', ['breaks', 'inside-an-event', 'silent'])
+async def test_a_resumable_stream_goes_on_at_another_target(
+    harness, start_streams, end
+):
+    configure(harness, resumable=True)
+    broken = StreamServer(3, end)
+    whole = StreamServer()
+    await start_streams(broken, whole)
+    harness.targets.find('i1').running = 3
+    response = (await harness.call(patience=8000)).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert dict(response.headers)['Response-Signature'] == 'sig-0'
+    assert (broken.starts, whole.starts) == ([0], [3])
+
+
+async def test_a_stream_that_may_not_be_resumed_does_not_look_whole(
+    harness, start_streams
+):
+    configure(harness)
+    broken, other = StreamServer(3, 'breaks'), StreamServer()
+    await start_streams(broken, other)
+    harness.targets.find('i1').running = 3
+    assert (await harness.call()).is_error()
+    assert other.starts == []
+
+
+async def test_a_stream_that_was_turned_away_starts_elsewhere(
+    harness, start_streams
+):
+    configure(harness)
+    full, whole = StreamServer(end='full'), StreamServer()
+    await start_streams(full, whole)
+    harness.targets.find('i1').running = 3
+    assert (await harness.call()).ok.body == make_text(EVENTS + 1)
+
+
+async def test_a_stream_that_nobody_takes_is_refused_as_not_run(
+    harness, start_streams
+):
+    configure(harness)
+    await start_streams(StreamServer(end='full'))
+    response = (await harness.call()).ok
+    assert response.status == 503
+    assert float(dict(response.headers)['Retry-After']) > 0
+
+
+async def test_a_target_is_left_when_the_reader_goes(harness, start_streams):
+    configure(harness)
+    server = StreamServer(1, 'silent')
+    await start_streams(server)
+    calling = asyncio.ensure_future(harness.call(patience=8000))
+    await asyncio.sleep(0.1)
+    assert harness.targets.find('i0').running == 1
+    calling.cancel()
+    async with asyncio.timeout(0.5):
+        while harness.targets.find('i0').running:
+            await asyncio.sleep(0.01)
