--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -22,6 +22,8 @@
         self.orders = []
         self.runs = []
         """Request id and the event after which it was asked to go on."""
+        self.failing_scores = set()
+        """Ids of reward calls that always fail."""
         self.break_after = {}
         """Event after which the connection breaks, once, by request id."""
         application = web.Application(
@@ -108,5 +110,8 @@
     def post(self):
         name = self.request.headers['Request-Id']
         self.engine.runs.append((name, 0))
+        if name in self.engine.failing_scores:
+            self.set_status(500)
+            return
         self.set_header('Response-Signature', f'signed-{name}')
         self.write('scored')
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -33,6 +33,7 @@
         self.engine = standin_engine.StandinEngine('i1')
         self.http = client.HttpClient()
         self.nodes = []
+        self.others = []
         self.write_entry()
         self.configure()
 
@@ -40,6 +41,12 @@
         entry = self.engine.make_entry('llm')
         self.log.write_keyed(TARGETS, 'i1', entry)
 
+    def add_engine(self, name):
+        found = standin_engine.StandinEngine(name)
+        self.log.write_keyed(TARGETS, name, found.make_entry('llm'))
+        self.others.append(found)
+        return found
+
     def configure(self):
         fields = {
             'host': HOST,
@@ -126,7 +133,8 @@
         for served in self.nodes:
             await served.close()
         self.http.close()
-        await self.engine.stop()
+        for engine in (self.engine, *self.others):
+            await engine.stop()
         await self.store.stop()
 
 
@@ -286,3 +294,20 @@
     request = client.Request('GET', '/readiness')
     found = await deployment.http.fetch(served.status_address, request, 5.0)
     assert found.ok.status == 200
+
+
+async def test_a_score_that_always_fails_is_given_up_after_its_attempts(
+    deployment,
+):
+    """One pass over the route's targets is enough to know: a step waits."""
+    engines = [deployment.engine]
+    engines += [deployment.add_engine(name) for name in ('i2', 'i3')]
+    for engine in engines:
+        engine.failing_scores = {'score-s1-0'}
+    served = await deployment.start_node()
+    await deployment.submit(served)
+    rows = {row['id']: row for row in await deployment.read_all(served)}
+    assert rows['s1-0']['state'] == 'errored'
+    assert rows['s1-1']['state'] == 'completed'
+    calls = [run for engine in engines for run in engine.runs]
+    assert calls.count(('score-s1-0', 0)) == 3
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -20,6 +20,8 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     facts: dialect.AnswerFacts
+    failures: int = 0
+    """Targets that answered with a failure of their own, this one included."""
 
 
 class NotRun(msgspec.Struct, frozen=True):
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -43,6 +43,8 @@
     runs: int = 0
     """Attempts that ran or may have run."""
     sends: int = 0
+    failures: int = 0
+    """Targets that answered with a failure of their own."""
     failure: attempts.Answered | None = None
     """A target's own failure, passed on when nothing better comes."""
     lost: str | None = None
@@ -188,7 +190,10 @@
                 return outcome
             case attempts.Answered():
                 progress.runs += 1
-                progress.failure = outcome
+                progress.failures += 1
+                progress.failure = msgspec.structs.replace(
+                    outcome, failures=progress.failures
+                )
                 detail = f'answered {outcome.status}'
             case attempts.NotRun(detail=detail):
                 pass
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -40,6 +40,8 @@
 
 _LOG = logging.getLogger(__name__)
 
+_FAILED = 500
+"""Status with which a target says that a run failed."""
 _EXPECTED_EVENTS = 25
 """Events expected of an item: the mean of the trainers' sheets."""
 
@@ -493,7 +495,7 @@
                 return None, 0
         if 200 <= answer.status < 300:
             return answer.facts.signature, 0
-        return None, 1 if answer.status == 500 else 0
+        return None, answer.failures if answer.status == _FAILED else 0
 
     async def _give_up(self, batch: Batch, job: _Job, reason: str) -> None:
         _LOG.warning(
