--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -14,6 +14,7 @@
 import waxwingport
 from waxwingport.commands import check
 from waxwingport.commands import example
+from waxwingport.commands import explaining
 from waxwingport.commands import gating
 from waxwingport.commands import measuring
 from waxwingport.commands import observing
@@ -66,6 +67,23 @@
         """
         gating.run_command(settings)
 
+    @fire.decorators.SetParseFns(wanted=str)
+    def explain(self, wanted: str, *files: str) -> None:
+        """Prints the log lines of an id from several nodes, in order.
+
+        Args:
+            wanted: Id of a request, a submission or an item.
+            files: The nodes' logs.
+        """
+        if not files:
+            _fail_usage('explain needs an id and the files to look in')
+        paths = [pathlib.Path(name) for name in files]
+        missing = [str(path) for path in paths if not path.is_file()]
+        if missing:
+            _fail(f'no such file: {", ".join(missing)}')
+        for line in explaining.explain(paths, str(wanted)):
+            print(line)
+
     def status(self, node: str, json: bool = False) -> None:
         """Prints what holds, as one node sees it.
 
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -155,6 +155,12 @@
         """Seconds between two events there, once enough were seen."""
         return self.mean_gap if self.gaps >= _PACE_GAPS else None
 
+    def compute_load_age(self, now: float) -> float | None:
+        """Returns the age of the load report in seconds, if there is one."""
+        if self.load is None:
+            return None
+        return round(now - self.load.received_at, 3)
+
     def compute_load(self, now: float) -> float:
         """Returns the requests expected there, of all nodes."""
         return self.running + compute_others(self.load, now)
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -161,6 +161,7 @@
                 'instance': target.entry.instance,
                 'candidates': len(candidates),
                 'load': round(target.compute_load(loop.time()), 2),
+                'load_age_s': target.compute_load_age(loop.time()),
                 'attempt': progress.sends,
                 'left_s': round(left, 3),
             },
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -328,6 +328,7 @@
                 'fitting': len(fitting),
                 'ready': len(ready),
                 'load': round(target.compute_load(now), 2),
+                'load_age_s': target.compute_load_age(now),
                 'version': target.versions.get(submission.model),
                 'minimum_version': submission.minimum_version,
                 'after_event': len(job.text.events),
