Refuse with the time until the queue is gone; urgent routes first at engines

Cause: a refusal for overload named the time until an avoided target is tried again, which is no time until the call fits; items of an urgent route waited behind those of a less urgent one; a configuration with one route of an unknown kind was dropped whole; a 504 with the mark of a request not run was believed, which the pages do not say.

Change: Retry-After comes from the queue at the least loaded target; requests for tokens carry a priority, streams before items; unknown routes are skipped with a line; answered and cancelled calls have a line each.

--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -188,6 +188,16 @@
                 taken = now - progress.started_at
                 health.note_time(target, taken, usual.mean)
                 usual.note(taken)
+                _LOG.info(
+                    'call-answered',
+                    extra={
+                        'request': progress.call.request_id,
+                        'instance': target.entry.instance,
+                        'status': status,
+                        'attempts': progress.sends,
+                        'taken_s': round(taken, 4),
+                    },
+                )
                 return outcome
             case attempts.Answered():
                 progress.runs += 1
@@ -248,11 +258,14 @@
         ready: Sequence[fleet.Target] = self._targets.find_ready(
             progress.service
         )
+        usual = self._usual[progress.route.name]
         now = asyncio.get_running_loop().time()
         return Error(
             outcomes.Refusal(
                 reason,
                 detail,
-                retry_after=hedging.compute_retry_after(ready, now, self._rng),
+                retry_after=hedging.compute_retry_after(
+                    ready, usual, now, self._rng
+                ),
             )
         )
--- a/waxwingport/gateway/hedging.py
+++ b/waxwingport/gateway/hedging.py
@@ -13,6 +13,7 @@
     'UsualTimes',
     'compute_hedge_delay',
     'compute_retry_after',
+    'estimate_wait',
     'is_hopeless',
     'pick_service',
 ]
@@ -27,8 +28,8 @@
 _SHARE_OF_TARGET_TIME = 0.5
 """Part of a route's target time after which a second attempt starts at the
 latest, so that it can still be in time."""
-_RETRY_AFTER_RANGE = (0.05, 1.0)
-"""Seconds."""
+_RETRY_AFTER_RANGE = (0.05, 2.0)
+"""Seconds: a hop there and back at least, a target's return at most."""
 _JITTER = 0.25
 
 
@@ -64,6 +65,19 @@
     return max(_SHORTEST_DELAY, overdue, min(latest, 2 * usual.mean))
 
 
+def estimate_wait(
+    target: fleet.Target, usual: UsualTimes, now: float
+) -> float:
+    """Returns the seconds until a target begins one more call.
+
+    The rounds of work ahead of it, each as long as such calls usually take
+    there.
+    """
+    slots = target.entry.slots
+    ahead = max(0.0, target.compute_load(now) + 1 - slots)
+    return ahead / slots * usual.mean * target.slowness
+
+
 def is_hopeless(
     targets: Iterable[fleet.Target],
     usual: UsualTimes,
@@ -72,29 +86,29 @@
 ) -> bool:
     """Returns whether no target can answer within ``left`` seconds.
 
-    Load pattern: more work than slots for longer than callers wait.  A call
-    waits for the rounds of work ahead of it at the least loaded target.
+    Load pattern: more work than slots for longer than callers wait.
     """
-    waits = [
-        max(0.0, target.compute_load(now) + 1 - target.entry.slots)
-        / target.entry.slots
-        * usual.mean
-        * target.slowness
-        for target in targets
-    ]
+    waits = [estimate_wait(target, usual, now) for target in targets]
     return bool(waits) and min(waits) + usual.mean > left
 
 
 def compute_retry_after(
-    targets: Iterable[fleet.Target], now: float, rng: random.Random
+    targets: Iterable[fleet.Target],
+    usual: UsualTimes,
+    now: float,
+    rng: random.Random,
 ) -> float:
     """Returns the seconds after which a refused call may fit.
 
-    The earliest time at which a target is tried again, spread so that callers
-    refused together do not return together.
+    The earliest time at which a target has worked off what is ahead and is
+    tried again, spread so that callers refused together do not return
+    together.
     """
     low, high = _RETRY_AFTER_RANGE
-    waits = [max(0.0, target.avoided_until - now) for target in targets]
+    waits = [
+        max(target.avoided_until - now, estimate_wait(target, usual, now))
+        for target in targets
+    ]
     wait = min(high, max(low, min(waits, default=high)))
     return wait * (1.0 + rng.uniform(0.0, _JITTER))
 
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -18,6 +18,7 @@
 from waxwingport.gateway import routes
 from waxwingport.gateway import streams
 from waxwingport.http import headers as http_headers
+from waxwingport import ids
 from waxwingport import metrics
 from waxwingport import outcomes
 from waxwingport.requests import progress
@@ -59,6 +60,7 @@
         """Status of the answer, 0 until it began."""
         self.kind = 'none'
         """Kind of its route, for the metrics."""
+        self.request_id: ids.RequestId | None = None
         self.task: asyncio.Task[None] | None = None
 
     def interrupt(self) -> None:
@@ -143,6 +145,13 @@
         self._progress.leave(taken)
         self._count(taken)
         if done.cancelled():
+            _LOG.info(
+                'request-cancelled',
+                extra={
+                    'request': taken.request_id,
+                    'answered': bool(taken.status),
+                },
+            )
             stream = taken.connection.detach()
             stream.close()
             return
@@ -178,7 +187,7 @@
         )
         match found:
             case Result(tag='ok', ok=call):
-                pass
+                taken.request_id = call.request_id
             case Result(error=reason):
                 await self._refuse(taken, None, _bad_request(reason))
                 return
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -28,6 +28,9 @@
 _SILENCE_TIMEOUT = 1.5
 """Seconds without a byte after which a resumable stream goes on elsewhere;
 under the two seconds after which callers leave."""
+_LEAST_URGENT = 4
+"""Priority of the least urgent stream: callers wait for it, so that it goes
+before the items of any submission."""
 _EVENT_END = b'\n\n'
 
 WriteHead = Callable[[int, tuple[tuple[str, str], ...]], Awaitable[None]]
@@ -132,7 +135,10 @@
         stream.tried.add(target.entry.instance)
         stream.sends += 1
         expected = dialect.Expectations(
-            target.entry.instance, left, stream.last_event or None
+            target.entry.instance,
+            left,
+            stream.last_event or None,
+            priority=min(_LEAST_URGENT, stream.route.priority),
         )
         _LOG.info(
             'stream-routed',
@@ -229,7 +235,9 @@
         return outcomes.Refusal(
             outcomes.Reason.NO_TARGET,
             'no target took the request',
-            retry_after=hedging.compute_retry_after(ready, now, self._rng),
+            retry_after=hedging.compute_retry_after(
+                ready, hedging.UsualTimes(), now, self._rng
+            ),
         )
 
 
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -52,7 +52,7 @@
 _RESULTS_SIZE = 1_000_000
 """Bytes of results in one answer, by the pages."""
 _MOVED = 421
-_REFUSALS = frozenset({429, 503, 421, 400, 504})
+_REFUSALS = frozenset({400, 429, 503})
 
 
 class _Reward(msgspec.Struct, frozen=True):
--- a/waxwingport/platform/operators.py
+++ b/waxwingport/platform/operators.py
@@ -1,5 +1,8 @@
 """What operators and targets keep in the platform's store."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+import logging
 from typing import Any
 
 from expression import Error
@@ -25,6 +28,8 @@
 OPERATOR_TOPIC = base.Topic('keyed.op')
 TARGET_TOPIC = base.Topic('keyed.servers')
 
+_LOG = logging.getLogger(__name__)
+
 _CONFIGURATION_KEY = 'config'
 _VERSION_PREFIX = 'version/'
 _KINDS = {
@@ -123,9 +128,9 @@
     """Returns the configuration; fails with what can't be read."""
     try:
         found = msgspec.json.decode(value, type=_Configuration)
-        rows = tuple(_read_route(route) for route in found.routes)
     except _UNREADABLE as error:
         return Error(str(error))
+    rows = tuple(_read_routes(found.routes))
     limits = found.limits
     return Ok(
         routes.Configuration(
@@ -188,10 +193,20 @@
     )
 
 
-def _read_route(route: _Route) -> routes.Route:
-    kind = _KINDS.get(route.kind)
-    if kind is None:
-        raise ValueError(f'route {route.name}: kind {route.kind!r}')
+def _read_routes(rows: Iterable[_Route]) -> Iterator[routes.Route]:
+    """Yields the routes of known kinds; the others can't be served."""
+    for row in rows:
+        kind = _KINDS.get(row.kind)
+        if kind is None:
+            _LOG.error(
+                'route-skipped',
+                extra={'route': row.name, 'reason': f'kind {row.kind!r}'},
+            )
+        else:
+            yield _read_route(row, kind)
+
+
+def _read_route(route: _Route, kind: routes.RouteKind) -> routes.Route:
     if route.streaming:
         kind = routes.RouteKind.STREAMING
     split = route.traffic_split or [_Share(route.service or '', 1)]
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -39,6 +39,10 @@
 allows."""
 _RUN_TIMEOUT = 120.0
 """Seconds for a whole run; silence is what usually ends one."""
+_ITEM_PRIORITY = 5
+"""Priority at engines of the most urgent route's items: after every stream
+that a caller waits for."""
+_LEAST_URGENT = 9
 _NEVER = 422
 
 _LOG = logging.getLogger(__name__)
@@ -106,6 +110,8 @@
     text: Text
     target: fleet.Target
     single_version: bool
+    priority: int
+    """Of its route; 0 is the most urgent."""
     may_move: Callable[[], bool]
     """Asked between events whether the run had better end here and go on
     elsewhere."""
@@ -167,6 +173,7 @@
             remaining=_RUN_TIMEOUT,
             resume_after=len(run.text.events) or None,
             version=pinned,
+            priority=min(_LEAST_URGENT, _ITEM_PRIORITY + run.priority),
         )
         try:
             async with asyncio.timeout(_choose_head_timeout(run.target)):
--- a/waxwingport/submissions/order.py
+++ b/waxwingport/submissions/order.py
@@ -27,6 +27,8 @@
     """Place of its group among those of the submission, from 0."""
     wanted_groups: int
     """Groups that the trainer waits for."""
+    priority: int
+    """Of its route; 0 is the most urgent."""
     remaining_tokens: int
     """Output that is still expected."""
 
@@ -59,14 +61,16 @@
     """Returns waiting items in the order in which they should start.
 
     Items of wanted groups go before the others; among them those of the
-    submission that is due first, and within it the longest first, since it
-    decides when the submission is whole.
+    submission that is due first, of the more urgent route among those due
+    together, and then the longest first, since it decides when the submission
+    is whole.
 
     Load pattern: more items than free slots, from several trainers at once.
     """
 
-    def key(row: Candidate) -> tuple[bool, int, int]:
+    def key(row: Candidate) -> tuple[bool, int, int, int]:
         spare = row.group_rank >= row.wanted_groups
-        return spare, math.floor(row.due_at), -row.remaining_tokens
+        due = math.floor(row.due_at)
+        return spare, due, row.priority, -row.remaining_tokens
 
     return sorted(candidates, key=key)
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -293,6 +293,7 @@
             submission.accepted_at + run_target,
             batch.ranks[job.item.group],
             submission.target_groups,
+            route.priority if route else 0,
             tokens,
         )
 
@@ -388,6 +389,7 @@
                 job.text,
                 slot.target,
                 route.single_version,
+                route.priority,
                 functools.partial(self._may_move, batch, job, slot.target),
             )
         )
