--- /dev/null
+++ b/tests/fleet/test_registry.py
@@ -0,0 +1,157 @@
+import asyncio
+
+from expression import Error
+from expression import Ok
+import msgspec
+import pytest
+
+from waxwingport.fleet import health
+from waxwingport.fleet import model
+from waxwingport.fleet import registry
+from waxwingport.log import base
+from waxwingport.log import dependency
+
+pytestmark = pytest.mark.looptime
+
+
+def decode(key, value):
+    """Reads ``stage,born`` as a target's entry."""
+    stage, _, born = value.decode().partition(',')
+    if stage not in ('ready', 'draining'):
+        return Error('unreadable')
+    return Ok(
+        model.TargetEntry(
+            key, 's', '', 'here', 4, model.Stage(stage), int(born), {'m': 1}
+        )
+    )
+
+
+@pytest.fixture
+def targets():
+    found = registry.Registry(decode)
+    found.update(base.Keyed('i1', b'ready,1'))
+    found.update(base.Keyed('i2', b'ready,1'))
+    return found
+
+
+@pytest.fixture
+def store(targets):
+    found = dependency.Dependency('store')
+    targets.watch_store(found)
+    return found
+
+
+def name_ready(targets):
+    return sorted(row.entry.instance for row in targets.find_ready('s'))
+
+
+async def test_a_removed_target_gets_no_new_work_at_once(targets, store):
+    targets.update(base.Keyed('i1', None))
+    assert name_ready(targets) == ['i2']
+
+
+async def test_a_draining_target_gets_no_new_work(targets):
+    targets.update(base.Keyed('i1', b'draining,1'))
+    assert name_ready(targets) == ['i2']
+
+
+async def test_an_unreadable_entry_names_no_target(targets):
+    targets.update(base.Keyed('i1', b'?'))
+    targets.update(base.Keyed('i3', b'?'))
+    assert name_ready(targets) == ['i2']
+
+
+async def test_entries_that_lapsed_while_the_store_was_away_get_a_grace(
+    targets, store
+):
+    store.note_failure('away')
+    await asyncio.sleep(5.0)
+    store.note_success()
+    targets.replace([base.Keyed('i2', b'ready,1')])
+    assert name_ready(targets) == ['i1', 'i2']
+    await asyncio.sleep(1.0)
+    targets.update(base.Keyed('i1', b'ready,1'))
+    await asyncio.sleep(5.0)
+    assert name_ready(targets) == ['i1', 'i2']
+
+
+async def test_one_that_is_still_missing_after_the_grace_is_gone(
+    targets, store
+):
+    store.note_failure('away')
+    await asyncio.sleep(5.0)
+    store.note_success()
+    targets.replace([base.Keyed('i2', b'ready,1')])
+    await asyncio.sleep(2.1)
+    assert name_ready(targets) == ['i2']
+
+
+async def test_a_target_that_started_again_is_another_one(targets):
+    before = targets.find('i1')
+    before.note_version('m', 7)
+    targets.update(base.Keyed('i1', b'ready,2'))
+    after = targets.find('i1')
+    assert after is not before
+    assert after.versions == {'m': 1}
+
+
+async def test_an_entry_never_takes_a_seen_version_back(targets):
+    target = targets.find('i1')
+    target.note_version('m', 3)
+    targets.update(base.Keyed('i1', b'ready,1'))
+    assert target.versions == {'m': 3}
+
+
+async def test_listeners_learn_of_each_change(targets):
+    changes = []
+    targets.add_listener(lambda: changes.append(len(targets)))
+    targets.update(base.Keyed('i3', b'ready,1'))
+    targets.replace([])
+    assert changes == [3, 0]
+
+
+async def test_a_load_report_fades_with_its_age():
+    report = model.LoadReport(working=6, own=2, received_at=0.0)
+    assert model.compute_others(report, 0.2) == 4.0
+    assert 0.0 < model.compute_others(report, 1.2) < 4.0
+    assert model.compute_others(report, 2.5) == 0.0
+    assert model.compute_others(None, 0.0) == 0.0
+
+
+@pytest.mark.parametrize(
+    ('sign', 'shortest'),
+    [
+        (health.Sign.FULL, 0.01),
+        (health.Sign.BROKEN, 0.2),
+        (health.Sign.UNREACHABLE, 0.2),
+        (health.Sign.MOVED, 1.0),
+    ],
+)
+async def test_a_failure_lets_others_go_first_for_a_while(
+    targets, sign, shortest
+):
+    target = targets.find('i1')
+    health.note_failure(target, sign, 0.0)
+    assert shortest <= target.avoided_until <= 4.0
+    health.note_success(target)
+    assert target.avoided_until < 0.0
+
+
+async def test_avoidance_grows_but_stays_bounded(targets):
+    target = targets.find('i1')
+    for _ in range(20):
+        health.note_failure(target, health.Sign.UNREACHABLE, 0.0)
+    assert target.avoided_until == 4.0
+
+
+async def test_single_failures_of_requests_avoid_nobody(targets):
+    target = targets.find('i1')
+    health.note_failure(target, health.Sign.FAILED, 0.0)
+    assert target.avoided_until <= 0.0
+
+
+def test_entries_are_values():
+    entry = decode('i', b'ready,1').ok
+    with pytest.raises(AttributeError):
+        entry.slots = 5
+    assert msgspec.structs.replace(entry, slots=5).slots == 5
