--- a/tests/configuration/test_commands.py
+++ b/tests/configuration/test_commands.py
@@ -51,6 +51,7 @@
     'name, write',
     [
         ('declarations.md', reference.write_declarations_page),
+        ('gateway.md', reference.write_gateway_page),
         ('settings.md', reference.write_settings_page),
     ],
 )
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -184,3 +184,15 @@
     await start_servers([])
     for number in range(3):
         assert (await harness.call(f'q{number}')).ok.status == 200
+
+
+async def test_bodies_beyond_the_bound_are_refused_as_not_run(
+    harness, start_servers
+):
+    harness.configure()
+    servers = await start_servers([])
+    assert harness.progress.reserve((1 << 20) - 5)
+    assert (await harness.call()).ok.status == 503
+    assert servers[0].runs == []
+    harness.progress.free((1 << 20) - 5)
+    assert (await harness.call()).ok.status == 200
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -12,6 +12,7 @@
     _FOLDER.mkdir(parents=True, exist_ok=True)
     pages = {
         'declarations.md': reference.write_declarations_page(),
+        'gateway.md': reference.write_gateway_page(),
         'settings.md': reference.write_settings_page(),
     }
     for name, text in pages.items():
--- a/waxwingport/commands/gating.py
+++ b/waxwingport/commands/gating.py
@@ -76,6 +76,7 @@
             'retention_s': configured.store.retention,
         },
     )
+    _check_retention(configured)
     cause = await stopping.wait_for_stop(served.background.failed)
     _LOG.info(
         'gateway-stopping',
@@ -88,6 +89,17 @@
     return Ok(None)
 
 
+def _check_retention(configured: gateway_settings.GatewaySettings) -> None:
+    """Says if the store forgets submissions that callers may still read."""
+    retention = configured.store.retention
+    status_time = configured.submissions.status_time
+    if retention < status_time:
+        _LOG.warning(
+            'retention-short',
+            extra={'retention_s': retention, 'status_time_s': status_time},
+        )
+
+
 def _note_reload() -> None:
     """Keeps running: nothing that changes while a node runs is in the file."""
     _LOG.info('reload', extra={'outcome': 'settings take effect at a start'})
--- a/waxwingport/commands/reference.py
+++ b/waxwingport/commands/reference.py
@@ -8,9 +8,14 @@
 import msgspec
 
 from waxwingport.configuration import keys
+from waxwingport.gateway import settings as gateway_settings
 from waxwingport import settings
 
-__all__ = ['write_declarations_page', 'write_settings_page']
+__all__ = [
+    'write_declarations_page',
+    'write_gateway_page',
+    'write_settings_page',
+]
 
 _BOUNDS = {'gt': '>', 'ge': '>=', 'lt': '<', 'le': '<='}
 _NAMES = {
@@ -36,6 +41,14 @@
 compares. A node's settings stand in one TOML file. `waxwingport check
 --settings FILE` names every fault; unknown keys are faults.
 """
+_GATEWAY_HEAD = """\
+# Settings of a gateway
+
+Made from the program's own definitions by `tools/write_reference.py`; a test
+compares. On the users' platform `deploy/gateway.toml` is the template that
+the platform fills in. A start names every fault and ends; unknown keys are
+faults.
+"""
 
 
 def write_declarations_page() -> str:
@@ -47,9 +60,18 @@
 
 
 def write_settings_page() -> str:
-    """Returns the page on settings."""
-    parts = [_SETTINGS_HEAD]
-    for name, struct in _list_tables(settings.Settings, ''):
+    """Returns the page on the settings of an entry node."""
+    return _write_settings(_SETTINGS_HEAD, settings.Settings)
+
+
+def write_gateway_page() -> str:
+    """Returns the page on the settings of a gateway node."""
+    return _write_settings(_GATEWAY_HEAD, gateway_settings.GatewaySettings)
+
+
+def _write_settings(head: str, struct_: type) -> str:
+    parts = [head]
+    for name, struct in _list_tables(struct_, ''):
         parts += _write_table(f'`[{name}]`', struct)
     return '\n'.join(parts).rstrip() + '\n'
 
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -41,6 +41,8 @@
 _DEFAULT_PATIENCE = 10.0
 """Seconds for a call whose caller names no deadline."""
 _BACKLOG = 1024
+_FULL_RETRY_AFTER = 0.5
+"""Seconds: most requests in progress are answered by then."""
 _STARTING_RETRY_AFTER = 0.5
 """Seconds: about what a start takes."""
 
@@ -133,10 +135,15 @@
 
     def _take(self, request: httputil.HTTPServerRequest) -> None:
         taken = _Request(request, not self._progress.ready)
-        self._progress.enter(taken, len(request.body or b''))
-        task = asyncio.get_running_loop().create_task(
-            self._answer(taken, request)
-        )
+        size = len(request.body or b'')
+        work = self._answer(taken, request)
+        if self._progress.reserve(size):
+            self._progress.free(size)
+        else:
+            work.close()
+            work = self._refuse(taken, None, _too_full())
+        self._progress.enter(taken, size)
+        task = asyncio.get_running_loop().create_task(work)
         taken.task = task
         request.connection.set_close_callback(task.cancel)
         task.add_done_callback(lambda done: self._end(taken, done))
@@ -362,6 +369,14 @@
     return outcomes.Refusal(outcomes.Reason.BAD_REQUEST, reason)
 
 
+def _too_full() -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Reason.OVERLOADED,
+        'too many bytes of requests in progress',
+        retry_after=_FULL_RETRY_AFTER,
+    )
+
+
 def _not_ready() -> outcomes.Refusal:
     return outcomes.Refusal(
         outcomes.Reason.LOG_UNAVAILABLE,
