Keep a text of a single-version route to one version, without waiting for it

Change: such an item goes to an engine with its version or begins anew; loads for its model wait for runs to finish; pauses by how a run ended. Tests with the stand-in engine fail without it.

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -93,6 +93,10 @@
     async def post(self):
         name = self.request.headers['Request-Id']
         start = int(self.request.headers.get('Last-Event-Id', 0))
+        wanted = self.request.headers.get('Expect-Weight-Version')
+        if wanted and int(wanted) != self.engine.version:
+            self.set_status(421)
+            return
         self.engine.runs.append((name, start))
         self.set_header('Weight-Versions', str(self.engine.version))
         self.set_header('Content-Type', 'text/event-stream')
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -47,7 +47,7 @@
         self.others.append(found)
         return found
 
-    def configure(self):
+    def configure(self, version=1, **options):
         fields = {
             'host': HOST,
             'service': 'llm',
@@ -56,9 +56,9 @@
             'max-attempts': 3,
             'run-target-ms': 5000,
             'retention-s': 60,
-        }
+        } | options
         found = {
-            'version': 1,
+            'version': version,
             'routes': [fields | row for row in ROUTES],
             'services': [{'name': 'llm'}],
         }
@@ -311,3 +311,38 @@
     assert rows['s1-1']['state'] == 'completed'
     calls = [run for engine in engines for run in engine.runs]
     assert calls.count(('score-s1-0', 0)) == 3
+
+
+async def test_a_text_of_one_version_begins_anew_after_a_load(deployment):
+    """Its engine has another version when it could go on."""
+    deployment.configure(2, **{'single-version': True})
+    served = await deployment.start_node()
+    deployment.engine.break_after = {'s1-0': 4}
+    deployment.engine.pause = 0.05
+    await deployment.submit(served)
+    await asyncio.sleep(0.12)
+    deployment.engine.version = 2
+    rows = {row['id']: row for row in await deployment.read_all(served)}
+    assert rows['s1-0']['versions'] == [2]
+    assert rows['s1-0']['output'].count('\n') == standin_engine.EVENTS - 1
+    starts = [
+        start for name, start in deployment.engine.runs if name == 's1-0'
+    ]
+    assert starts == [0, 0]
+
+
+async def test_engines_of_texts_of_one_version_finish_their_runs_first(
+    deployment,
+):
+    deployment.configure(2, **{'single-version': True})
+    served = await deployment.start_node()
+    await deployment.submit(served)
+    await deployment.read_all(served)
+    async with asyncio.timeout(5.0):
+        while not served.lease.may_order():
+            await asyncio.sleep(0.05)
+        deployment.publish(2)
+        await deployment.submit(served, name='s2', minimum=2)
+        while not deployment.engine.orders:
+            await asyncio.sleep(0.05)
+    assert deployment.engine.orders[0]['mode'] == 'await'
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -217,6 +217,11 @@
             self._book.note_minimum(
                 submission.model, submission.minimum_version
             )
+            route = self.configuration.find_route(
+                submission.host, submission.path
+            )
+            if route is not None and route.single_version:
+                self._book.note_single_version(submission.model)
 
     def _answer_status(self, request: httputil.HTTPServerRequest) -> None:
         status = 200 if self.ready else 503
--- a/waxwingport/rollout/controller.py
+++ b/waxwingport/rollout/controller.py
@@ -41,6 +41,7 @@
     def __init__(self) -> None:
         self._newest: dict[str, ids.WeightVersion] = {}
         self._lags: dict[str, int] = {}
+        self._single: set[str] = set()
 
     def note_published(self, model: str, version: ids.WeightVersion) -> None:
         """Takes a published version; an older one changes nothing."""
@@ -60,10 +61,18 @@
         if newest is not None and minimum > _FIRST_VERSION:
             self._lags[model] = max(0, newest - minimum)
 
+    def note_single_version(self, model: str) -> None:
+        """Takes that a model's texts have to come from one version each."""
+        self._single.add(model)
+
     def get_needs(self) -> dict[str, plan.Need]:
         """Returns what each trainer wants."""
         return {
-            name: plan.Need(version, self._lags.get(name, _DEFAULT_LAG))
+            name: plan.Need(
+                version,
+                self._lags.get(name, _DEFAULT_LAG),
+                name in self._single,
+            )
             for name, version in self._newest.items()
         }
 
@@ -184,7 +193,7 @@
         order = base.Order(
             load.model,
             load.version,
-            base.LoadMode.KEEP,
+            base.LoadMode.WAIT if load.single_version else base.LoadMode.KEEP,
             self._node,
             self._lease.fence,
             report.accepted,
--- a/waxwingport/rollout/plan.py
+++ b/waxwingport/rollout/plan.py
@@ -41,6 +41,9 @@
     newest: ids.WeightVersion
     lag: int
     """Versions by which a text may be older than the newest one."""
+    single_version: bool = False
+    """Whether a text has to come from one version, so that no run may go on
+    through a load."""
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -50,6 +53,7 @@
     model: str
     version: ids.WeightVersion
     urgency: Urgency
+    single_version: bool
 
 
 def plan_loads(
@@ -112,7 +116,13 @@
         key=_by_age_and_load(name),
     )
     loads = [
-        Load(row.instance, name, need.newest, Urgency.UNUSABLE)
+        Load(
+            row.instance,
+            name,
+            need.newest,
+            Urgency.UNUSABLE,
+            need.single_version,
+        )
         for row in unusable
     ]
     serving = len(engines) - len(behind)
@@ -122,7 +132,9 @@
         key=_by_age_and_load(name),
     )
     loads += [
-        Load(row.instance, name, need.newest, Urgency.TURN)
+        Load(
+            row.instance, name, need.newest, Urgency.TURN, need.single_version
+        )
         for row in spare[: max(0, missing)]
     ]
     return loads
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -142,6 +142,11 @@
             case attempts.NotRun(sign=health.Sign.FULL, detail=detail):
                 run.target.close_model(run.submission.model, now)
                 return Error((End.NOT_RUN, detail))
+            case attempts.NotRun(sign=health.Sign.MOVED) if _is_pinned(run):
+                # Another version, or another instance: the next run, which
+                # asks for no version, tells.
+                run.text.clear()
+                return Error((End.NOT_RUN, 'no longer that version'))
             case attempts.NotRun(detail=detail):
                 attempts.note_outcome(run.target, opened)
                 return Error((End.NOT_RUN, detail))
@@ -166,8 +171,7 @@
     ):
         spelling = self._sender.dialect
         call = spelling.make_item_call(run.item, run.submission.host)
-        versions = run.text.versions
-        pinned = versions[-1] if run.single_version and versions else None
+        pinned = run.text.versions[-1] if _is_pinned(run) else None
         expected = dialect.Expectations(
             run.target.entry.instance,
             remaining=_RUN_TIMEOUT,
@@ -255,6 +259,11 @@
         self._last_at = now
 
 
+def _is_pinned(run: Run) -> bool:
+    """Returns whether only one version of the weights will do."""
+    return run.single_version and bool(run.text.versions)
+
+
 def _choose_head_timeout(target: fleet.Target) -> float:
     now = asyncio.get_running_loop().time()
     if target.compute_load(now) > target.entry.slots:
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -33,8 +33,13 @@
 _DISPATCH_INTERVAL = 0.05
 """Seconds after which waiting items are looked at again in any case: loads
 fade and targets are avoided by time."""
-_FAILED_PAUSE = 0.1
-"""Seconds before an item that failed at an engine runs again."""
+_PAUSES = {
+    generation.End.BROKEN: 0.02,
+    generation.End.FAILED: 0.1,
+    generation.End.OUTDATED: 0.2,
+}
+"""Seconds before an item runs again, by how its run ended: an engine with old
+weights is loading them, or its entry is about to say that it has them not."""
 _REWARD_PAUSE = 0.15
 """Seconds before a reward call that got no answer is made again."""
 
@@ -313,6 +318,8 @@
         fitting = placement.find_fitting(
             ready, submission.model, submission.minimum_version, now
         )
+        if route.single_version:
+            fitting = _keep_version(job.text, fitting, submission.model)
         holding = self._prompts.setdefault(job.item.group, set())
         target = placement.place(
             fitting, self._home, frozenset(holding), now, self._rng
@@ -437,9 +444,10 @@
         if end is generation.End.IMPOSSIBLE:
             await self._give_up(batch, job, 'can never be done')
             return
+        now = asyncio.get_running_loop().time()
+        job.not_before = now + _PAUSES.get(end, 0.0)
         if end is generation.End.FAILED:
             job.failures += 1
-            job.not_before = asyncio.get_running_loop().time() + _FAILED_PAUSE
         if job.failures >= route.max_attempts:
             await self._give_up(batch, job, f'failed {job.failures} times')
             return
@@ -546,3 +554,23 @@
                         'reason': fault.detail,
                     },
                 )
+
+
+def _keep_version(
+    text: generation.Text, fitting: list[fleet.Target], name: str
+) -> list[fleet.Target]:
+    """Returns the engines at which a text of one version can go on.
+
+    Where no engine has its version any more, the text begins anew.
+    """
+    if not text.versions:
+        return fitting
+    same = [
+        target
+        for target in fitting
+        if target.versions.get(name) == text.versions[-1]
+    ]
+    if same:
+        return same
+    text.clear()
+    return fitting
