--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -35,6 +35,7 @@
 from waxwingport.submissions import generation
 from waxwingport.submissions import holder
 from waxwingport.submissions import runner
+from waxwingport.submissions import scores
 
 __all__ = ['GatewayNode']
 
@@ -95,7 +96,9 @@
         )
         self.runner = runner.ItemRunner(
             generation.Generator(sender),
-            self.caller,
+            scores.Scorer(
+                self._dialect, self.caller, self.configuration.find_route
+            ),
             self.targets,
             self.archive,
             self.configuration.find_route,
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -126,10 +126,6 @@
     def __init__(self, sender: attempts.Sender) -> None:
         self._sender = sender
 
-    def make_reward_call(self, reward: model.RewardCall) -> dialect.Call:
-        """Returns the request that scores a text."""
-        return self._sender.dialect.make_reward_call(reward)
-
     async def run(self, run: Run) -> Outcome:
         """Adds to the run's text until it is whole.
 
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -11,6 +11,7 @@
 from waxwingport.log import leases
 from waxwingport.log import writers
 from waxwingport.submissions import archive
+from waxwingport.submissions import batches
 from waxwingport.submissions import fold
 from waxwingport.submissions import records
 from waxwingport.submissions import runner
@@ -151,7 +152,7 @@
         for batch in self._runner.find_batches(self.shelf.partition):
             await self._write_texts(batch, writer, new_events)
 
-    def _stop_runs(self) -> list[runner.Batch]:
+    def _stop_runs(self) -> list[batches.Batch]:
         self.writer = None
         batches = self._runner.find_batches(self.shelf.partition)
         for batch in batches:
@@ -176,7 +177,7 @@
 
     async def _write_texts(
         self,
-        batch: runner.Batch,
+        batch: batches.Batch,
         writer: writers.FencedWriter,
         new_events: int,
     ) -> None:
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -1,34 +1,32 @@
 """Runs the items of the submissions that this node holds."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
 import logging
 import random
 
 from expression import Result
-import msgspec
 
 from waxwingport import clocks
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
-from waxwingport.gateway import calls
-from waxwingport.gateway import dialect
 from waxwingport.gateway import routes
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import writers
 from waxwingport import metrics
 from waxwingport.submissions import archive
+from waxwingport.submissions import batches
 from waxwingport.submissions import fold
 from waxwingport.submissions import generation
 from waxwingport.submissions import model
 from waxwingport.submissions import order
 from waxwingport.submissions import placement
 from waxwingport.submissions import records
+from waxwingport.submissions import scores
 
-__all__ = ['Batch', 'ItemRunner']
+__all__ = ['ItemRunner']
 
 _DISPATCH_INTERVAL = 0.05
 """Seconds after which waiting items are looked at again in any case: loads
@@ -40,78 +38,11 @@
 }
 """Seconds before an item runs again, by how its run ended: an engine with old
 weights is loading them, or its entry is about to say that it has them not."""
-_REWARD_PAUSE = 0.15
-"""Seconds before a reward call that got no answer is made again."""
 
-_LOG = logging.getLogger(__name__)
-
-_FAILED = 500
-"""Status with which a target says that a run failed."""
 _EXPECTED_EVENTS = 25
 """Events expected of an item: the mean of the trainers' sheets."""
 
-FindRoute = Callable[[str, str], routes.Route | None]
-
-
-class _Job(msgspec.Struct, eq=False):
-    """One item to run."""
-
-    item: model.Item
-    text: generation.Text
-    failures: int = 0
-    kept_events: int = 0
-    """Events of the text that the log holds."""
-    not_before: float = 0.0
-    """Loop's time."""
-
-
-class _Slot:
-    """A place at an engine, taken before the run begins there."""
-
-    def __init__(self, target: fleet.Target) -> None:
-        self.target = target
-        self._held = True
-        target.running += 1
-
-    def release(self) -> None:
-        """Gives the place back; does nothing the second time."""
-        if self._held:
-            self._held = False
-            self.target.running -= 1
-
-
-class Batch(msgspec.Struct, eq=False):
-    """The items of one submission that this node runs."""
-
-    entry: fold.Entry
-    writer: writers.FencedWriter
-    waiting: dict[model.ItemId, _Job]
-    ranks: dict[ids.GroupId, int]
-    tasks: set[asyncio.Task[None]]
-    drafts: dict[model.ItemId, _Job]
-    """Jobs that have begun and are not listed."""
-
-    def make_drafts(self, new_events: int) -> tuple[model.Draft, ...]:
-        """Returns the texts without a result that have grown.
-
-        ``new_events`` is by how many events at least since they were returned
-        last.
-        """
-        grown = [
-            job
-            for job in self.drafts.values()
-            if len(job.text.events) >= job.kept_events + new_events
-        ]
-        for job in grown:
-            job.kept_events = len(job.text.events)
-        return tuple(
-            model.Draft(
-                job.item.item_id,
-                tuple(job.text.events),
-                tuple(job.text.versions),
-            )
-            for job in grown
-        )
+_LOG = logging.getLogger(__name__)
 
 
 class ItemRunner:
@@ -120,10 +51,10 @@
     def __init__(
         self,
         generator: generation.Generator,
-        caller: calls.Caller,
+        scorer: scores.Scorer,
         targets: registry.Registry,
         shelves: archive.Archive,
-        find_route: FindRoute,
+        find_route: scores.FindRoute,
         home: ids.DataCentre,
         record_size: int,
         wall: clocks.WallClock,
@@ -133,14 +64,14 @@
         self._metrics = counters
         self._rng = rng
         self._generator = generator
-        self._caller = caller
+        self._scorer = scorer
         self._targets = targets
         self._archive = shelves
         self._find_route = find_route
         self._home = home
         self._record_size = record_size
         self._wall = wall
-        self._batches: dict[model.SubmissionId, Batch] = {}
+        self._batches: dict[model.SubmissionId, batches.Batch] = {}
         self._prompts: dict[ids.GroupId, set[fleet.InstanceId]] = {}
         self._wake = asyncio.Event()
 
@@ -158,7 +89,7 @@
             item.item_id: self._make_job(entry, item)
             for item in entry.find_unlisted()
         }
-        batch = Batch(
+        batch = batches.Batch(
             entry,
             writer,
             waiting,
@@ -183,7 +114,7 @@
         """Returns the items that wait for a slot."""
         return sum(len(batch.waiting) for batch in self._batches.values())
 
-    def drop(self, submission_id: model.SubmissionId) -> Batch | None:
+    def drop(self, submission_id: model.SubmissionId) -> batches.Batch | None:
         """Stops every run of a submission; returns what was under way."""
         batch = self._batches.pop(submission_id, None)
         if batch is None:
@@ -202,7 +133,7 @@
         )
         return batch
 
-    def find_batches(self, partition: base.Partition) -> list[Batch]:
+    def find_batches(self, partition: base.Partition) -> list[batches.Batch]:
         """Returns the batches whose submissions stand in a partition."""
         return [
             batch
@@ -238,7 +169,7 @@
             if entry.submission.submission_id != submission_id
         )
 
-    def _reuse_results(self, batch: Batch) -> None:
+    def _reuse_results(self, batch: batches.Batch) -> None:
         """Lists the items that an earlier submission completed."""
         submission = batch.entry.submission
         for job in list(batch.waiting.values()):
@@ -253,18 +184,18 @@
             ):
                 self._spawn(batch, job, self._write(batch, known))
 
-    def _make_job(self, entry: fold.Entry, item: model.Item) -> _Job:
+    def _make_job(self, entry: fold.Entry, item: model.Item) -> batches.Job:
         draft = self._archive.find_draft(item.item_id)
         minimum = entry.submission.minimum_version
         if draft and generation.is_usable(draft.versions, minimum, False):
-            return _Job(
+            return batches.Job(
                 item, generation.restore(draft), kept_events=len(draft.events)
             )
-        return _Job(item, generation.restore(None))
+        return batches.Job(item, generation.restore(None))
 
     def _dispatch(self) -> None:
         now = asyncio.get_running_loop().time()
-        jobs: dict[tuple[model.SubmissionId, model.ItemId], _Job] = {}
+        jobs: dict[tuple[model.SubmissionId, model.ItemId], batches.Job] = {}
         for batch in list(self._batches.values()):
             for item_id, job in list(batch.waiting.items()):
                 if self._is_too_old(batch, job):
@@ -284,7 +215,7 @@
             self._try_start(batch, jobs[row.submission_id, row.item_id])
 
     def _describe(
-        self, submission_id: model.SubmissionId, job: _Job
+        self, submission_id: model.SubmissionId, job: batches.Job
     ) -> order.Candidate:
         batch = self._batches[submission_id]
         submission = batch.entry.submission
@@ -302,13 +233,13 @@
             tokens,
         )
 
-    def _is_too_old(self, batch: Batch, job: _Job) -> bool:
+    def _is_too_old(self, batch: batches.Batch, job: batches.Job) -> bool:
         submission = batch.entry.submission
         route = self._find_route(submission.host, job.item.path)
         age = self._wall.read() - submission.accepted_at
         return route is not None and age > route.retention
 
-    def _try_start(self, batch: Batch, job: _Job) -> None:
+    def _try_start(self, batch: batches.Batch, job: batches.Job) -> None:
         submission = batch.entry.submission
         route = self._find_route(submission.host, job.item.path)
         if route is None:
@@ -342,7 +273,7 @@
                 'after_event': len(job.text.events),
             },
         )
-        slot = _Slot(target)
+        slot = batches.Slot(target)
         task = self._spawn(batch, job, self._run_item(batch, job, slot, route))
         # Also when it is cancelled before it began.
         task.add_done_callback(lambda _: slot.release())
@@ -355,7 +286,9 @@
             for target in self._targets.find_ready(service)
         ]
 
-    def _may_move(self, batch: Batch, job: _Job, target: fleet.Target) -> bool:
+    def _may_move(
+        self, batch: batches.Batch, job: batches.Job, target: fleet.Target
+    ) -> bool:
         submission = batch.entry.submission
         route = self._find_route(submission.host, job.item.path)
         if route is None or route.single_version:
@@ -372,7 +305,10 @@
         )
 
     def _spawn(
-        self, batch: Batch, job: _Job, work: Coroutine[None, None, None]
+        self,
+        batch: batches.Batch,
+        job: batches.Job,
+        work: Coroutine[None, None, None],
     ) -> asyncio.Task[None]:
         batch.waiting.pop(job.item.item_id, None)
         batch.drafts[job.item.item_id] = job
@@ -384,9 +320,9 @@
 
     async def _run_item(
         self,
-        batch: Batch,
-        job: _Job,
-        slot: _Slot,
+        batch: batches.Batch,
+        job: batches.Job,
+        slot: batches.Slot,
         route: routes.Route,
     ) -> None:
         outcome = await self._generator.run(
@@ -436,8 +372,8 @@
 
     async def _run_again(
         self,
-        batch: Batch,
-        job: _Job,
+        batch: batches.Batch,
+        job: batches.Job,
         route: routes.Route,
         end: generation.End,
     ) -> None:
@@ -454,10 +390,10 @@
         batch.waiting[job.item.item_id] = job
         self._wake.set()
 
-    async def _finish(self, batch: Batch, job: _Job) -> None:
+    async def _finish(self, batch: batches.Batch, job: batches.Job) -> None:
         score = None
         if job.item.reward is not None:
-            score = await self._fetch_score(job.item.reward)
+            score = await self._scorer.fetch(job.item.reward)
             if score is None:
                 await self._give_up(batch, job, 'no score to be had')
                 return
@@ -472,43 +408,9 @@
             ),
         )
 
-    async def _fetch_score(self, reward: model.RewardCall) -> str | None:
-        """Returns the score, or ``None`` after too many failures."""
-        call = self._generator.make_reward_call(reward)
-        failures = 0
-        while True:
-            path = call.path.partition('?')[0]
-            route = self._find_route(call.host, path)
-            if route is not None:
-                score, failed = await self._call_reward(call, route)
-                failures += failed
-                if score is not None:
-                    return score
-                if failures >= route.max_attempts:
-                    return None
-            await asyncio.sleep(_REWARD_PAUSE)
-
-    async def _call_reward(
-        self, call: dialect.Call, route: routes.Route
-    ) -> tuple[str | None, int]:
-        """Returns the score if there is one, and the failures counted."""
-        match await self._caller.run(call, route):
-            case Result(tag='ok', ok=answer):
-                pass
-            case Result(error=refusal):
-                _LOG.info(
-                    'reward-call-failed',
-                    extra={
-                        'request': call.request_id,
-                        'reason': refusal.detail,
-                    },
-                )
-                return None, 0
-        if 200 <= answer.status < 300:
-            return answer.facts.signature, 0
-        return None, answer.failures if answer.status == _FAILED else 0
-
-    async def _give_up(self, batch: Batch, job: _Job, reason: str) -> None:
+    async def _give_up(
+        self, batch: batches.Batch, job: batches.Job, reason: str
+    ) -> None:
         _LOG.warning(
             'item-given-up',
             extra={
@@ -523,7 +425,9 @@
         )
         await self._write(batch, result)
 
-    async def _write(self, batch: Batch, result: model.ItemResult) -> None:
+    async def _write(
+        self, batch: batches.Batch, result: model.ItemResult
+    ) -> None:
         submission_id = batch.entry.submission.submission_id
         rows = records.encode(
             records.Listed(submission_id, result), self._record_size
