Read the log in small pages, so that many nodes can start at once

After the loss of all nodes 71 and 78 of them read history in pages of 1 MB through the 80 MB/s that all reads share; no page came within the time-out of 1.5 s, each was asked for again, and no node ever reached the present.

Change: pages of 128 KB. A test with that bandwidth, 78 nodes and 3 MB a partition does not end with the old size and ends within 15 s with the new.

--- a/tests/log/test_tails.py
+++ b/tests/log/test_tails.py
@@ -1,11 +1,14 @@
 import asyncio
 
+from expression import Error
+from expression import Ok
 import pytest
 
 from waxwingport.log import base
 from waxwingport.log import dependency
 from waxwingport.log import followers
 from waxwingport.log import tails
+from waxwingport.platform import store
 
 TOPIC = base.Topic('keyed.op')
 
@@ -106,3 +109,53 @@
         while listener.replaced < 2:
             await asyncio.sleep(0.01)
     assert listener.rows == {}
+
+
+class SharedBandwidth:
+    """A log whose reads share one line, and give up after a time-out.
+
+    Each partition holds ``size`` bytes in records of 10,000.
+    """
+
+    RATE = 80e6
+    RECORD = 10_000
+
+    def __init__(self, size, settings):
+        self._count = size // self.RECORD
+        self._page = max(1, settings.read_size // self.RECORD)
+        self._timeout = settings.timeout
+        self._free_at = 0.0
+
+    async def read(self, partition, offset, wait=0.0):
+        rows = (b'',) * min(self._page, self._count - offset)
+        if not rows:
+            await asyncio.sleep(wait)
+            return Ok(base.Page((), self._count, 0))
+        now = asyncio.get_running_loop().time()
+        # What nobody waits for any more is sent all the same.
+        taken = len(rows) * self.RECORD / self.RATE
+        self._free_at = max(self._free_at, now) + taken
+        delay = self._free_at - now
+        await asyncio.sleep(min(delay, self._timeout + wait))
+        if delay > self._timeout + wait:
+            kind = base.FaultKind.UNKNOWN
+            return Error(base.Fault(kind, 'no answer in time'))
+        return Ok(base.Page(rows, self._count, 0))
+
+
+@pytest.mark.looptime
+async def test_the_start_of_78_nodes_at_once_comes_to_an_end(partition):
+    """After the loss of all, each reads 3 MB of each of four partitions."""
+    log = SharedBandwidth(3_000_000, store.StoreSettings(''))
+    found = [
+        tails.PartitionTail(
+            log, partition, Records(), dependency.Dependency('log')
+        )
+        for _ in range(78 * 4)
+    ]
+    running = [asyncio.ensure_future(tail.run()) for tail in found]
+    await asyncio.sleep(15.0)
+    late = [tail for tail in found if tail.first_confirmed_at is None]
+    for task in running:
+        task.cancel()
+    assert late == []
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -21,7 +21,7 @@
 _RETRY_INTERVAL = 0.2
 """Seconds between tries while the log is away."""
 
-_SPREAD = 0.2
+_SPREAD = 0.025
 """Seconds over which nodes spread for each page of history."""
 _LONGEST_SPREAD = 1.5
 """Seconds; a start has to be over long before callers' patience is."""
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -38,8 +38,9 @@
     """Bytes of one record at most; the store's own bound."""
     call_size: int = 2_097_152
     """Bytes of the records of one append at most; the store's own bound."""
-    read_size: int = 1_048_576
-    """Bytes asked for with one read; the store's default."""
+    read_size: int = 131_072
+    """Bytes asked for with one read.  All nodes' reads share 80 MB/s: a page
+    for each partition and 100 nodes still comes within the time-out."""
     retention: float = 300.0
     """Seconds for which the store keeps a record."""
     timeout: float = 1.5
