--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -22,6 +22,7 @@
 from waxwingport.standins import partitions
 from waxwingport.submissions import archive
 from waxwingport.submissions import desk
+from waxwingport.submissions import texts
 
 SERVICE = ids.ServiceName('booking')
 
@@ -53,7 +54,13 @@
             self.configuration,
             calls.Caller(sender, self.targets, centre, rng),
             streams.Streamer(sender, self.targets, centre, rng),
-            desk.Desk(self.log, self.archive, 1 << 16, wall),
+            desk.Desk(
+                self.log,
+                self.archive,
+                texts.TextReader(self.log, 1 << 20),
+                1 << 16,
+                wall,
+            ),
             self.progress,
             wall,
             metrics.Metrics(),
--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -12,11 +12,12 @@
 
 
 class StandinEngine:
-    """Generates ``EVENTS`` events a text; scores by its signature."""
+    """Generates ``events`` events a text; scores by its signature."""
 
     def __init__(self, name, pause=0.005):
         self.name = name
         self.pause = pause
+        self.events = EVENTS
         self.version = 1
         self.accepted = 0
         self.orders = []
@@ -100,7 +101,7 @@
         self.engine.runs.append((name, start))
         self.set_header('Weight-Versions', str(self.engine.version))
         self.set_header('Content-Type', 'text/event-stream')
-        for number in range(start + 1, EVENTS + 1):
+        for number in range(start + 1, self.engine.events + 1):
             await asyncio.sleep(self.engine.pause)
             self.write(f'id: {number}\ndata: {name}-{number}\n\n')
             await self.flush()
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -17,6 +17,7 @@
 
 OPERATOR = base.Topic('keyed.op')
 TARGETS = base.Topic('keyed.servers')
+TEXTS = base.Topic('texts')
 HOST = 'shop.example'
 ROUTES = [
     {'name': 'r1', 'path-prefix': '/gen/', 'kind': 'rollout'},
@@ -193,6 +194,78 @@
     assert len(await deployment.read_all(again)) == 4
 
 
+async def test_a_long_text_goes_on_near_where_its_lost_holder_was(deployment):
+    """Load pattern: all nodes lost while a step's longest texts run."""
+    engine = deployment.engine
+    engine.events, engine.pause = 60, 0.03
+    served = await deployment.start_node()
+    await deployment.submit(served, items=2)
+    await asyncio.sleep(1.5)
+    await served.close()
+    engine.pause = 0.0
+    again = await deployment.start_node()
+    rows = {row['id']: row for row in await deployment.read_all(again, 2)}
+    for name in ('s1-0', 's1-1'):
+        starts = [start for found, start in engine.runs if found == name]
+        assert starts[0] == 0
+        assert starts[-1] >= 20
+        texts = [f'{name}-{number}' for number in range(1, 61)]
+        assert rows[name]['output'] == '\n'.join(texts)
+
+
+async def test_a_start_reads_no_text(deployment):
+    """Load pattern: all nodes start at once and share the log's bandwidth."""
+    first = await deployment.start_node()
+    await deployment.submit(first)
+    await deployment.read_all(first)
+    for served in deployment.nodes:
+        await served.close()
+    reads = deployment.log.reads
+    reads.clear()
+    again = await deployment.start_node()
+    async with asyncio.timeout(5.0):
+        while again.archive.locate('s1') is None:
+            await asyncio.sleep(0.01)
+    assert not [row for row in reads if row.topic == TEXTS]
+    assert len(await deployment.read_all(again)) == 4
+    assert [row for row in reads if row.topic == TEXTS]
+
+
+async def test_results_whose_texts_are_away_are_neither_lost_nor_empty(
+    deployment,
+):
+    first = await deployment.start_node()
+    await deployment.submit(first)
+    rows = await deployment.read_all(first)
+    second = await deployment.start_node()
+    async with asyncio.timeout(5.0):
+        while second.archive.locate('s1') is None:
+            await asyncio.sleep(0.01)
+    deployment.log.unreadable.add(TEXTS)
+    answer = await deployment.call(second, 'GET', '/lots/s1')
+    assert answer.status == 503
+    assert 'retry-after' in {name.lower() for name, _ in answer.headers}
+    deployment.log.unreadable.clear()
+    assert await deployment.read_all(second) == rows
+
+
+async def test_without_its_texts_a_partition_is_handed_to_another(deployment):
+    first = await deployment.start_node()
+    await deployment.submit(first, name='s0')
+    await deployment.read_all(first, name='s0')
+    (shelf,) = [row for row in first.archive if list(row.state)]
+    number = shelf.partition.number
+    await deployment.log.append(
+        base.Partition(TEXTS, number),
+        (),
+        base.Writer('holder', base.Epoch(shelf.lease.epoch + 5), 1),
+    )
+    await deployment.submit(first)
+    async with asyncio.timeout(5.0):
+        while shelf.lease.held:
+            await asyncio.sleep(0.01)
+
+
 async def test_bodies_can_be_read_until_the_end(deployment):
     served = await deployment.start_node()
     await deployment.submit(served)
--- a/tests/log/test_leases.py
+++ b/tests/log/test_leases.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+from tests import loop_clocks
 from waxwingport.log import base
 from waxwingport.log import dependency
 from waxwingport.log import leases
@@ -17,7 +18,7 @@
 class Process(tails.RecordListener, leases.LeaseListener):
     """One process that wants the partition."""
 
-    def __init__(self, log, partition, name):
+    def __init__(self, log, partition, name, wall=None):
         store = dependency.Dependency(name)
         self.name = name
         self.writer = None
@@ -29,6 +30,7 @@
             base.MemberName(name),
             self,
             1 << 16,
+            wall or loop_clocks.LoopWallClock(),
             random.Random(name),
         )
 
@@ -71,8 +73,8 @@
     """Returns a function that starts a process by name."""
     running = []
 
-    def make(name, log=memory):
-        made = Process(log, partition, name)
+    def make(name, log=memory, wall=None):
+        made = Process(log, partition, name, wall)
         running.append(asyncio.ensure_future(made.run()))
         made.task = running[-1]
         return made
@@ -85,7 +87,7 @@
 async def test_two_claims_of_one_epoch_make_one_holder(start, memory):
     """Both read the end before either claims; the first record counts."""
     found = [start(name, SlowAnswers(memory)) for name in 'ab']
-    await asyncio.sleep(0.2)
+    await asyncio.sleep(0.001)
     for process in found:
         process.lease._claim()
     await asyncio.sleep(0.2)
@@ -145,7 +147,7 @@
     start, memory
 ):
     first = start('a')
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(0.001)
     memory.failures.extend([partitions.LogFailure.LATE])
     memory.failures.extend(100 * [partitions.LogFailure.BUSY])
     first.lease._claim()
@@ -187,3 +189,51 @@
     await asyncio.sleep(5.0)
     assert first.gains == 1
     assert second.gains == 0
+
+
+async def test_after_a_long_loss_of_all_nothing_is_waited_for(start):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    first.task.cancel()
+    await asyncio.sleep(1.7)
+    second = start('b')
+    await asyncio.sleep(0.4)
+    assert second.lease.held
+
+
+@pytest.mark.parametrize('ahead', [-5.0, 5.0])
+async def test_a_wrong_clock_costs_one_change_of_holders_at_most(start, ahead):
+    first = start('a')
+    await asyncio.sleep(2.0)
+    second = start('b', wall=loop_clocks.LoopWallClock(ahead))
+    await asyncio.sleep(10.0)
+    assert first.lease.held + second.lease.held == 1
+    assert first.gains + second.gains <= 2
+
+
+async def test_a_holder_whose_claim_has_expired_is_known_by_its_renewals(
+    start, memory, partition
+):
+    first = start('a')
+    await asyncio.sleep(5.0)
+    memory.expire(partition, 3)
+    second = start('b')
+    await asyncio.sleep(5.0)
+    assert (first.gains, second.gains) == (1, 0)
+    first.task.cancel()
+    await asyncio.sleep(3.0)
+    assert second.lease.held
+
+
+async def test_a_partition_whose_records_all_expired_is_claimed_again(
+    start, memory, partition
+):
+    for number in range(9):
+        holder = start(f'a{number}')
+        await asyncio.sleep(2.5)
+        assert holder.lease.held
+        holder.task.cancel()
+    memory.expire(partition, len(memory.get_records(partition)))
+    late = start('b')
+    await asyncio.sleep(6.0)
+    assert late.lease.held
--- /dev/null
+++ b/tests/loop_clocks.py
@@ -0,0 +1,25 @@
+"""Clocks that follow the loop's, which tests pause and advance."""
+
+import asyncio
+
+from waxwingport import clocks
+
+
+class LoopWallClock(clocks.WallClock):
+    """The loop's time, set ahead or back by a few seconds."""
+
+    def __init__(self, ahead=0.0):
+        self._ahead = ahead
+
+    def read(self):
+        return asyncio.get_running_loop().time() + self._ahead
+
+
+class LoopClock(clocks.SuspendAwareClock):
+    """The loop's clock and the time of suspensions."""
+
+    def __init__(self):
+        self.suspended = 0.0
+
+    def read(self):
+        return asyncio.get_running_loop().time() + self.suspended
--- a/tests/rollout/test_lease.py
+++ b/tests/rollout/test_lease.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from waxwingport import clocks
+from tests import loop_clocks
 from waxwingport.log import base
 from waxwingport.rollout import lease
 from waxwingport.standins import partitions
@@ -12,16 +12,6 @@
 TURN_TIME = 3.0
 
 
-class LoopClock(clocks.SuspendAwareClock):
-    """The loop's clock and the time of suspensions."""
-
-    def __init__(self):
-        self.suspended = 0.0
-
-    def read(self):
-        return asyncio.get_running_loop().time() + self.suspended
-
-
 @pytest.fixture
 def log():
     return partitions.MemoryLog()
@@ -37,7 +27,8 @@
             through or log,
             base.MemberName(name),
             lease.LeaseSettings(TURN_TIME),
-            LoopClock(),
+            loop_clocks.LoopClock(),
+            loop_clocks.LoopWallClock(),
             random.Random(name),
         )
         running.append(asyncio.ensure_future(made.run()))
--- a/tests/submissions/conftest.py
+++ b/tests/submissions/conftest.py
@@ -37,10 +37,14 @@
 
 @pytest.fixture
 def make_result():
-    """Returns a function that makes a completed result of an item."""
+    """Returns a function that makes a completed result of an item.
 
-    def make(name, output='text', versions=(1,)):
+    Its text stands at an offset of the log.
+    """
+
+    def make(name, offset=0, versions=(1,)):
         state = model.ItemState.COMPLETED
-        return model.ItemResult(name, state, output, versions, 'signed')
+        text = model.TextReference(0, offset, 1, 100, 0.0)
+        return model.ListedItem(name, state, text, versions, 'signed')
 
     return make
--- a/tests/submissions/test_fold.py
+++ b/tests/submissions/test_fold.py
@@ -26,9 +26,17 @@
 ITEMS = st.sampled_from(['a', 'b', 'c', 'unknown'])
 
 
-def make_result(item, output):
+def make_reference(offset):
+    return model.TextReference(0, offset, 1, 100, 0.0)
+
+
+def make_listed(item, offset):
     state = model.ItemState.COMPLETED
-    return model.ItemResult(item, state, output, (1,), None)
+    return model.ListedItem(item, state, make_reference(offset), (1,), None)
+
+
+def make_draft(item):
+    return model.KeptDraft(item, 1, make_reference(5), (1,))
 
 
 RECORDS = st.one_of(
@@ -36,13 +44,13 @@
     st.builds(
         records.Listed,
         NAMES,
-        st.builds(make_result, ITEMS, st.sampled_from(['x', 'y'])),
+        st.builds(make_listed, ITEMS, st.sampled_from([3, 4])),
     ),
     NAMES.map(records.Ended),
     st.builds(
         records.Drafted,
         NAMES,
-        st.builds(lambda item: (model.Draft(item, ('e',), (1,)),), ITEMS),
+        ITEMS.map(lambda item: (make_draft(item),)),
     ),
 )
 
@@ -70,7 +78,7 @@
                 ]
                 fresh = result.item_id not in earlier
                 if fresh and result.item_id != 'unknown':
-                    found[name][0].append((result.item_id, result.output))
+                    found[name][0].append((result.item_id, result.text))
             case records.Ended(name) if name in found:
                 found[name] = (found[name][0], True)
     return found
@@ -83,7 +91,7 @@
         state.apply(row)
     found = {
         entry.submission.submission_id: (
-            [(result.item_id, result.output) for result in entry.results],
+            [(result.item_id, result.text) for result in entry.results],
             entry.ended,
         )
         for entry in state
@@ -94,17 +102,17 @@
 def test_positions_never_change(make_submission, make_result):
     state = fold.PartitionState()
     entry = state.apply(records.Accepted(make_submission()))
-    state.apply(records.Listed('s', make_result('b', 'first')))
-    state.apply(records.Listed('s', make_result('a', 'second')))
-    state.apply(records.Listed('s', make_result('b', 'other')))
-    assert [row.output for row in entry.results] == ['first', 'second']
+    state.apply(records.Listed('s', make_result('b', 1)))
+    state.apply(records.Listed('s', make_result('a', 2)))
+    state.apply(records.Listed('s', make_result('b', 3)))
+    assert [row.text.offset for row in entry.results] == [1, 2]
     assert not entry.open
 
 
 def test_a_draft_is_dropped_with_the_result(make_submission, make_result):
     state = fold.PartitionState()
     entry = state.apply(records.Accepted(make_submission()))
-    draft = model.Draft('a', ('one',), (1,))
+    draft = make_draft('a')
     state.apply(records.Drafted('s', (draft,)))
     assert entry.drafts == {'a': draft}
     state.apply(records.Listed('s', make_result('a')))
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -36,6 +36,7 @@
 from waxwingport.submissions import holder
 from waxwingport.submissions import runner
 from waxwingport.submissions import scores
+from waxwingport.submissions import texts
 
 __all__ = ['GatewayNode']
 
@@ -91,8 +92,11 @@
         )
         self.caller = calls.Caller(sender, self.targets, home, rng)
         self.streamer = streams.Streamer(sender, self.targets, home, rng)
+        reader = texts.TextReader(
+            self._log, configured_.submissions.text_memory
+        )
         self.desk = desk.Desk(
-            self._log, self.archive, sizes.record_size, self._wall
+            self._log, self.archive, reader, sizes.record_size, self._wall
         )
         self.runner = runner.ItemRunner(
             generation.Generator(sender),
@@ -101,9 +105,9 @@
             ),
             self.targets,
             self.archive,
+            reader,
             self.configuration.find_route,
             home,
-            sizes.record_size,
             self._wall,
             rng,
             self.metrics,
@@ -115,6 +119,8 @@
             self.runner,
             holder.HolderSettings(sizes.record_size, sizes.call_size),
             self._life,
+            reader,
+            self._wall,
             rng,
         )
         for shelf in self.archive:
@@ -127,6 +133,7 @@
             self._life,
             self._settings.rollout,
             clocks.BootClock(),
+            self._wall,
             random.Random(),
         )
         self.controller = controller.RolloutController(
--- a/waxwingport/log/base.py
+++ b/waxwingport/log/base.py
@@ -145,12 +145,18 @@
 
     @abc.abstractmethod
     async def read(
-        self, partition: Partition, offset: ids.Offset, wait: float = 0.0
+        self,
+        partition: Partition,
+        offset: ids.Offset,
+        wait: float = 0.0,
+        size: int | None = None,
     ) -> Result[Page, Fault]:
         """Returns records from ``offset`` on.
 
         Waits up to ``wait`` seconds for the first one; the page is empty when
-        none came.  Fails with ``EXPIRED`` when ``offset`` is no longer held.
+        none came.  ``size`` is how many bytes of records are wanted; the log
+        may return fewer or more, but at least one record if there is one.
+        Fails with ``EXPIRED`` when ``offset`` is no longer held.
         """
 
     @abc.abstractmethod
--- a/waxwingport/log/leases.py
+++ b/waxwingport/log/leases.py
@@ -17,12 +17,14 @@
 from expression import Result
 import msgspec
 
+from waxwingport import clocks
 from waxwingport.log import base
 from waxwingport.log import tails
 from waxwingport.log import writers
 
 __all__ = [
     'Claim',
+    'SEQUENCE_BITS',
     'LeaseListener',
     'LeaseRecord',
     'PartitionLease',
@@ -37,7 +39,9 @@
 renewals and the time of a slow one."""
 _START_SILENCE = 0.9
 """Seconds likewise after a start, from the first read of the end on: a holder
-that lives renews once within it."""
+that lives renews once within it.  Nothing is waited for where the last sign of
+life was written longer ago than ``_SILENCE``; clocks that differ by more than
+that cost a holder its partition, but fencing does not rest on them."""
 _CLAIM_SPREAD = 0.2
 """Seconds over which claimants spread, so that most see another's claim."""
 _HELD_DELAY = 0.1
@@ -47,7 +51,7 @@
 _FRESHNESS = 3.0
 """Seconds: age of the newest read of the partition's end on which "nothing
 was heard" may rest; a read waits for two."""
-_SEQUENCE_BITS = 40
+SEQUENCE_BITS = 40
 """Claims start at a random number, so that a claim of another process in the
 same epoch never passes for a repeat of this one."""
 
@@ -59,12 +63,17 @@
 
     member: base.MemberName
     epoch: base.Epoch
+    written_at: float
+    """Seconds since 1970, by the holder's clock."""
 
 
 class Renewal(msgspec.Struct, frozen=True, tag='renewal', array_like=True):
     """The holder lives."""
 
+    member: base.MemberName
     epoch: base.Epoch
+    written_at: float
+    """Seconds since 1970, by the holder's clock."""
 
 
 class Resignation(
@@ -104,6 +113,7 @@
         member: base.MemberName,
         listener: LeaseListener,
         call_size: int,
+        wall: clocks.WallClock,
         rng: random.Random,
         count_held: Callable[[], int] = lambda: 0,
     ) -> None:
@@ -112,6 +122,7 @@
         self._member = member
         self._listener = listener
         self._call_size = call_size
+        self._wall = wall
         self._rng = rng
         self._count_held = count_held
         self._holder: base.MemberName | None = None
@@ -119,6 +130,8 @@
         """Loop's time of the holder's last sign of life."""
         self._writer: writers.FencedWriter | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._refused = base.Epoch(0)
+        """Highest epoch under which a claim of this process was fenced."""
         self.epoch = base.Epoch(0)
         """Highest epoch that was claimed; rises with each holder."""
         self.held = False
@@ -129,22 +142,26 @@
     async def run(self) -> None:
         """Claims and renews until cancelled."""
         try:
+            await self._tail.confirmed.wait()
             while True:
-                await self._wait()
                 if self.held and self._writer is not None:
-                    self._write(self._writer, Renewal(self.epoch))
+                    self._renew(self._writer)
                 elif not self._retired and self._is_free():
                     await self._try_claim()
+                await self._wait()
         finally:
             self.close()
 
     def take(self, record: LeaseRecord) -> None:
         """Takes the next record about the partition's holder."""
         match record:
-            case Claim(member, epoch):
-                self._take_claim(member, epoch)
-            case Renewal(epoch) if epoch == self.epoch:
-                self._note_life()
+            case Claim(member, epoch, written_at):
+                self._take_claim(member, epoch, written_at)
+            case Renewal(_, epoch, written_at) if epoch == self.epoch:
+                self._note_life(written_at)
+            case Renewal(member, epoch, written_at):
+                # Its claim has expired.
+                self._take_claim(member, epoch, written_at)
             case Resignation(epoch) if epoch == self.epoch:
                 self._holder = None
                 self._vacated.set()
@@ -158,6 +175,11 @@
         await writer.write((msgspec.msgpack.encode(Resignation(self.epoch)),))
         self._end(writer, 'resigned')
 
+    def drop(self, reason: str) -> None:
+        """Holds the partition no more; another process claims it in time."""
+        if self._writer is not None:
+            self._end(self._writer, reason)
+
     def close(self) -> None:
         """Ends what runs for the partition, without a word to the log."""
         for task in self._tasks:
@@ -172,7 +194,9 @@
         except TimeoutError:
             return
 
-    def _take_claim(self, member: base.MemberName, epoch: base.Epoch) -> None:
+    def _take_claim(
+        self, member: base.MemberName, epoch: base.Epoch, written_at: float
+    ) -> None:
         if epoch <= self.epoch:
             return
         writer = self._writer
@@ -183,7 +207,7 @@
         )
         self.epoch = epoch
         self._holder = member
-        self._note_life()
+        self._note_life(written_at)
         _LOG.info(
             'partition-claimed',
             extra={
@@ -214,14 +238,16 @@
         heard_at = max(self._heard_at, store.returned_at or self._heard_at)
         return now - heard_at > _SILENCE
 
-    def _note_life(self) -> None:
-        """Takes a sign of life; what stood there at the start is history."""
-        first = self._tail.first_confirmed_at
-        now = asyncio.get_running_loop().time()
-        if first is None:
-            self._heard_at = now - (_SILENCE - _START_SILENCE)
-        else:
-            self._heard_at = now
+    def _note_life(self, written_at: float) -> None:
+        """Takes a sign of life; what stood there at the start is history.
+
+        Load pattern: all nodes lost at once and started together, while the
+        steps that they held are due.
+        """
+        self._heard_at = asyncio.get_running_loop().time()
+        if self._tail.first_confirmed_at is None:
+            age = self._wall.read() - written_at
+            self._heard_at -= max(_SILENCE - _START_SILENCE, age)
 
     async def _try_claim(self) -> None:
         spread = self._rng.uniform(0.0, _CLAIM_SPREAD)
@@ -233,23 +259,32 @@
             self._claim()
 
     def _claim(self) -> None:
-        epoch = base.Epoch(self.epoch + 1)
+        # The log may remember an epoch whose records have expired.
+        epoch = base.Epoch(max(self.epoch + 1, 2 * self._refused))
         writer = writers.FencedWriter(
             self._log,
             self._tail.partition,
             epoch,
-            self._rng.getrandbits(_SEQUENCE_BITS),
+            self._rng.getrandbits(SEQUENCE_BITS),
             self._call_size,
         )
         self._writer = writer
         self._spawn(self._serve(writer))
-        self._write(writer, Claim(self._member, epoch))
+        self._write(writer, Claim(self._member, epoch, self._wall.read()))
         asyncio.get_running_loop().call_later(
             _CLAIM_TIMEOUT, self._give_claim_up, writer
         )
 
+    def _renew(self, writer: writers.FencedWriter) -> None:
+        self._write(
+            writer,
+            Renewal(self._member, self.epoch, self._wall.read()),
+        )
+
     async def _serve(self, writer: writers.FencedWriter) -> None:
         fault = await writer.run()
+        if fault.kind is base.FaultKind.FENCED and not self.held:
+            self._refused = max(self._refused, writer.epoch)
         if writer is self._writer:
             self._end(writer, fault.detail)
 
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -64,6 +64,8 @@
         """Offset of the next record to take."""
         self.confirmed_at = _NEVER
         """Loop's time at which a read that found the end was sent."""
+        self.confirmed = asyncio.Event()
+        """Set once a read has found the end."""
         self.first_confirmed_at: float | None = None
         """The same of the first such read: what came before is history."""
 
@@ -154,6 +156,7 @@
             self.confirmed_at = max(self.confirmed_at, sent_at)
             if self.first_confirmed_at is None:
                 self.first_confirmed_at = sent_at
+                self.confirmed.set()
         if page.records:
             self._advanced.set()
             self._advanced = asyncio.Event()
--- a/waxwingport/log/writers.py
+++ b/waxwingport/log/writers.py
@@ -10,6 +10,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import ids
 from waxwingport.log import base
 
 __all__ = ['FencedWriter', 'append_once']
@@ -56,10 +57,11 @@
 
     async def write(
         self, records: Sequence[bytes]
-    ) -> Result[None, base.Fault]:
+    ) -> Result[ids.Offset, base.Fault]:
         """Appends ``records`` together; returns once they are acknowledged.
 
-        Fails when a later holder has taken the partition.
+        Returns the first one's offset.  Fails when a later holder has taken
+        the partition.
         """
         if self._lost is not None:
             return Error(self._lost)
@@ -76,8 +78,8 @@
             while self._queue:
                 batch = self._take_batch()
                 match await self._append(batch):
-                    case Result(tag='ok'):
-                        _resolve(batch, Ok(None))
+                    case Result(tag='ok', ok=done):
+                        _confirm(batch, done.offset)
                     case Result(error=fault):
                         self._queue.extendleft(reversed(batch))
                         return fault
@@ -85,7 +87,8 @@
     def abandon(self, fault: base.Fault) -> None:
         """Fails what has not been acknowledged and all that comes."""
         self._lost = fault
-        _resolve(self._queue, Error(fault))
+        for pending in self._queue:
+            _resolve(pending, Error(fault))
         self._queue.clear()
 
     def _take_batch(self) -> list[_Pending]:
@@ -124,12 +127,17 @@
     )
 
 
+def _confirm(batch: Sequence[_Pending], offset: ids.Offset) -> None:
+    for pending in batch:
+        _resolve(pending, Ok(offset))
+        offset = ids.Offset(offset + len(pending.records))
+
+
 def _resolve(
-    batch: Sequence[_Pending], outcome: Result[None, base.Fault]
+    pending: _Pending, outcome: Result[ids.Offset, base.Fault]
 ) -> None:
-    for pending in batch:
-        if not pending.done.done():
-            pending.done.set_result(outcome)
+    if not pending.done.done():
+        pending.done.set_result(outcome)
 
 
 async def append_once(
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -250,14 +250,15 @@
         rows: list[_Result] = []
         size = 0
         for result in results:
-            size += 2 * len(result.output) + 200
+            output = '\n'.join(result.events)
+            size += 2 * len(output) + 200
             if rows and size > _RESULTS_SIZE:
                 break
             rows.append(
                 _Result(
                     result.item_id,
                     result.state.value,
-                    result.output,
+                    output,
                     result.versions,
                     result.score,
                 )
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 from collections.abc import Sequence
 import itertools
+import math
 import struct
 from typing import TypeVar
 from urllib import parse
@@ -27,6 +28,8 @@
 _BINARY = ('Content-Type', 'application/octet-stream')
 _UNREADABLE = (msgspec.DecodeError, binascii.Error, UnicodeError, ValueError)
 _KIB = 1024
+_LARGEST_PAGE = 1024
+"""KiB of one read at most; the store's own bound."""
 
 
 class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -119,11 +122,13 @@
         partition: base.Partition,
         offset: ids.Offset,
         wait: float = 0.0,
+        size: int | None = None,
     ) -> Result[base.Page, base.Fault]:
         """Returns records from ``offset`` on."""
         query = _address(partition)
         query['from'] = str(offset)
-        query['max-kb'] = str(self._settings.read_size // _KIB)
+        wanted = math.ceil((size or self._settings.read_size) / _KIB)
+        query['max-kb'] = str(min(wanted, _LARGEST_PAGE))
         if wait:
             query['wait-ms'] = str(round(wait * 1000))
         request = client.Request('GET', f'/log-read?{parse.urlencode(query)}')
--- a/waxwingport/rollout/lease.py
+++ b/waxwingport/rollout/lease.py
@@ -60,6 +60,7 @@
         member: base.MemberName,
         settings: LeaseSettings,
         clock: clocks.SuspendAwareClock,
+        wall: clocks.WallClock,
         rng: random.Random,
     ) -> None:
         self._member = member
@@ -71,7 +72,7 @@
         store = dependency.Dependency('log:orders')
         self._tail = tails.PartitionTail(log, _PARTITION, self, store)
         self._lease = leases.PartitionLease(
-            log, self._tail, member, self, _CALL_SIZE, rng
+            log, self._tail, member, self, _CALL_SIZE, wall, rng
         )
 
     @property
--- a/waxwingport/standins/partitions.py
+++ b/waxwingport/standins/partitions.py
@@ -15,6 +15,7 @@
 
 __all__ = ['LogFailure', 'MemoryLog']
 
+_REMEMBERED_READS = 10_000
 _RECENT = 5
 """Appends of a writer whose repeats get the first answer again."""
 
@@ -61,6 +62,11 @@
         self._states: dict[base.Partition, _PartitionState] = {}
         self._late: list[tuple] = []
         self.failures: collections.deque[LogFailure] = collections.deque()
+        self.reads: collections.deque[base.Partition] = collections.deque(
+            maxlen=_REMEMBERED_READS
+        )
+        self.unreadable: set[base.Topic] = set()
+        """Topics whose reads are turned away."""
         self.down = False
         self.appends = 0
 
@@ -102,11 +108,16 @@
         return done
 
     async def read(
-        self, partition: base.Partition, offset: ids.Offset, wait: float = 0.0
+        self,
+        partition: base.Partition,
+        offset: ids.Offset,
+        wait: float = 0.0,
+        size: int | None = None,
     ) -> Result[base.Page, base.Fault]:
         """Returns records from ``offset`` on."""
         await asyncio.sleep(0)
-        if self.down:
+        self.reads.append(partition)
+        if self.down or partition.topic in self.unreadable:
             return _fail(base.FaultKind.BUSY, 'turned away')
         state = self._find(partition)
         if state.end <= offset and wait:
@@ -119,7 +130,7 @@
                     ids.Offset(state.oldest),
                 )
             )
-        rows = tuple(state.records[offset - state.oldest :])
+        rows = _take(state.records[offset - state.oldest :], size)
         return Ok(base.Page(rows, state.end, ids.Offset(state.oldest)))
 
     async def read_newest(
@@ -216,6 +227,20 @@
         known.recent.append((writer.sequence, done))
 
 
+def _take(records: Sequence[bytes], size: int | None) -> tuple[bytes, ...]:
+    """Returns the first records, ``size`` bytes of them or else one."""
+    if size is None:
+        return tuple(records)
+    taken: list[bytes] = []
+    left = size
+    for record in records:
+        left -= len(record)
+        if taken and left < 0:
+            break
+        taken.append(record)
+    return tuple(taken)
+
+
 def _fail(kind: base.FaultKind, detail: str) -> Result:
     return Error(base.Fault(kind, detail))
 
--- a/waxwingport/submissions/archive.py
+++ b/waxwingport/submissions/archive.py
@@ -39,6 +39,9 @@
     submissions for one model stand in one."""
     status_time: float = 120.0
     """Seconds after its acceptance for which results can be read."""
+    text_memory: int = 4_000_000
+    """Bytes of texts, compressed, that a node remembers: those of the steps
+    under way of three trainers."""
     freshness: float = 0.4
     """Seconds: age of the newest read on which "not there" may rest; under
     half of the time in which what was accepted has to be visible."""
@@ -142,24 +145,35 @@
                 return shelf, entry
         return None
 
-    def find_result(self, item_id: model.ItemId) -> model.ItemResult | None:
-        """Returns a completed result of an item in any submission."""
+    def find_with_item(self, item_id: model.ItemId) -> Iterator[fold.Entry]:
+        """Yields the submissions that hold an item."""
         for shelf in self._shelves:
-            for entry in shelf.state:
-                found = entry.listed.get(item_id)
-                if found and found.state is model.ItemState.COMPLETED:
-                    return found
+            yield from shelf.state.find_with_item(item_id)
+
+    def find_result(self, item_id: model.ItemId) -> model.ListedItem | None:
+        """Returns a completed result of an item in any submission.
+
+        The log holds its text for as long as a submission of now is read.
+        """
+        since = self._wall.read() - self.settings.status_time
+        for entry in self.find_with_item(item_id):
+            found = entry.listed.get(item_id)
+            if (
+                found
+                and found.state is model.ItemState.COMPLETED
+                and (found.text is None or found.text.kept_at >= since)
+            ):
+                return found
         return None
 
-    def find_draft(self, item_id: model.ItemId) -> model.Draft | None:
+    def find_draft(self, item_id: model.ItemId) -> model.KeptDraft | None:
         """Returns the longest text kept of an item in any submission."""
         drafts = [
             entry.drafts[item_id]
-            for shelf in self._shelves
-            for entry in shelf.state
+            for entry in self.find_with_item(item_id)
             if item_id in entry.drafts
         ]
-        return max(drafts, key=lambda row: len(row.events), default=None)
+        return max(drafts, key=lambda row: row.events, default=None)
 
     async def find(
         self, submission_id: model.SubmissionId
--- a/waxwingport/submissions/batches.py
+++ b/waxwingport/submissions/batches.py
@@ -6,9 +6,9 @@
 
 from waxwingport.fleet import model as fleet
 from waxwingport import ids
-from waxwingport.log import writers
 from waxwingport.submissions import fold
 from waxwingport.submissions import generation
+from waxwingport.submissions import journal
 from waxwingport.submissions import model
 
 __all__ = ['Batch', 'Job', 'Slot']
@@ -25,6 +25,11 @@
     not_before: float = 0.0
     """Loop's time."""
 
+    def start_over(self) -> None:
+        """Drops the text, also the kept one."""
+        self.text.clear()
+        self.kept_events = 0
+
 
 class Slot:
     """A place at an engine, taken before the run begins there."""
@@ -45,14 +50,14 @@
     """The items of one submission that this node runs."""
 
     entry: fold.Entry
-    writer: writers.FencedWriter
+    journal: journal.Journal
     waiting: dict[model.ItemId, Job]
     ranks: dict[ids.GroupId, int]
     tasks: set[asyncio.Task[None]]
     drafts: dict[model.ItemId, Job]
     """Jobs that have begun and are not listed."""
 
-    def make_drafts(self, new_events: int) -> tuple[model.Draft, ...]:
+    def make_drafts(self, new_events: int) -> list[model.Draft]:
         """Returns the texts without a result that have grown.
 
         ``new_events`` is by how many events at least since they were returned
@@ -65,11 +70,11 @@
         ]
         for job in grown:
             job.kept_events = len(job.text.events)
-        return tuple(
+        return [
             model.Draft(
                 job.item.item_id,
                 tuple(job.text.events),
                 tuple(job.text.versions),
             )
             for job in grown
-        )
+        ]
--- a/waxwingport/submissions/desk.py
+++ b/waxwingport/submissions/desk.py
@@ -17,6 +17,7 @@
 from waxwingport.submissions import fold
 from waxwingport.submissions import model
 from waxwingport.submissions import records
+from waxwingport.submissions import texts
 
 __all__ = ['Desk', 'Results']
 
@@ -28,6 +29,13 @@
 _READ_TIME = 0.4
 """Seconds to find out whether something is there before saying so."""
 
+_TEXT_TIME = 1.0
+"""Seconds to read the texts of an answer; callers wait a little longer after
+the time for which a read of results may be held."""
+_ANSWER_SIZE = 500_000
+"""Bytes of texts, compressed, read for one answer: more than an answer of a
+megabyte holds of them."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -45,11 +53,13 @@
         self,
         log: base.PartitionLog,
         shelves: archive.Archive,
+        reader: texts.TextReader,
         record_size: int,
         wall: clocks.WallClock,
     ) -> None:
         self._log = log
         self._archive = shelves
+        self._texts = reader
         self._record_size = record_size
         self._wall = wall
 
@@ -119,7 +129,8 @@
             match await self._catch_up(shelf):
                 case Result(tag='error', error=refusal):
                     return Error(refusal)
-        return Ok(Results(len(entry.items), entry.results[after:]))
+        found = await self._read_texts(entry.results[after:])
+        return found.map(lambda rows: Results(len(entry.items), rows))
 
     async def read_item(
         self, submission_id: model.SubmissionId, item_id: model.ItemId
@@ -137,6 +148,37 @@
             )
         return Ok(item.body)
 
+    async def _read_texts(
+        self, listed: Sequence[model.ListedItem]
+    ) -> Result[list[model.ItemResult], outcomes.Refusal]:
+        """Returns the first results, as many as one answer takes.
+
+        Stops before one whose text can't be read; fails if that is the first.
+        """
+        wanted = _limit_size(listed)
+        found = iter(
+            await self._texts.fetch(
+                [row.text for row in wanted if row.text], _TEXT_TIME
+            )
+        )
+        results: list[model.ItemResult] = []
+        for row in wanted:
+            events: texts.Events = ()
+            if row.text is not None:
+                match next(found):
+                    case Result(tag='ok', ok=events):
+                        pass
+                    case Result(error=fault) if not results:
+                        return Error(_refuse(fault.detail))
+                    case _:
+                        break
+            results.append(
+                model.ItemResult(
+                    row.item_id, row.state, events, row.versions, row.score
+                )
+            )
+        return Ok(results)
+
     async def _find(
         self, submission_id: model.SubmissionId
     ) -> Result[tuple[archive.Shelf, fold.Entry], outcomes.Refusal]:
@@ -217,6 +259,19 @@
     )
 
 
+def _limit_size(
+    listed: Sequence[model.ListedItem],
+) -> list[model.ListedItem]:
+    wanted: list[model.ListedItem] = []
+    size = 0
+    for row in listed:
+        size += row.text.size if row.text else 0
+        if wanted and size > _ANSWER_SIZE:
+            break
+        wanted.append(row)
+    return wanted
+
+
 async def _wait_for_result(
     shelf: archive.Shelf, entry: fold.Entry, after: int, wait: float
 ) -> None:
--- a/waxwingport/submissions/fold.py
+++ b/waxwingport/submissions/fold.py
@@ -1,6 +1,7 @@
 """What the records of one partition say, on every node alike."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 import msgspec
 
@@ -15,10 +16,10 @@
 
     submission: model.Submission
     items: dict[model.ItemId, model.Item]
-    results: list[model.ItemResult]
+    results: list[model.ListedItem]
     """In the order of their positions."""
-    listed: dict[model.ItemId, model.ItemResult]
-    drafts: dict[model.ItemId, model.Draft]
+    listed: dict[model.ItemId, model.ListedItem]
+    drafts: dict[model.ItemId, model.KeptDraft]
     ended: bool = False
 
     @property
@@ -43,6 +44,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[model.SubmissionId, Entry] = {}
+        self._by_item: dict[model.ItemId, list[Entry]] = {}
 
     def __iter__(self) -> Iterator[Entry]:
         return iter(self._entries.values())
@@ -51,6 +53,10 @@
         """Returns a submission's entry, or ``None`` if it is not known."""
         return self._entries.get(submission_id)
 
+    def find_with_item(self, item_id: model.ItemId) -> Sequence[Entry]:
+        """Returns the submissions that hold an item, oldest first."""
+        return self._by_item.get(item_id, ())
+
     def apply(self, record: records.Record) -> Entry | None:
         """Takes the next record; returns the entry that it changed."""
         match record:
@@ -75,19 +81,28 @@
             and entry.submission.accepted_at < accepted_before
         ]
         for submission_id in gone:
-            del self._entries[submission_id]
+            self._forget(self._entries.pop(submission_id))
         return len(gone)
 
+    def _forget(self, entry: Entry) -> None:
+        for item_id in entry.items:
+            holding = self._by_item[item_id]
+            holding.remove(entry)
+            if not holding:
+                del self._by_item[item_id]
+
     def _accept(self, submission: model.Submission) -> Entry | None:
         if submission.submission_id in self._entries:
             return None
         items = {item.item_id: item for item in submission.items}
         entry = Entry(submission, items, [], {}, {})
         self._entries[submission.submission_id] = entry
+        for item_id in items:
+            self._by_item.setdefault(item_id, []).append(entry)
         return entry
 
     def _list(
-        self, submission_id: model.SubmissionId, result: model.ItemResult
+        self, submission_id: model.SubmissionId, result: model.ListedItem
     ) -> Entry | None:
         entry = self._entries.get(submission_id)
         if entry is None or result.item_id in entry.listed:
@@ -102,7 +117,7 @@
     def _keep_drafts(
         self,
         submission_id: model.SubmissionId,
-        drafts: tuple[model.Draft, ...],
+        drafts: tuple[model.KeptDraft, ...],
     ) -> Entry | None:
         entry = self._entries.get(submission_id)
         if entry is None:
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -26,7 +26,6 @@
     'Run',
     'Text',
     'is_usable',
-    'restore',
 ]
 
 _FIRST_EVENT_TIMEOUT = 1.5
@@ -95,13 +94,6 @@
     return len(versions) == 1 or not single_version
 
 
-def restore(draft: model.Draft | None) -> Text:
-    """Returns the text to go on from."""
-    if draft is None:
-        return Text([], [])
-    return Text(list(draft.events), list(draft.versions))
-
-
 class Run(msgspec.Struct, frozen=True):
     """One run of an item at an engine."""
 
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -7,22 +7,25 @@
 from expression import Result
 import msgspec
 
+from waxwingport import clocks
 from waxwingport.log import base
 from waxwingport.log import leases
 from waxwingport.log import writers
 from waxwingport.submissions import archive
 from waxwingport.submissions import batches
 from waxwingport.submissions import fold
-from waxwingport.submissions import records
+from waxwingport.submissions import journal
 from waxwingport.submissions import runner
+from waxwingport.submissions import texts
 
 __all__ = ['Holder', 'HolderSettings']
 
-_DRAFT_INTERVAL = 1.0
-"""Seconds between looks for texts to keep."""
-_DRAFT_EVENTS = 20
-"""Events that a text has grown by before it is kept again: most texts end
-before, the long ones decide when a step is whole."""
+_DRAFT_INTERVAL = 0.5
+"""Seconds between looks for texts to keep: what a holder's loss costs the
+runs that decide when a step is whole."""
+_DRAFT_EVENTS = 10
+"""Events that a text has grown by before it is kept again, as many as an
+engine makes in the interval."""
 _RESIGN_TIMEOUT = 1.0
 """Seconds for handing a partition on before a stop."""
 
@@ -50,11 +53,12 @@
         items: runner.ItemRunner,
         settings: HolderSettings,
         member: base.MemberName,
+        reader: texts.TextReader,
+        wall: clocks.WallClock,
         rng: random.Random,
     ) -> None:
-        self._tenures = [
-            _Tenure(shelf, items, settings.record_size) for shelf in shelves
-        ]
+        journals = _JournalFactory(log, reader, settings, wall, rng)
+        self._tenures = [_Tenure(shelf, items, journals) for shelf in shelves]
         self._leases = [
             leases.PartitionLease(
                 log,
@@ -62,6 +66,7 @@
                 member,
                 tenure,
                 settings.call_size,
+                wall,
                 rng,
                 self.count_held,
             )
@@ -72,7 +77,7 @@
 
     def count_held(self) -> int:
         """Returns how many partitions this process holds."""
-        return sum(tenure.writer is not None for tenure in self._tenures)
+        return sum(tenure.journal is not None for tenure in self._tenures)
 
     async def run(self) -> None:
         """Claims partitions and keeps long texts until cancelled."""
@@ -106,6 +111,41 @@
                 await tenure.keep_texts(_DRAFT_EVENTS)
 
 
+class _JournalFactory:
+    """Makes the journals of the partitions that this process gains."""
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        reader: texts.TextReader,
+        settings: HolderSettings,
+        wall: clocks.WallClock,
+        rng: random.Random,
+    ) -> None:
+        self._log = log
+        self._reader = reader
+        self._settings = settings
+        self._wall = wall
+        self._rng = rng
+
+    def make(
+        self, index: writers.FencedWriter
+    ) -> tuple[journal.Journal, texts.TextWriter]:
+        """Returns the journal and the writer of its texts, yet to be run."""
+        writer = writers.FencedWriter(
+            self._log,
+            base.Partition(texts.TOPIC, index.partition.number),
+            index.epoch,
+            self._rng.getrandbits(leases.SEQUENCE_BITS),
+            self._settings.call_size,
+        )
+        kept = texts.TextWriter(
+            writer, self._reader, self._settings.record_size, self._wall
+        )
+        made = journal.Journal(index, kept, self._settings.record_size)
+        return made, kept
+
+
 class _Tenure(leases.LeaseListener):
     """The work on one partition while this process holds it."""
 
@@ -113,20 +153,25 @@
         self,
         shelf: archive.Shelf,
         items: runner.ItemRunner,
-        record_size: int,
+        journals: _JournalFactory,
     ) -> None:
         self.shelf = shelf
-        self.writer: writers.FencedWriter | None = None
+        self.journal: journal.Journal | None = None
         self._runner = items
-        self._record_size = record_size
+        self._journals = journals
+        self._texts: texts.TextWriter | None = None
+        self._text_work: asyncio.Task[None] | None = None
         self._writes: set[asyncio.Task[None]] = set()
         shelf.add_listener(self._note_change)
 
     def gain(self, writer: writers.FencedWriter) -> None:
         """Runs what is open."""
-        self.writer = writer
+        self.journal, self._texts = self._journals.make(writer)
+        self._text_work = asyncio.get_running_loop().create_task(
+            self._write_until_lost(self._texts)
+        )
         for entry in self.shelf.state:
-            self._runner.add(entry, writer)
+            self._runner.add(entry, self.journal)
 
     def lose(self, reason: str) -> None:
         """Stops every run."""
@@ -135,60 +180,66 @@
             extra={'partition': str(self.shelf.partition), 'reason': reason},
         )
         self._stop_runs()
+        if self._text_work is not None and self._texts is not None:
+            self._text_work.cancel()
+            self._texts.abandon(base.Fault(base.FaultKind.FENCED, reason))
 
     async def hand_on(self) -> None:
         """Stops every run and keeps the texts begun."""
-        writer = self.writer
-        if writer is None:
+        journal_ = self.journal
+        if journal_ is None:
             return
         for batch in self._stop_runs():
-            await self._write_texts(batch, writer, 1)
+            await self._keep_drafts(batch, journal_, 1)
 
     async def keep_texts(self, new_events: int) -> None:
-        """Writes the texts that have grown by ``new_events`` or more."""
-        writer = self.writer
-        if writer is None:
+        """Keeps the texts that have grown by ``new_events`` or more."""
+        journal_ = self.journal
+        if journal_ is None:
             return
         for batch in self._runner.find_batches(self.shelf.partition):
-            await self._write_texts(batch, writer, new_events)
+            await self._keep_drafts(batch, journal_, new_events)
+
+    async def _write_until_lost(self, kept: texts.TextWriter) -> None:
+        fault = await kept.run()
+        if self.shelf.lease is not None:
+            # Without its texts the partition can't be worked on either.
+            self.shelf.lease.drop(f'texts can not be written: {fault.detail}')
 
     def _stop_runs(self) -> list[batches.Batch]:
-        self.writer = None
-        batches = self._runner.find_batches(self.shelf.partition)
-        for batch in batches:
+        self.journal = None
+        stopped = self._runner.find_batches(self.shelf.partition)
+        for batch in stopped:
             self._runner.drop(batch.entry.submission.submission_id)
-        return batches
+        return stopped
 
     def _note_change(self, shelf: archive.Shelf, entry: fold.Entry) -> None:
-        writer = self.writer
-        if writer is None:
+        journal_ = self.journal
+        if journal_ is None:
             return
         if entry.open:
-            self._runner.add(entry, writer)
+            self._runner.add(entry, journal_)
             return
         batch = self._runner.drop(entry.submission.submission_id)
         if batch is not None and entry.ended:
             # A later submission may hold the same groups.
             task = asyncio.get_running_loop().create_task(
-                self._write_texts(batch, writer, 1)
+                self._keep_drafts(batch, journal_, 1)
             )
             self._writes.add(task)
             task.add_done_callback(self._writes.discard)
 
-    async def _write_texts(
+    async def _keep_drafts(
         self,
         batch: batches.Batch,
-        writer: writers.FencedWriter,
+        journal_: journal.Journal,
         new_events: int,
     ) -> None:
         drafts = batch.make_drafts(new_events)
         if not drafts:
             return
         submission_id = batch.entry.submission.submission_id
-        rows = records.encode(
-            records.Drafted(submission_id, drafts), self._record_size
-        )
-        match await writer.write(rows):
+        match await journal_.keep_drafts(submission_id, drafts):
             case Result(tag='error', error=fault):
                 _LOG.info(
                     'drafts-dropped',
--- a/waxwingport/submissions/model.py
+++ b/waxwingport/submissions/model.py
@@ -11,11 +11,14 @@
     'Draft',
     'Item',
     'ItemId',
-    'ItemState',
     'ItemResult',
+    'ItemState',
+    'KeptDraft',
+    'ListedItem',
     'RewardCall',
     'Submission',
     'SubmissionId',
+    'TextReference',
 ]
 
 ItemId = NewType('ItemId', str)
@@ -70,19 +73,54 @@
     """Seconds since 1970."""
 
 
-class ItemResult(msgspec.Struct, frozen=True, array_like=True):
+class ItemResult(msgspec.Struct, frozen=True):
     """How an item ended, as it is told to readers."""
 
     item_id: ItemId
     state: ItemState
-    output: str
+    events: tuple[str, ...]
     versions: tuple[ids.WeightVersion, ...]
     score: str | None
 
 
-class Draft(msgspec.Struct, frozen=True, array_like=True):
+class Draft(msgspec.Struct, frozen=True):
     """Text of an item that has not ended, to go on from later."""
 
     item_id: ItemId
     events: tuple[str, ...]
     versions: tuple[ids.WeightVersion, ...]
+
+
+class TextReference(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Where the log holds a text."""
+
+    partition: int
+    """Of the topic of texts."""
+    offset: ids.Offset
+    rows: int
+    """Records that the text takes."""
+    size: int
+    """Bytes of these."""
+    kept_at: float
+    """Seconds since 1970; the log forgets it some time after."""
+
+
+class ListedItem(msgspec.Struct, frozen=True, array_like=True):
+    """How an item ended, as the index of submissions has it."""
+
+    item_id: ItemId
+    state: ItemState
+    text: TextReference | None
+    """``None`` where there is none to read."""
+    versions: tuple[ids.WeightVersion, ...]
+    score: str | None
+
+
+class KeptDraft(msgspec.Struct, frozen=True, array_like=True):
+    """A draft, as the index of submissions has it."""
+
+    item_id: ItemId
+    events: int
+    """How many it holds."""
+    text: TextReference
+    versions: tuple[ids.WeightVersion, ...]
--- a/waxwingport/submissions/records.py
+++ b/waxwingport/submissions/records.py
@@ -38,14 +38,14 @@
     """An item's result has its position among the submission's results."""
 
     submission_id: model.SubmissionId
-    result: model.ItemResult
+    result: model.ListedItem
 
 
 class Drafted(msgspec.Struct, frozen=True, tag='drafted', array_like=True):
-    """The texts of items that were stopped before they ended."""
+    """Texts of items that have not ended."""
 
     submission_id: model.SubmissionId
-    drafts: tuple[model.Draft, ...]
+    drafts: tuple[model.KeptDraft, ...]
 
 
 class Ended(msgspec.Struct, frozen=True, tag='ended', array_like=True):
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Sequence
 import functools
 import logging
 import random
@@ -14,17 +15,17 @@
 from waxwingport.gateway import routes
 from waxwingport import ids
 from waxwingport.log import base
-from waxwingport.log import writers
 from waxwingport import metrics
 from waxwingport.submissions import archive
 from waxwingport.submissions import batches
 from waxwingport.submissions import fold
 from waxwingport.submissions import generation
+from waxwingport.submissions import journal
 from waxwingport.submissions import model
 from waxwingport.submissions import order
 from waxwingport.submissions import placement
-from waxwingport.submissions import records
 from waxwingport.submissions import scores
+from waxwingport.submissions import texts
 
 __all__ = ['ItemRunner']
 
@@ -39,6 +40,9 @@
 """Seconds before an item runs again, by how its run ended: an engine with old
 weights is loading them, or its entry is about to say that it has them not."""
 
+_RESTORE_TIMEOUT = 1.0
+"""Seconds to read the texts of items that go on; most of them could be made
+anew in a few times as long."""
 _EXPECTED_EVENTS = 25
 """Events expected of an item: the mean of the trainers' sheets."""
 
@@ -54,9 +58,9 @@
         scorer: scores.Scorer,
         targets: registry.Registry,
         shelves: archive.Archive,
+        reader: texts.TextReader,
         find_route: scores.FindRoute,
         home: ids.DataCentre,
-        record_size: int,
         wall: clocks.WallClock,
         rng: random.Random,
         counters: metrics.Metrics,
@@ -67,15 +71,15 @@
         self._scorer = scorer
         self._targets = targets
         self._archive = shelves
+        self._texts = reader
         self._find_route = find_route
         self._home = home
-        self._record_size = record_size
         self._wall = wall
         self._batches: dict[model.SubmissionId, batches.Batch] = {}
         self._prompts: dict[ids.GroupId, set[fleet.InstanceId]] = {}
         self._wake = asyncio.Event()
 
-    def add(self, entry: fold.Entry, writer: writers.FencedWriter) -> None:
+    def add(self, entry: fold.Entry, journal_: journal.Journal) -> None:
         """Runs what is left of a submission."""
         submission_id = entry.submission.submission_id
         if submission_id in self._batches or not entry.open:
@@ -85,14 +89,14 @@
             for item in entry.submission.items
             if self._was_seen_before(item, submission_id)
         )
-        waiting = {
-            item.item_id: self._make_job(entry, item)
+        jobs = {
+            item.item_id: batches.Job(item, generation.Text([], []))
             for item in entry.find_unlisted()
         }
         batch = batches.Batch(
             entry,
-            writer,
-            waiting,
+            journal_,
+            jobs,
             order.rank_groups(entry.submission.items, carried),
             set(),
             {},
@@ -102,12 +106,13 @@
             'submission-started',
             extra={
                 'submission': submission_id,
-                'waiting': len(waiting),
-                'epoch': writer.epoch,
+                'waiting': len(jobs),
+                'epoch': journal_.epoch,
                 'carried_groups': len(carried),
             },
         )
         self._reuse_results(batch)
+        self._resume_drafts(batch)
         self._wake.set()
 
     def count_waiting(self) -> int:
@@ -138,7 +143,7 @@
         return [
             batch
             for batch in self._batches.values()
-            if batch.writer.partition == partition
+            if batch.journal.partition == partition
         ]
 
     def wake(self) -> None:
@@ -163,10 +168,8 @@
         self, item: model.Item, submission_id: model.SubmissionId
     ) -> bool:
         return any(
-            item.item_id in entry.items
-            for shelf in self._archive
-            for entry in shelf.state
-            if entry.submission.submission_id != submission_id
+            entry.submission.submission_id != submission_id
+            for entry in self._archive.find_with_item(item.item_id)
         )
 
     def _reuse_results(self, batch: batches.Batch) -> None:
@@ -182,16 +185,49 @@
                 submission.minimum_version,
                 route.single_version,
             ):
-                self._spawn(batch, job, self._write(batch, known))
-
-    def _make_job(self, entry: fold.Entry, item: model.Item) -> batches.Job:
-        draft = self._archive.find_draft(item.item_id)
-        minimum = entry.submission.minimum_version
-        if draft and generation.is_usable(draft.versions, minimum, False):
-            return batches.Job(
-                item, generation.restore(draft), kept_events=len(draft.events)
-            )
-        return batches.Job(item, generation.restore(None))
+                self._spawn(batch, job, self._relist(batch, known))
+
+    def _resume_drafts(self, batch: batches.Batch) -> None:
+        """Holds back items that go on from a kept text until it is read."""
+        minimum = batch.entry.submission.minimum_version
+        kept: dict[model.ItemId, model.KeptDraft] = {}
+        for item_id in batch.waiting:
+            draft = self._archive.find_draft(item_id)
+            if draft and generation.is_usable(draft.versions, minimum, False):
+                kept[item_id] = draft
+        if kept:
+            jobs = [batch.waiting.pop(item_id) for item_id in kept]
+            self._track(batch, self._restore(batch, jobs, list(kept.values())))
+
+    async def _restore(
+        self,
+        batch: batches.Batch,
+        jobs: Sequence[batches.Job],
+        drafts: Sequence[model.KeptDraft],
+    ) -> None:
+        found = await self._texts.fetch(
+            [draft.text for draft in drafts], _RESTORE_TIMEOUT
+        )
+        unread = 0
+        for job, draft, outcome in zip(jobs, drafts, found, strict=True):
+            match outcome:
+                case Result(tag='ok', ok=events):
+                    job.text.events.extend(events)
+                    job.text.versions.extend(draft.versions)
+                    job.kept_events = len(events)
+                case Result(tag='error'):
+                    # It begins anew, which costs time but loses nothing.
+                    unread += 1
+            batch.waiting[job.item.item_id] = job
+        _LOG.info(
+            'drafts-restored',
+            extra={
+                'submission': batch.entry.submission.submission_id,
+                'restored': len(jobs) - unread,
+                'unread': unread,
+            },
+        )
+        self._wake.set()
 
     def _dispatch(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -250,7 +286,7 @@
             ready, submission.model, submission.minimum_version, now
         )
         if route.single_version:
-            fitting = _keep_version(job.text, fitting, submission.model)
+            fitting = _keep_version(job, fitting, submission.model)
         holding = self._prompts.setdefault(job.item.group, set())
         target = placement.place(
             fitting, self._home, frozenset(holding), now, self._rng
@@ -312,10 +348,16 @@
     ) -> asyncio.Task[None]:
         batch.waiting.pop(job.item.item_id, None)
         batch.drafts[job.item.item_id] = job
+        task = self._track(batch, work)
+        task.add_done_callback(lambda _: self._wake.set())
+        return task
+
+    def _track(
+        self, batch: batches.Batch, work: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         batch.tasks.add(task)
         task.add_done_callback(batch.tasks.discard)
-        task.add_done_callback(lambda _: self._wake.set())
         return task
 
     async def _run_item(
@@ -402,7 +444,7 @@
             model.ItemResult(
                 job.item.item_id,
                 model.ItemState.COMPLETED,
-                '\n'.join(job.text.events),
+                tuple(job.text.events),
                 tuple(job.text.versions),
                 score,
             ),
@@ -421,7 +463,7 @@
             },
         )
         result = model.ItemResult(
-            job.item.item_id, model.ItemState.ERRORED, '', (), None
+            job.item.item_id, model.ItemState.ERRORED, (), (), None
         )
         await self._write(batch, result)
 
@@ -429,10 +471,24 @@
         self, batch: batches.Batch, result: model.ItemResult
     ) -> None:
         submission_id = batch.entry.submission.submission_id
-        rows = records.encode(
-            records.Listed(submission_id, result), self._record_size
-        )
-        match await batch.writer.write(rows):
+        done = await batch.journal.list_item(submission_id, result)
+        self._note_listed(batch, result, done)
+
+    async def _relist(
+        self, batch: batches.Batch, known: model.ListedItem
+    ) -> None:
+        submission_id = batch.entry.submission.submission_id
+        done = await batch.journal.relist(submission_id, known)
+        self._note_listed(batch, known, done)
+
+    def _note_listed(
+        self,
+        batch: batches.Batch,
+        result: model.ItemResult | model.ListedItem,
+        done: Result[None, base.Fault],
+    ) -> None:
+        submission_id = batch.entry.submission.submission_id
+        match done:
             case Result(tag='ok'):
                 batch.drafts.pop(result.item_id, None)
                 self._metrics.count(
@@ -461,20 +517,21 @@
 
 
 def _keep_version(
-    text: generation.Text, fitting: list[fleet.Target], name: str
+    job: batches.Job, fitting: list[fleet.Target], name: str
 ) -> list[fleet.Target]:
     """Returns the engines at which a text of one version can go on.
 
     Where no engine has its version any more, the text begins anew.
     """
-    if not text.versions:
+    versions = job.text.versions
+    if not versions:
         return fitting
     same = [
         target
         for target in fitting
-        if target.versions.get(name) == text.versions[-1]
+        if target.versions.get(name) == versions[-1]
     ]
     if same:
         return same
-    text.clear()
+    job.start_over()
     return fitting
