Let a waiting call wait on while it is likely to be answered in time

Change: a waiter gives up when the mean and a standard deviation of the time to an answer are no longer left. The entry to the queue is as before.

--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -24,3 +24,11 @@
     live = overloaded.select(candidates.WorkClass.LIVE)
     in_time = overloaded.count_useful(candidates.WorkClass.LIVE)
     assert in_time >= 0.99 * len(live)
+
+
+async def test_a_burst_of_live_calls_at_one_of_many_nodes_waits_its_turn():
+    """Load pattern: live calls below the capacity, rollouts far above it."""
+    overloaded = await run(4.0, 10)
+    live = overloaded.select(candidates.WorkClass.LIVE)
+    in_time = overloaded.count_useful(candidates.WorkClass.LIVE)
+    assert in_time >= 0.99 * len(live)
--- a/waxwingport/limits/admission.py
+++ b/waxwingport/limits/admission.py
@@ -219,8 +219,8 @@
             work, loop.create_future(), next(self._numbers)
         )
         group.queues[work.work_class].add(waiter)
-        last_moment = group.find_last_moment(work, loop.time())
-        waiter.timer = loop.call_at(last_moment, self._expire, group, waiter)
+        latest = group.find_giving_up(work)
+        waiter.timer = loop.call_at(latest, self._expire, group, waiter)
         if work.work_class is candidates.WorkClass.LIVE:
             self._preemption.make_way(group, view, work)
         _LOG.info(
--- a/waxwingport/limits/groups.py
+++ b/waxwingport/limits/groups.py
@@ -40,6 +40,11 @@
         wanted = self.mean + _DEVIATIONS * math.sqrt(self._variance)
         return min(wanted, _LONGEST_RATIO * self.mean)
 
+    @property
+    def likely(self) -> float:
+        """The mean and a standard deviation: five in six are quicker."""
+        return self.mean + math.sqrt(self._variance)
+
     def note(self, taken: float) -> None:
         """Takes the time of one request."""
         if not self._known:
@@ -101,6 +106,19 @@
         """Returns the usual time in seconds from grant to answer."""
         return self._holds[work_class].mean
 
+    def find_giving_up(self, work: candidates.Work) -> float:
+        """Returns until when ``work`` may go on waiting.
+
+        That leaves the time within which most are answered.  It is later than
+        the last moment for which a wait is begun: whoever waits already had
+        reason to expect its turn.
+
+        Load pattern: live calls below the pool's capacity that come at one
+        node in a burst, beside rollouts far above it.
+        """
+        hold = self._holds[work.work_class]
+        return work.deadline - hold.likely
+
     def find_last_moment(self, work: candidates.Work, now: float) -> float:
         """Returns until when ``work`` has to start to be answered in time.
 
