Hold nothing up for a lost answer of the log

Ruled out: loss of reads (the kind loses answers to writes only); doubling time-outs (two losses in a row are longer than the silence allowed).

Change: a writer's time for an answer follows the answers it got, from 0.25 to 1 s, more for large appends; a submission or end is acknowledged once its record is read back; a claimant reads its claim back itself.

--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -419,3 +419,16 @@
         while not deployment.engine.orders:
             await asyncio.sleep(0.05)
     assert deployment.engine.orders[0]['mode'] == 'await'
+
+
+async def test_a_submission_whose_answer_is_lost_is_seen_in_the_log(
+    deployment,
+):
+    """Load pattern: a log that does what it is asked and does not answer."""
+    served = await deployment.start_node()
+    await asyncio.sleep(0.5)
+    deployment.log.failures.extend(3 * [partitions.LogFailure.SILENT])
+    before = asyncio.get_running_loop().time()
+    assert (await deployment.submit(served)).status == 202
+    assert asyncio.get_running_loop().time() - before < 1.0
+    assert len(await deployment.read_all(served)) == 4
--- a/tests/log/test_writers.py
+++ b/tests/log/test_writers.py
@@ -21,6 +21,19 @@
 )
 
 
+class Slow:
+    """A way to a log whose appends take long."""
+
+    def __init__(self, log, time):
+        self._log = log
+        self._time = time
+
+    async def append(self, *arguments):
+        answer = await self._log.append(*arguments)
+        await asyncio.sleep(self._time)
+        return answer
+
+
 @pytest.fixture
 async def make_writer(memory, partition):
     """Returns a function that starts a writer in an epoch."""
@@ -149,3 +162,17 @@
         writer.write((b'd',)),
     )
     assert [row.ok for row in done] == [0, 2, 3]
+
+
+@pytest.mark.looptime
+async def test_a_log_that_turned_slow_is_given_more_time(
+    make_writer, memory, partition
+):
+    slow = Slow(memory, 0.4)
+    writer = make_writer(1, slow)
+    for number in range(3):
+        await writer.write((bytes([number]),))
+    before = memory.appends
+    for number in range(5):
+        await writer.write((bytes([number]),))
+    assert memory.appends - before == 5
--- a/waxwingport/log/leases.py
+++ b/waxwingport/log/leases.py
@@ -283,11 +283,18 @@
         )
         self._writer = writer
         self._spawn(self._serve(writer))
-        self._write(writer, Claim(self._member, epoch, self._wall.read()))
+        self._spawn(self._write_claim(writer))
         asyncio.get_running_loop().call_later(
             _CLAIM_TIMEOUT, self._give_claim_up, writer
         )
 
+    async def _write_claim(self, writer: writers.FencedWriter) -> None:
+        claim = Claim(self._member, writer.epoch, self._wall.read())
+        done = await writer.write((msgspec.msgpack.encode(claim),))
+        if done.is_ok():
+            # A waiting read may have been held up; this one is not.
+            await self._tail.catch_up(0.0)
+
     def _renew(self, writer: writers.FencedWriter) -> None:
         self._write(
             writer,
--- a/waxwingport/log/writers.py
+++ b/waxwingport/log/writers.py
@@ -17,10 +17,18 @@
 
 _NAME = 'holder'
 """One name for all holders, so that each epoch fences all lower ones."""
-_FIRST_ANSWER_TIME = 0.5
-"""Seconds for the answer to an append before it is repeated, doubled with
-each try: twice that of a store 60 times slower than its usual 4 ms.  A lost
-answer holds up all that is written behind it."""
+_LEAST_ANSWER_TIME = 0.25
+"""Seconds for the answer to an append before it is repeated: twenty times the
+usual one.  A lost answer holds up all that is written behind it."""
+_LONGEST_ANSWER_TIME = 1.0
+"""Seconds likewise: twice the answer of a store 60 times slower than usual,
+behind another append."""
+_ANSWER_TIME_GROWTH = 1.5
+"""Ratio of the times for one try and the next: slowness looks like loss."""
+_ANSWER_TIME_SLACK = 4.0
+"""Times the last answer's time that the next one gets."""
+_SLOWEST_PACE = 4e6
+"""Bytes a second; a quarter of the pace of large appends."""
 _FIRST_RETRY = 0.05
 """Seconds before an append is repeated, doubled with each try."""
 _LONGEST_RETRY = 0.5
@@ -56,6 +64,7 @@
         self._queue: collections.deque[_Pending] = collections.deque()
         self._wake = asyncio.Event()
         self._lost: base.Fault | None = None
+        self._answer_time = _LEAST_ANSWER_TIME
         self.partition = partition
         self.epoch = epoch
 
@@ -111,16 +120,8 @@
         records = [row for pending in batch for row in pending.records]
         writer = base.Writer(_NAME, self.epoch, self._sequence)
         pause = _FIRST_RETRY
-        answer_time = _FIRST_ANSWER_TIME
         while True:
-            try:
-                async with asyncio.timeout(answer_time):
-                    answer = await self._log.append(
-                        self.partition, records, writer
-                    )
-            except TimeoutError:
-                answer = _report_silence(answer_time)
-            answer_time *= 2
+            answer = await self._try_append(records, writer)
             match answer:
                 case Result(tag='ok'):
                     self._sequence += 1
@@ -130,6 +131,33 @@
             await asyncio.sleep(pause)
             pause = min(2 * pause, _LONGEST_RETRY)
 
+    async def _try_append(
+        self, records: Sequence[bytes], writer: base.Writer
+    ) -> Result[base.Appended, base.Fault]:
+        size = sum(len(record) for record in records)
+        allowed = self._answer_time + size / _SLOWEST_PACE
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        try:
+            async with asyncio.timeout(allowed):
+                answer = await self._log.append(
+                    self.partition, records, writer
+                )
+        except TimeoutError:
+            self._answer_time = _limit_answer_time(
+                _ANSWER_TIME_GROWTH * self._answer_time
+            )
+            return _report_silence(allowed)
+        if answer.is_ok():
+            self._answer_time = _limit_answer_time(
+                _ANSWER_TIME_SLACK * (loop.time() - sent_at)
+            )
+        return answer
+
+
+def _limit_answer_time(wanted: float) -> float:
+    return min(max(wanted, _LEAST_ANSWER_TIME), _LONGEST_ANSWER_TIME)
+
 
 def _report_silence(waited: float) -> Result[base.Appended, base.Fault]:
     detail = f'no answer within {waited:g} s'
--- a/waxwingport/submissions/desk.py
+++ b/waxwingport/submissions/desk.py
@@ -1,6 +1,7 @@
 """What callers ask of submissions: accept, read, end."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import logging
 
@@ -77,10 +78,12 @@
         if not self._archive.store.available:
             return Error(_refuse('the log is out of reach'))
         outcome = await self._append(
-            shelf, records.Accepted(submission), patience
+            shelf,
+            records.Accepted(submission),
+            patience,
+            lambda: shelf.state.find(submission.submission_id) is not None,
         )
-        known = shelf.state.find(submission.submission_id) is not None
-        if outcome.is_ok() or known:
+        if outcome.is_ok():
             self._log_accept(submission, shelf, repeated=False)
             return Ok(None)
         return outcome
@@ -97,9 +100,12 @@
         if entry.ended:
             return Ok(None)
         outcome = await self._append(
-            shelf, records.Ended(submission_id), patience
+            shelf,
+            records.Ended(submission_id),
+            patience,
+            lambda: entry.ended,
         )
-        if outcome.is_ok() or entry.ended:
+        if outcome.is_ok():
             _LOG.info(
                 'submission-ended',
                 extra={
@@ -211,14 +217,33 @@
         return found.map_error(lambda fault: _refuse(fault.detail))
 
     async def _append(
-        self, shelf: archive.Shelf, record: records.Record, patience: float
+        self,
+        shelf: archive.Shelf,
+        record: records.Record,
+        patience: float,
+        is_done: Callable[[], bool],
     ) -> Result[None, outcomes.Refusal]:
+        """Appends a record, until the log answers or the record is read back.
+
+        Load pattern: a log that does what it is asked and loses the answer.
+        """
         rows = records.encode(record, self._record_size)
-        now = asyncio.get_running_loop().time()
-        deadline = now + min(patience, _APPEND_TIME)
-        done = await writers.append_once(
-            self._log, shelf.partition, rows, deadline
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + min(patience, _APPEND_TIME)
+        append = loop.create_task(
+            writers.append_once(self._log, shelf.partition, rows, deadline)
         )
+        seen = loop.create_task(_wait_until_seen(shelf, is_done))
+        try:
+            await asyncio.wait(
+                (append, seen), return_when=asyncio.FIRST_COMPLETED
+            )
+            if is_done():
+                return Ok(None)
+            done = await append
+        finally:
+            append.cancel()
+            seen.cancel()
         match done:
             case Result(tag='ok'):
                 return Ok(None)
@@ -272,6 +297,13 @@
     return wanted
 
 
+async def _wait_until_seen(
+    shelf: archive.Shelf, is_done: Callable[[], bool]
+) -> None:
+    while not is_done():
+        await shelf.tail.wait_advance()
+
+
 async def _wait_for_result(
     shelf: archive.Shelf, entry: fold.Entry, after: int, wait: float
 ) -> None:
