Load a version that a submission waited for before it was published

Cause: a submission whose minimum was ahead of the newest version left the age that its model allows at one version, so that a single engine, or half of them, never loaded what it waits for.

Change: such a minimum is kept until its version is published.

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -23,6 +23,8 @@
         self.orders = []
         self.runs = []
         """Request id and the event after which it was asked to go on."""
+        self.score_pause = 0.0
+        """Seconds that a score takes."""
         self.failing_scores = set()
         """Ids of reward calls that always fail."""
         self.break_after = {}
@@ -112,9 +114,10 @@
 
 
 class _Score(_Handler):
-    def post(self):
+    async def post(self):
         name = self.request.headers['Request-Id']
         self.engine.runs.append((name, 0))
+        await asyncio.sleep(self.engine.score_pause)
         if name in self.engine.failing_scores:
             self.set_status(500)
             return
--- a/tests/rollout/test_plan.py
+++ b/tests/rollout/test_plan.py
@@ -104,3 +104,23 @@
     book.note_published('m', 3)
     book.note_minimum('m', 3)
     assert book.get_needs() == {'m': plan.Need(3, 0)}
+
+
+def test_a_minimum_ahead_of_its_version_is_met_once_that_is_published():
+    book = controller.VersionBook()
+    book.note_minimum('m', 2)
+    book.note_published('m', 2)
+    need = book.get_needs()['m']
+    engines = [plan.Engine('i', {'m': 1}, 0.0)]
+    (load,) = plan.plan_loads(engines, {'m': need}, 0)
+    assert load.version == 2
+
+
+def test_a_minimum_far_ahead_waits_for_its_own_version():
+    book = controller.VersionBook()
+    book.note_published('m', 2)
+    book.note_minimum('m', 4)
+    book.note_published('m', 3)
+    assert book.get_needs()['m'].lag == 1
+    book.note_published('m', 4)
+    assert book.get_needs()['m'].lag == 0
--- a/waxwingport/rollout/controller.py
+++ b/waxwingport/rollout/controller.py
@@ -41,6 +41,8 @@
     def __init__(self) -> None:
         self._newest: dict[str, ids.WeightVersion] = {}
         self._lags: dict[str, int] = {}
+        self._early: dict[str, ids.WeightVersion] = {}
+        """Minimums of submissions made before these were published."""
         self._single: set[str] = set()
 
     def note_published(self, model: str, version: ids.WeightVersion) -> None:
@@ -48,6 +50,8 @@
         if version <= self._newest.get(model, 0):
             return
         self._newest[model] = version
+        if version >= self._early.get(model, version + 1):
+            self._lags[model] = version - self._early.pop(model)
         _LOG.info(
             'version-published', extra={'model': model, 'version': version}
         )
@@ -57,9 +61,11 @@
 
         The first version says nothing: there is none before it to allow.
         """
-        newest = self._newest.get(model)
-        if newest is not None and minimum > _FIRST_VERSION:
-            self._lags[model] = max(0, newest - minimum)
+        newest = self._newest.get(model, _FIRST_VERSION)
+        if minimum > newest:
+            self._early[model] = minimum
+        elif minimum > _FIRST_VERSION:
+            self._lags[model] = newest - minimum
 
     def note_single_version(self, model: str) -> None:
         """Takes that a model's texts have to come from one version each."""
