Serve metrics at a port that collectors know; measure what log lines cost

One pool of targets chooses for calls and streams (both had the same constructor and choice). The stand-in log keeps failures of plain appends apart: a test that counted on the order of renewals and submissions failed once the renewals came more often.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -10,6 +10,7 @@
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
 from waxwingport.gateway import configured
+from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport.gateway import server
 from waxwingport.gateway import streams
@@ -42,8 +43,9 @@
         )
         spelling = exchange.PlatformDialect()
         sender = attempts.Sender(self.http, spelling)
-        rng = random.Random(1)
-        centre = ids.DataCentre('here')
+        pool = pools.TargetPool(
+            self.targets, ids.DataCentre('here'), random.Random(1)
+        )
         wall = clocks.SystemWallClock()
         self.archive = archive.Archive(
             self.log, archive.ArchiveSettings(), wall
@@ -52,8 +54,8 @@
         self.gateway = server.Gateway(
             spelling,
             self.configuration,
-            calls.Caller(sender, self.targets, centre, rng),
-            streams.Streamer(sender, self.targets, centre, rng),
+            calls.Caller(sender, pool),
+            streams.Streamer(sender, pool),
             desk.Desk(
                 self.log,
                 self.archive,
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -69,12 +69,12 @@
         value = msgspec.json.encode({'model': 'm', 'version': version})
         self.log.write_keyed(OPERATOR, 'version/m', value)
 
-    async def start_node(self):
+    async def start_node(self, **options):
         name = f'n{len(self.nodes)}'
         found = node.GatewayNode(
             settings.GatewaySettings(
                 settings.GatewayNode(
-                    name, 'here', '127.0.0.1:0', '127.0.0.1:0'
+                    name, 'here', '127.0.0.1:0', '127.0.0.1:0', **options
                 ),
                 store.StoreSettings(self.store.address),
             )
@@ -304,7 +304,8 @@
     served = await deployment.start_node()
     failures = [partitions.LogFailure.LATE]
     failures += 200 * [partitions.LogFailure.BUSY]
-    deployment.log.failures.extend(failures)
+    # The holder's own appends go on and use none of them up.
+    deployment.log.plain_failures.extend(failures)
     assert (await deployment.submit(served)).status == 502
 
 
@@ -369,6 +370,13 @@
     assert found.ok.status == 200
 
 
+async def test_metrics_are_served_where_collectors_look(deployment):
+    served = await deployment.start_node(metrics_listen='127.0.0.1:0')
+    request = client.Request('GET', '/metrics')
+    found = await deployment.http.fetch(served.metrics_address, request, 5.0)
+    assert b'waxwingport_targets' in found.ok.body
+
+
 async def test_a_score_that_always_fails_is_given_up_after_its_attempts(
     deployment,
 ):
@@ -427,7 +435,7 @@
     """Load pattern: a log that does what it is asked and does not answer."""
     served = await deployment.start_node()
     await asyncio.sleep(0.5)
-    deployment.log.failures.extend(3 * [partitions.LogFailure.SILENT])
+    deployment.log.plain_failures.append(partitions.LogFailure.SILENT)
     before = asyncio.get_running_loop().time()
     assert (await deployment.submit(served)).status == 202
     assert asyncio.get_running_loop().time() - before < 1.0
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -12,6 +12,8 @@
 from tests.gateway import test_node
 from waxwingport.commands import explaining
 from waxwingport.http import client
+from waxwingport.measure import base
+from waxwingport.measure import gatewaylogs
 
 PAGE_ORDER = re.compile(r'^\S+ (\S+) (\S+) ?(.*)$')
 SLOW = 0.15
@@ -165,3 +167,14 @@
     assert events.index('version-published') < events.index('order-given')
     orders = [row for row in desk.explain('m') if row[1] == 'order-given']
     assert orders[0][2]['instance'] == 'i1'
+
+
+async def test_the_cost_of_log_lines_is_bounded_by_what_is_refused():
+    """An overloaded gateway writes no more for a call than a calm one."""
+    report = await gatewaylogs.GatewayLogs().run(base.Options(2.0, 1))
+    figures = {row.name: row.value for row in report.figures}
+    assert figures['calm: not answered'] == 0.0
+    assert figures['overloaded: not answered'] > 0.2
+    for kind in ('lines', 'bytes'):
+        calm = figures[f'calm: {kind} a call']
+        assert 0.0 < figures[f'overloaded: {kind} a call'] <= 1.5 * calm
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -12,6 +12,7 @@
 ).read_text()
 FILE = {
     'node': 'edge-1',
+    'ip': '127.0.0.1',
     'zone': 'here',
     'listen': {'front': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
     'bounds': {'grace-s': 8, 'status-s': 120, 'lease-ms': 3000},
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -1,22 +1,19 @@
 """Calls with whole answers: attempts, second attempts and refusals."""
 
 import asyncio
-from collections.abc import Sequence
 import logging
-import random
 
 from expression import Error
 from expression import Ok
 from expression import Result
 import msgspec
 
-from waxwingport.fleet import choice
 from waxwingport.fleet import health
 from waxwingport.fleet import model as fleet
-from waxwingport.fleet import registry
 from waxwingport.gateway import attempts
 from waxwingport.gateway import dialect
 from waxwingport.gateway import hedging
+from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport import ids
 from waxwingport import outcomes
@@ -57,14 +54,10 @@
     def __init__(
         self,
         sender: attempts.Sender,
-        targets: registry.Registry,
-        home: ids.DataCentre,
-        rng: random.Random,
+        pool: pools.TargetPool,
     ) -> None:
         self._sender = sender
-        self._targets = targets
-        self._home = home
-        self._rng = rng
+        self._pool = pool
         self._usual: dict[str, hedging.UsualTimes] = {}
 
     async def run(
@@ -79,7 +72,7 @@
         progress = _Progress(
             call,
             route,
-            hedging.pick_service(route, self._rng),
+            self._pool.pick_service(route),
             now,
             now + min(patience, route.timeout),
             set(),
@@ -98,7 +91,7 @@
         usual = self._usual.setdefault(
             progress.route.name, hedging.UsualTimes()
         )
-        ready = self._targets.find_ready(progress.service)
+        ready = self._pool.find_ready(progress.service)
         left = progress.deadline - loop.time()
         if hedging.is_hopeless(ready, usual, left, loop.time()):
             return self._refuse(
@@ -141,12 +134,8 @@
         if progress.runs and not repeatable:
             return False
         loop = asyncio.get_running_loop()
-        candidates = [
-            target
-            for target in self._targets.find_ready(progress.service)
-            if target.entry.instance not in progress.tried
-        ]
-        target = choice.choose(candidates, self._home, loop.time(), self._rng)
+        candidates = self._pool.find_untried(progress.service, progress.tried)
+        target = self._pool.choose(candidates)
         if target is None:
             return False
         progress.tried.add(target.entry.instance)
@@ -255,17 +244,13 @@
     def _refuse(
         self, progress: _Progress, reason: outcomes.Reason, detail: str
     ) -> Result[attempts.Answered, outcomes.Refusal]:
-        ready: Sequence[fleet.Target] = self._targets.find_ready(
-            progress.service
-        )
         usual = self._usual[progress.route.name]
-        now = asyncio.get_running_loop().time()
         return Error(
             outcomes.Refusal(
                 reason,
                 detail,
-                retry_after=hedging.compute_retry_after(
-                    ready, usual, now, self._rng
+                retry_after=self._pool.compute_retry_after(
+                    progress.service, usual
                 ),
             )
         )
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -14,6 +14,7 @@
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
 from waxwingport.gateway import configured
+from waxwingport.gateway import pools
 from waxwingport.gateway import server
 from waxwingport.gateway import settings
 from waxwingport.gateway import streams
@@ -90,8 +91,9 @@
         self.archive = archive.Archive(
             self._log, configured_.submissions, self._wall
         )
-        self.caller = calls.Caller(sender, self.targets, home, rng)
-        self.streamer = streams.Streamer(sender, self.targets, home, rng)
+        pool = pools.TargetPool(self.targets, home, rng)
+        self.caller = calls.Caller(sender, pool)
+        self.streamer = streams.Streamer(sender, pool)
         reader = texts.TextReader(
             self._log, configured_.submissions.text_memory
         )
@@ -163,6 +165,10 @@
         sockets = server.bind_sockets(node.status_listen)
         self._status_server.add_sockets(sockets)
         self.status_address = server.name_address(sockets[0])
+        if node.metrics_listen:
+            sockets = server.bind_sockets(node.metrics_listen)
+            self._status_server.add_sockets(sockets)
+            self.metrics_address = server.name_address(sockets[0])
 
     @property
     def ready(self) -> bool:
--- a/waxwingport/gateway/settings.py
+++ b/waxwingport/gateway/settings.py
@@ -28,6 +28,9 @@
     """Where callers connect."""
     status_listen: str
     """Where the balancer asks whether the node is ready, and metrics are."""
+    metrics_listen: str = ''
+    """Where metrics are served as well, at a port that collectors know ahead;
+    nowhere else if empty."""
     shutdown_timeout: float = 8.0
     """Seconds from SIGTERM after which the platform kills the process."""
     drain_delay: float = 2.5
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -4,20 +4,18 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
-import random
 
 from expression import Error
 from expression import Ok
 from expression import Result
 import msgspec
 
-from waxwingport.fleet import choice
 from waxwingport.fleet import health
 from waxwingport.fleet import model as fleet
-from waxwingport.fleet import registry
 from waxwingport.gateway import attempts
 from waxwingport.gateway import dialect
 from waxwingport.gateway import hedging
+from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport.http import client
 from waxwingport import ids
@@ -63,14 +61,10 @@
     def __init__(
         self,
         sender: attempts.Sender,
-        targets: registry.Registry,
-        home: ids.DataCentre,
-        rng: random.Random,
+        pool: pools.TargetPool,
     ) -> None:
         self._sender = sender
-        self._targets = targets
-        self._home = home
-        self._rng = rng
+        self._pool = pool
 
     async def run(
         self,
@@ -89,7 +83,7 @@
         stream = _Stream(
             call,
             route,
-            hedging.pick_service(route, self._rng),
+            self._pool.pick_service(route),
             now + min(patience, route.timeout),
             set(),
         )
@@ -117,11 +111,9 @@
             return None
         if stream.sends >= 2 * route.max_attempts + 1:
             return None
-        ready = self._targets.find_ready(stream.service)
-        fresh = [
-            row for row in ready if row.entry.instance not in stream.tried
-        ]
-        return choice.choose(fresh, self._home, now, self._rng)
+        return self._pool.choose(
+            self._pool.find_untried(stream.service, stream.tried)
+        )
 
     async def _attempt(
         self,
@@ -230,13 +222,11 @@
             return outcomes.Refusal(
                 outcomes.Reason.UNKNOWN_OUTCOME, lost, outcomes.Ran.UNKNOWN
             )
-        ready = self._targets.find_ready(stream.service)
-        now = asyncio.get_running_loop().time()
         return outcomes.Refusal(
             outcomes.Reason.NO_TARGET,
             'no target took the request',
-            retry_after=hedging.compute_retry_after(
-                ready, hedging.UsualTimes(), now, self._rng
+            retry_after=self._pool.compute_retry_after(
+                stream.service, hedging.UsualTimes()
             ),
         )
 
--- a/waxwingport/logs.py
+++ b/waxwingport/logs.py
@@ -22,6 +22,7 @@
     'RateFilter',
     'configure',
     'configure_bounded',
+    'make_bounded',
     'request_id',
 ]
 
@@ -149,12 +150,20 @@
 
     Returns the handler that was installed on the root logger.
     """
-    handler = BoundedHandler(sys.stdout.fileno(), configured.buffer_size)
-    handler.setFormatter(_make_formatter(readable=False))
+    handler = make_bounded(sys.stdout.fileno(), configured)
     _install(handler, configured)
     return handler
 
 
+def make_bounded(
+    descriptor: int, configured: settings.LogSettings
+) -> logging.Handler:
+    """Returns a handler of JSON lines that never blocks."""
+    handler = BoundedHandler(descriptor, configured.buffer_size)
+    handler.setFormatter(_make_formatter(readable=False))
+    return handler
+
+
 def configure(
     configured: settings.LogSettings, stream: TextIO | None = None
 ) -> logging.Handler:
--- a/waxwingport/measure/catalogue.py
+++ b/waxwingport/measure/catalogue.py
@@ -6,6 +6,7 @@
 from waxwingport.measure import control
 from waxwingport.measure import degraded
 from waxwingport.measure import dissemination
+from waxwingport.measure import gatewaylogs
 from waxwingport.measure import keys
 from waxwingport.measure import leases
 from waxwingport.measure import membership
@@ -27,6 +28,7 @@
     requests.RequestCost(),
     weights.WeightPlan(),
     control.ControlCost(),
+    gatewaylogs.GatewayLogs(),
     dissemination.Dissemination(),
     overload.Overload(),
     membership.MembershipCost(),
--- a/waxwingport/standins/partitions.py
+++ b/waxwingport/standins/partitions.py
@@ -64,6 +64,10 @@
         self._states: dict[base.Partition, _PartitionState] = {}
         self._late: list[tuple] = []
         self.failures: collections.deque[LogFailure] = collections.deque()
+        self.plain_failures: collections.deque[LogFailure] = (
+            collections.deque()
+        )
+        """The same for appends without a writer, apart from all others."""
         self.reads: collections.deque[base.Partition] = collections.deque(
             maxlen=_REMEMBERED_READS
         )
@@ -100,7 +104,10 @@
         """Appends all ``records`` or none."""
         await asyncio.sleep(0)
         self.appends += 1
-        failure = self.failures.popleft() if self.failures else None
+        failures = self.failures
+        if writer is None and self.plain_failures:
+            failures = self.plain_failures
+        failure = failures.popleft() if failures else None
         if self.down or failure is LogFailure.BUSY:
             return _fail(base.FaultKind.BUSY, 'turned away')
         if failure is LogFailure.LATE:
