--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -27,7 +27,18 @@
         )
         self._process = None
 
+    @property
+    def running(self):
+        process = self._process
+        return process is not None and process.returncode is None
+
     async def start(self, http):
+        await self.run_process()
+        async with asyncio.timeout(READY_TIME):
+            while not await self.is_ready(http):
+                await asyncio.sleep(0.05)
+
+    async def run_process(self):
         with self.log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -37,9 +48,6 @@
                 str(self._settings),
                 stdout=log,
             )
-        async with asyncio.timeout(READY_TIME):
-            while not await self.is_ready(http):
-                await asyncio.sleep(0.05)
 
     async def is_ready(self, http):
         found = await self.fetch_status(http, '/readiness')
@@ -50,7 +58,20 @@
         return await http.fetch(self.status_address, request, 2.0)
 
     async def kill(self):
-        """Ends the process with no warning; it must be one of ours."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(signal.SIGKILL)
+        """Ends the process with no warning."""
+        if self.send_signal(signal.SIGKILL):
             await self._process.wait()
+
+    async def stop(self):
+        """Ends the process as an operator does."""
+        if self.send_signal(signal.SIGTERM):
+            # One that was paused meanwhile has to run to stop.
+            self.send_signal(signal.SIGCONT)
+            await self._process.wait()
+
+    def send_signal(self, number):
+        """Returns whether our process was there to get the signal."""
+        if not self.running:
+            return False
+        self._process.send_signal(number)
+        return True
--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -35,6 +35,7 @@
                 (r'/order', _Order, {'engine': self}),
                 (r'/gen/.*', _Generate, {'engine': self}),
                 (r'/score/.*', _Score, {'engine': self}),
+                (r'/once/.*', _Score, {'engine': self}),
             ]
         )
         self._server = httpserver.HTTPServer(application)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of real node processes under faults from outside them."""
