--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,22 +9,12 @@
 from tests.soak import world
 
 
-async def _play(folder, seed, seconds):
-    played = world.World(folder, seed)
-    await played.start()
-    try:
-        wrong = await played.run(seconds)
-    finally:
-        await played.stop()
-    return played, wrong
-
-
 def play(first=1, count=10, seconds=10.0, keep='target/soak'):
     """Plays seeds from ``first`` on; keeps the logs of those that fail."""
     for seed in range(first, first + count):
         with tempfile.TemporaryDirectory() as folder:
             found = pathlib.Path(folder)
-            played, wrong = asyncio.run(_play(found, seed, seconds))
+            played, wrong = asyncio.run(world.play(found, seed, seconds))
             print(
                 f'seed {seed}: {len(played.accepted)} accepted, '
                 f'{len(played.refused)} refused, calls {dict(played.calls)}, '
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,12 +9,7 @@
 
 @pytest.mark.parametrize('seed', [1, 2])
 async def test_promises_hold_under_faults(tmp_path, seed):
-    played = world.World(tmp_path, seed)
-    await played.start()
-    try:
-        wrong = await played.run(SECONDS)
-    finally:
-        await played.stop()
+    played, wrong = await world.play(tmp_path, seed, SECONDS)
     assert not wrong, (wrong, played.faults.done)
     assert len(played.accepted) >= 3
     assert played.calls[200] >= 3
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -272,3 +272,14 @@
     return '\n'.join(
         f'{item}-{number}' for number in range(1, standin_engine.EVENTS + 1)
     )
+
+
+async def play(folder, seed, seconds):
+    """Plays one seed; returns the world and what was wrong in it."""
+    played = World(folder, seed)
+    await played.start()
+    try:
+        wrong = await played.run(seconds)
+    finally:
+        await played.stop()
+    return played, wrong
