Note a result that is read back before the log answers

Cause: the holder's tail often reads the record of a step's last result before the append is answered; the batch ends, and the task that waited for the answer was cancelled.

Ruled out: a lost result (the reader got it; the record was there).

Change: the write and what it notes go on when the batch is dropped. The test delays the log's answers and fails before.

--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -440,3 +440,17 @@
     assert (await deployment.submit(served)).status == 202
     assert asyncio.get_running_loop().time() - before < 1.0
     assert len(await deployment.read_all(served)) == 4
+
+
+async def test_a_result_read_back_before_the_answer_is_still_noted(
+    deployment, caplog
+):
+    """Load pattern: every step's last result, as reads are quicker."""
+    caplog.set_level('INFO')
+    deployment.log.answer_delay = 0.1
+    served = await deployment.start_node()
+    await deployment.submit(served)
+    await deployment.read_all(served)
+    async with asyncio.timeout(5.0):
+        while sum(row.msg == 'item-listed' for row in caplog.records) < 4:
+            await asyncio.sleep(0.05)
--- a/waxwingport/standins/partitions.py
+++ b/waxwingport/standins/partitions.py
@@ -71,6 +71,8 @@
         self.reads: collections.deque[base.Partition] = collections.deque(
             maxlen=_REMEMBERED_READS
         )
+        self.answer_delay = 0.0
+        """Seconds from an append to its answer."""
         self.silent_reads = 0
         """Reads to come that get no answer."""
         self.unreadable: set[base.Topic] = set()
@@ -114,6 +116,7 @@
             self._late.append((partition, records, writer, at))
             return _fail(base.FaultKind.UNKNOWN, 'no answer')
         done = self._append(partition, records, writer, at)
+        await asyncio.sleep(self.answer_delay)
         if failure is LogFailure.SILENT:
             await asyncio.Event().wait()
         if failure is LogFailure.LOST:
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -77,6 +77,7 @@
         self._wall = wall
         self._batches: dict[model.SubmissionId, batches.Batch] = {}
         self._prompts: dict[ids.GroupId, set[fleet.InstanceId]] = {}
+        self._writes: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
 
     def add(self, entry: fold.Entry, journal_: journal.Journal) -> None:
@@ -471,15 +472,35 @@
         self, batch: batches.Batch, result: model.ItemResult
     ) -> None:
         submission_id = batch.entry.submission.submission_id
-        done = await batch.journal.list_item(submission_id, result)
-        self._note_listed(batch, result, done)
+        work = batch.journal.list_item(submission_id, result)
+        await self._see_through(batch, result, work)
 
     async def _relist(
         self, batch: batches.Batch, known: model.ListedItem
     ) -> None:
         submission_id = batch.entry.submission.submission_id
-        done = await batch.journal.relist(submission_id, known)
-        self._note_listed(batch, known, done)
+        work = batch.journal.relist(submission_id, known)
+        await self._see_through(batch, known, work)
+
+    async def _see_through(
+        self,
+        batch: batches.Batch,
+        result: model.ItemResult | model.ListedItem,
+        work: Coroutine[None, None, Result[None, base.Fault]],
+    ) -> None:
+        """Waits for a write and notes its outcome.
+
+        Goes on when the batch is dropped meanwhile: its last record is often
+        read back, and ends the batch, before the log has answered.
+        """
+
+        async def write() -> None:
+            self._note_listed(batch, result, await work)
+
+        task = asyncio.get_running_loop().create_task(write())
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
+        await asyncio.shield(task)
 
     def _note_listed(
         self,
