Gather the placing of items in scheduling; end the cascades of moves

The pace of an engine was a mean of the gaps between events; a moved run's prompt delays the runs where it arrives, their engine looked 15% slower than another and they moved in turn. An engine that went dark looked idle afterwards and got every resumed run, and added engines were filled at once by all nodes.

Change: package scheduling with the order of items, their placement, the estimate of lengths (from hints and finished texts, no constant) and the choice among targets. The pace limits the influence of single gaps, a run stays for some events after a move, an engine that broke off gets one run until it answers and an added one half of its slots. Silence is noticed after 12 gaps, 0.5 s at least, instead of 1.2 s. Engines are compared once a dispatch and submission; none is scanned while all are full.

--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -162,3 +162,16 @@
     with pytest.raises(AttributeError):
         entry.slots = 5
     assert msgspec.structs.replace(entry, slots=5).slots == 5
+
+
+async def test_a_target_that_is_added_later_has_to_prove_itself(targets):
+    targets.replace(
+        [
+            base.KeyedRecord('i3', b'ready,1'),
+            base.KeyedRecord('i4', b'ready,1'),
+        ]
+    )
+    targets.update(base.KeyedRecord('i5', b'ready,1'))
+    targets.update(base.KeyedRecord('i4', b'ready,2'))
+    proven = {target.entry.instance: target.proven for target in targets}
+    assert proven == {'i3': True, 'i4': False, 'i5': False}
--- /dev/null
+++ b/tests/submissions/test_texts_of_items.py
@@ -0,0 +1,44 @@
+"""Tests the reuse of texts and the parsing of their events."""
+
+import pytest
+
+from waxwingport.submissions import events
+from waxwingport.submissions import generation
+
+
+@pytest.mark.parametrize(
+    ('versions', 'minimum', 'single', 'usable'),
+    [
+        ((2, 3), 2, False, True),
+        ((2, 3), 3, False, False),
+        ((2, 3), 2, True, False),
+        ((3,), 2, True, True),
+        ((), 1, False, False),
+    ],
+)
+def test_a_text_is_used_again_only_if_its_versions_fit(
+    versions, minimum, single, usable
+):
+    assert generation.is_usable(versions, minimum, single) is usable
+
+
+def test_events_are_parsed_whatever_pieces_they_come_in():
+    stream = b'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\nid: 3\nda'
+    for size in range(1, len(stream)):
+        reader = events.EventReader(lambda block: None)
+        found = []
+        for start in range(0, len(stream), size):
+            found += reader.feed(stream[start : start + size])
+        assert [(event.number, event.data) for event in found] == [
+            (1, 'a'),
+            (2, 'b\nc'),
+        ]
+
+
+@pytest.mark.parametrize(
+    ('gap', 'timeout'),
+    [(None, 1.2), (0.01, 0.5), (0.06, 0.72), (0.3, 1.2)],
+)
+def test_a_silent_stream_ends_sooner_at_a_fast_engine(gap, timeout):
+    """Load pattern: an engine goes dark while it runs the longest items."""
+    assert generation.compute_silence_timeout(gap) == pytest.approx(timeout)
--- a/waxwingport/fleet/health.py
+++ b/waxwingport/fleet/health.py
@@ -61,11 +61,13 @@
                 _MAX_AVOIDANCE_S,
             )
             target.failures += 1
+            target.proven = False
     target.avoided_until = max(target.avoided_until, now + avoidance)
 
 
 def record_success(target: model.Target) -> None:
     """Ends the avoidance and resets the failures after an answer."""
+    target.proven = True
     target.failures = 0
     target.avoided_until = float('-inf')
 
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from waxwingport.fleet import pace as event_pace
 from waxwingport import ids
 
 __all__ = [
@@ -55,16 +56,6 @@
     """Weight version of each model that the target serves."""
 
 
-_GAP_SMOOTHING = 0.04
-"""Weight of the latest gap between events: the mean covers about 25 events,
-which eight runs at an engine produce in an eighth of a second."""
-
-
-_MIN_GAPS = 15
-"""Gaps that are needed for a mean: the first ones include the processing of
-prompts and events that arrive together."""
-
-
 class LoadReport(msgspec.Struct, frozen=True):
     """Requests at a target when it answered, and this node's part of them."""
 
@@ -118,10 +109,13 @@
     """Newest version of each model in its entry, answers and reports."""
     paused_models: dict[str, ModelPause] = {}
     """Models whose requests it rejected, as it does while it loads them."""
-    gaps: int = 0
-    """Number of gaps between events that ``mean_gap`` covers."""
-    mean_gap: float = 0.0
-    """Moving average of the seconds between two events of a generation."""
+    pace: event_pace.EventPace = msgspec.field(
+        default_factory=event_pace.EventPace
+    )
+    """Time between two events of a generation there."""
+    proven: bool = False
+    """Whether it may take all of its slots.  It may not after it was added or
+    broke off, until it answers."""
 
     def record_version(self, model: str, version: ids.WeightVersion) -> None:
         """Records a version that the target reported, if it is newer."""
@@ -150,17 +144,6 @@
         paused = self.paused_models.get(model)
         return paused is None or paused.until <= now
 
-    def record_event_gap(self, gap: float) -> None:
-        """Updates ``mean_gap`` by the gap between two events, in seconds."""
-        self.gaps += 1
-        weight = max(_GAP_SMOOTHING, 1.0 / self.gaps)
-        self.mean_gap += weight * (gap - self.mean_gap)
-
-    @property
-    def event_gap(self) -> float | None:
-        """Mean seconds between two events, ``None`` until it is reliable."""
-        return self.mean_gap if self.gaps >= _MIN_GAPS else None
-
     def compute_load_age(self, now: float) -> float | None:
         """Returns the age of the load report in seconds, or ``None``."""
         if self.load is None:
--- a/waxwingport/fleet/registry.py
+++ b/waxwingport/fleet/registry.py
@@ -70,12 +70,15 @@
         ]
 
     def replace(self, entries: Sequence[base.KeyedRecord]) -> None:
-        """Applies all entries; targets that have none are removed."""
+        """Applies all entries; targets that have none are removed.
+
+        New targets count as proven, as they may have been there for long.
+        """
         listed = {model.InstanceId(keyed.key) for keyed in entries}
         for instance in [key for key in self._targets if key not in listed]:
             self._remove(instance)
         for keyed in entries:
-            self._apply_entry(keyed)
+            self._apply_entry(keyed, proven=True)
         self._notify()
 
     def update(self, keyed: base.KeyedRecord) -> None:
@@ -83,10 +86,10 @@
         if keyed.value is None:
             self._remove(model.InstanceId(keyed.key))
         else:
-            self._apply_entry(keyed)
+            self._apply_entry(keyed, proven=False)
         self._notify()
 
-    def _apply_entry(self, keyed: base.KeyedRecord) -> None:
+    def _apply_entry(self, keyed: base.KeyedRecord, proven: bool) -> None:
         instance = model.InstanceId(keyed.key)
         match self._decode(keyed.key, keyed.value or b''):
             case Result(tag='ok', ok=entry):
@@ -100,7 +103,7 @@
                 return
         target = self._targets.get(instance)
         if target is None or target.entry.started_at_ms != entry.started_at_ms:
-            self._add(entry)
+            self._add(entry, proven)
             return
         if target.entry.stage is not entry.stage:
             _LOG.info(
@@ -112,9 +115,9 @@
         for name, version in entry.versions.items():
             target.record_version(name, version)
 
-    def _add(self, entry: model.TargetEntry) -> None:
+    def _add(self, entry: model.TargetEntry, proven: bool) -> None:
         self._targets[entry.instance] = model.Target(
-            entry, versions=dict(entry.versions)
+            entry, versions=dict(entry.versions), proven=proven
         )
         _LOG.info(
             'target-added',
--- a/waxwingport/gateway/pools.py
+++ b/waxwingport/gateway/pools.py
@@ -4,12 +4,12 @@
 from collections.abc import Collection
 import random
 
-from waxwingport.fleet import choice
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import hedging
 from waxwingport.gateway import routes
 from waxwingport import ids
+from waxwingport.scheduling import choice
 
 __all__ = ['TargetPool']
 
--- a/waxwingport/submissions/order.py
+++ b/waxwingport/scheduling/order.py
@@ -1,26 +1,25 @@
 """Order in which waiting items of open submissions are started."""
 
 from collections.abc import Iterable
-from collections.abc import Sequence
+from collections.abc import Mapping
 import math
+from typing import Generic
+from typing import TypeVar
 
 import msgspec
 
 from waxwingport import ids
-from waxwingport.submissions import model
 
 __all__ = ['Candidate', 'rank_groups', 'sort_candidates']
 
-_DEFAULT_OUTPUT_TOKENS = 1000
-"""Output tokens assumed for an item without an estimate."""
+Key = TypeVar('Key')
 
 
-class Candidate(msgspec.Struct, frozen=True):
+class Candidate(msgspec.Struct, Generic[Key], frozen=True):
     """A waiting item with the values that decide its position."""
 
-    submission_id: model.SubmissionId
-    item_id: model.ItemId
-    group: ids.GroupId
+    key: Key
+    """Names the item to the caller."""
     due_at: float
     """Seconds since 1970 at which its submission is due."""
     group_rank: int
@@ -30,27 +29,23 @@
     priority: int
     """Priority of the route; 0 is the most urgent, unlike the priorities of
     ``routing.Work``, of which the greatest is."""
-    expected_tokens: int
-    """Tokens expected of the whole output; without an estimate, the bound of
-    prompt and output together.  Text generated so far is not subtracted."""
+    remaining: float
+    """Events that its text is expected to lack."""
 
 
 def rank_groups(
-    items: Iterable[model.Item], first: frozenset[ids.GroupId]
+    longest: Mapping[ids.GroupId, int], first: frozenset[ids.GroupId]
 ) -> dict[ids.GroupId, int]:
     """Returns the rank of each group, from 0.
 
-    Groups in ``first`` come first; the others follow in the order of the
-    longest output expected in them, shortest first.
+    ``longest`` has the longest output expected in each group.  Groups in
+    ``first`` come first; the others follow in the order of that length,
+    shortest first.
 
     Load pattern: a trainer waits for nine tenths of its groups, and a few
     groups have an item five times as long as the mean.  These groups come
     last, so that they delay the step only if the trainer needs them.
     """
-    longest: dict[ids.GroupId, int] = {}
-    for item in items:
-        tokens = item.expected_output_tokens or _DEFAULT_OUTPUT_TOKENS
-        longest[item.group] = max(longest.get(item.group, 0), tokens)
     groups = sorted(
         longest, key=lambda name: (name not in first, longest[name])
     )
@@ -58,20 +53,20 @@
 
 
 def sort_candidates(
-    candidates: Sequence[Candidate],
-) -> list[Candidate]:
+    candidates: Iterable[Candidate[Key]],
+) -> list[Candidate[Key]]:
     """Returns waiting items in the order in which they should start.
 
     Items of groups that the trainer waits for come before the others.  Then
     the earlier due time decides (in whole seconds), then the more urgent
-    route, and then the longer item, since the longest one decides when the
+    route, and then the longer rest, since the longest one decides when the
     submission is complete.  The order matters when the items of several
     trainers outnumber the free slots.
     """
 
-    def key(candidate: Candidate) -> tuple[bool, int, int, int]:
+    def key(candidate: Candidate[Key]) -> tuple[bool, int, int, float]:
         not_needed = candidate.group_rank >= candidate.wanted_groups
         due = math.floor(candidate.due_at)
-        return not_needed, due, candidate.priority, -candidate.expected_tokens
+        return not_needed, due, candidate.priority, -candidate.remaining
 
     return sorted(candidates, key=key)
--- a/waxwingport/submissions/placement.py
+++ b/waxwingport/scheduling/placement.py
@@ -5,12 +5,16 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import random
 
+import msgspec
+
 from waxwingport.fleet import model as fleet
 from waxwingport import ids
 
 __all__ = [
+    'RunProgress',
     'choose_engine',
     'count_free_slots',
     'find_eligible',
@@ -29,16 +33,37 @@
 _MAX_JITTER = 0.05
 """Upper bound of the random cost added to each engine, so that nodes that see
 the same loads do not all choose the same engine."""
-_MIN_SPEEDUP = 1.15
+_UNPROVEN_COST = 1.0
+"""Extra cost of an engine that failed and has not answered since: its next run
+may be lost too, so the longest items go elsewhere while there are slots."""
+_UNPROVEN_SHARE = 0.5
+"""Share of its slots that an engine gets before its first answer.  It may hold
+no weights yet, and all nodes notice it at the same time."""
+_MIN_SPEEDUP = 1.25
 """Ratio of two engines' speeds from which on a move is considered.  Smaller
 differences may come from the variation of the times between events."""
 _MOVE_COST_S = 0.25
 """Time that a move takes: connecting, getting a slot and processing the text
 so far."""
+_MIN_EVENTS_BEFORE_MOVE = 10
+"""Events that a run that resumed a text generates before it may move again.
+A move delays the other runs at the engine that it reaches, which would make
+these move in turn."""
+
+
+class RunProgress(msgspec.Struct, frozen=True):
+    """How far the run of an item has come."""
+
+    generated: int
+    """Events that this run has generated."""
+    resumed: bool
+    """Whether an earlier run began the text."""
+    remaining: float
+    """Events that the text is expected to lack."""
 
 
 def find_eligible(
-    targets: Iterable[fleet.Target],
+    targets: Sequence[fleet.Target],
     model: str,
     minimum: ids.WeightVersion,
     now: float,
@@ -46,11 +71,14 @@
     """Returns the engines that may run an item, with or without a free slot.
 
     Leaves out engines whose known version is below ``minimum``, and those
-    that are avoided or do not accept the model at the loop time ``now``.
+    that are avoided or do not accept the model at the loop time ``now``.  An
+    engine that has not said which version it has is left out as long as
+    another one has.
     """
+    known = [target for target in targets if model in target.versions]
     return [
         target
-        for target in targets
+        for target in known or targets
         if target.versions.get(model, minimum) >= minimum
         and target.avoided_until <= now
         and target.accepts_model(model, now)
@@ -58,8 +86,20 @@
 
 
 def count_free_slots(target: fleet.Target, now: float) -> int:
-    """Returns the estimated number of free slots, negative when overloaded."""
-    return int(target.entry.slots - target.compute_load(now) + 0.5)
+    """Returns the estimated number of free slots, negative when overloaded.
+
+    An engine that has not answered yet has half of its slots, one that failed
+    and has not answered since has one.
+
+    Load pattern: an engine goes dark with all of its slots taken.  It then
+    looks idle, so that each run that is resumed would be sent to it again.
+    """
+    free = int(target.entry.slots - target.compute_load(now) + 0.5)
+    if target.proven:
+        return free
+    share = 0.0 if target.failures else _UNPROVEN_SHARE
+    usable = max(1, int(target.entry.slots * share))
+    return min(free, usable - target.running)
 
 
 def choose_engine(
@@ -78,18 +118,18 @@
     free = [
         target for target in eligible if count_free_slots(target, now) >= 1
     ]
-    gaps = [
-        target.event_gap for target in free if target.event_gap is not None
-    ]
+    gaps = [gap for target in free if (gap := target.pace.seconds)]
     smallest_gap = min(gaps, default=1.0)
 
     def estimate(target: fleet.Target) -> float:
-        slowness = (target.event_gap or smallest_gap) / smallest_gap
+        slowness = (target.pace.seconds or smallest_gap) / smallest_gap
         load = target.compute_load(now) / target.entry.slots
         remote = target.entry.data_centre != local_data_centre
         cached = target.entry.instance in engines_with_prompt
+        suspect = target.failures and not target.proven
         return (
             slowness
+            + (_UNPROVEN_COST if suspect else 0.0)
             + _LOAD_COST * load
             + (_DISTANCE_COST if remote else 0.0)
             - (_CACHED_PROMPT_GAIN if cached else 0.0)
@@ -102,33 +142,26 @@
 def should_move(
     target: fleet.Target,
     eligible: Iterable[fleet.Target],
-    event_count: int,
-    expected_count: int,
+    progress: RunProgress,
     now: float,
 ) -> bool:
     """Returns whether a run should be moved to another engine.
 
-    ``event_count`` is the number of events so far, ``expected_count`` that of
-    the whole text.  A text that has exceeded it is assumed to reach twice its
-    present length.
-
-    A move pays off when an engine becomes slow while it runs the longest
-    items of a step, which delay the whole step.
+    Load pattern: an engine becomes slow while it runs the longest items of a
+    step, which delay the whole step.
     """
-    if target.event_gap is None:
+    gap = target.pace.seconds
+    if gap is None or progress.remaining * gap <= _MOVE_COST_S:
+        return False
+    if progress.resumed and progress.generated < _MIN_EVENTS_BEFORE_MOVE:
         return False
     others = [
-        other.event_gap
+        other.pace.seconds
         for other in eligible
         if other is not target
-        and other.event_gap is not None
+        and other.pace.seconds is not None
         and count_free_slots(other, now) >= 1
     ]
-    if not others or target.event_gap < _MIN_SPEEDUP * min(others):
+    if not others or gap < _MIN_SPEEDUP * min(others):
         return False
-    remaining = (
-        expected_count - event_count
-        if event_count < expected_count
-        else event_count
-    )
-    return remaining * (target.event_gap - min(others)) > _MOVE_COST_S
+    return progress.remaining * (gap - min(others)) > _MOVE_COST_S
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -25,18 +25,28 @@
     'Outcome',
     'RunEnd',
     'Text',
+    'compute_silence_timeout',
     'is_usable',
 ]
 
 _HEAD_TIMEOUT_S = 1.5
-"""Time within which an engine with a free slot has to start its response,
-including the loading of weights; after this the response counts as lost."""
+"""Time within which an engine with a free slot has to start its response;
+after this the response counts as lost."""
+_SUSPECT_HEAD_TIMEOUT_S = 0.6
+"""The same for an engine that failed and has not answered since; engines with
+a free slot usually answer in a tenth of it."""
 _QUEUED_HEAD_TIMEOUT_S = 4.0
 """Time within which an engine without a free slot has to start its response;
 the run may wait there for requests of other nodes."""
-_SILENCE_TIMEOUT_S = 1.2
+_MAX_SILENCE_TIMEOUT_S = 1.2
 """Longest time between two pieces of a stream before it counts as broken: ten
 times the longest pause between events that trainers allow."""
+_MIN_SILENCE_TIMEOUT_S = 0.5
+"""Shortest such time, whatever the engine's pace: longer than the pauses while
+an engine processes the prompts of several new runs."""
+_SILENCE_GAPS = 12
+"""Gaps between events after which a stream counts as broken.  An engine that
+turns slow has up to six times its usual gap."""
 _RUN_TIMEOUT_S = 120.0
 """Bounds a whole run.  A run without progress usually ends earlier, by
 ``_SILENCE_TIMEOUT_S``."""
@@ -231,7 +241,8 @@
             run, head.version, self._sender.dialect.read_event_version
         )
         while True:
-            piece = await _read_piece(response)
+            timeout = compute_silence_timeout(run.target.pace.seconds)
+            piece = await _read_piece(response, timeout)
             if piece is None:
                 health.record_success(run.target)
                 return Ok(None)
@@ -267,6 +278,7 @@
     def feed(self, data: bytes) -> tuple[RunEnd, str] | None:
         """Appends a piece's events; returns why the run has to end, if so."""
         run = self._run
+        count = len(run.text.events)
         for event in self._reader.feed(data):
             self._version = event.version or self._version
             if self._version is None:
@@ -279,13 +291,19 @@
             if early_end is not None:
                 return early_end
             run.text.add(event.data, self._version)
-            self._record_event_gap()
+            run.target.proven = True
+        self._record_gaps(len(run.text.events) - count)
         return None
 
-    def _record_event_gap(self) -> None:
+    def _record_gaps(self, event_count: int) -> None:
+        """Records the gaps before events that arrived together."""
+        if not event_count:
+            return
         now = asyncio.get_running_loop().time()
         if self._last_at is not None:
-            self._run.target.record_event_gap(now - self._last_at)
+            gap = (now - self._last_at) / event_count
+            for _ in range(event_count):
+                self._run.target.pace.record(gap)
         self._last_at = now
 
 
@@ -294,23 +312,42 @@
     return run.single_version and bool(run.text.versions)
 
 
+def compute_silence_timeout(gap: float | None) -> float:
+    """Returns the seconds without an event after which a stream is broken.
+
+    ``gap`` is the usual time between two events at the engine, ``None`` if it
+    is not known.
+
+    Load pattern: an engine goes dark while it runs the longest items of a
+    step.  Each tenth of a second until they resume elsewhere delays the step.
+    """
+    if gap is None:
+        return _MAX_SILENCE_TIMEOUT_S
+    return min(
+        _MAX_SILENCE_TIMEOUT_S,
+        max(_MIN_SILENCE_TIMEOUT_S, _SILENCE_GAPS * gap),
+    )
+
+
 def _choose_head_timeout(target: fleet.Target) -> float:
     now = asyncio.get_running_loop().time()
     if target.compute_load(now) > target.entry.slots:
         return _QUEUED_HEAD_TIMEOUT_S
+    if target.failures and not target.proven:
+        return _SUSPECT_HEAD_TIMEOUT_S
     return _HEAD_TIMEOUT_S
 
 
 async def _read_piece(
-    response: client.Response,
+    response: client.Response, timeout: float
 ) -> bytes | client.TransportFault | None:
     try:
-        async with asyncio.timeout(_SILENCE_TIMEOUT_S):
+        async with asyncio.timeout(timeout):
             return await response.read_chunk()
     except TimeoutError:
         return client.TransportFault(
             client.TransportFaultKind.SILENT,
-            f'no event within {_SILENCE_TIMEOUT_S:g} s',
+            f'no event within {timeout:.2g} s',
             True,
         )
 
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from collections.abc import Sequence
 import functools
 import logging
@@ -16,12 +17,14 @@
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport import metrics
+from waxwingport.scheduling import lengths
+from waxwingport.scheduling import order
+from waxwingport.scheduling import placement
 from waxwingport.submissions import generation
 from waxwingport.submissions import journal
 from waxwingport.submissions import model
-from waxwingport.submissions import order
 from waxwingport.submissions import partition_state
-from waxwingport.submissions import placement
+from waxwingport.submissions import results
 from waxwingport.submissions import runs
 from waxwingport.submissions import scores
 from waxwingport.submissions import texts
@@ -43,12 +46,18 @@
 _RESTORE_TIMEOUT_S = 1.0
 """Bounds the read of drafts.  An item whose draft is not read starts anew;
 most drafts can be generated anew in a few times this bound."""
-_EXPECTED_EVENTS = 25
-"""Events assumed of a whole text, whatever the item's own estimate: the mean
-over the trainers."""
+_MOVE_CHECK_EVENTS = 5
+"""Events between two decisions whether a run should move: a fifth of a second,
+which delays a move little and costs little processor time."""
+_DEFAULT_OUTPUT_TOKENS = 1000
+"""Output tokens assumed for the rank of a group if its items have no hint."""
 
 _LOG = logging.getLogger(__name__)
 
+_JobKey = tuple[runs.SubmissionRun, runs.Job]
+_PoolKey = tuple[model.SubmissionId, str]
+"""Submission and path, which together decide the engines of an item."""
+
 
 class ItemRunner:
     """Starts waiting items on free engine slots and stores their results."""
@@ -67,6 +76,7 @@
         counters: metrics.Metrics,
     ) -> None:
         self._metrics = counters
+        self._results = results.ResultWriter(counters)
         self._rng = rng
         self._generator = generator
         self._scorer = scorer
@@ -78,7 +88,8 @@
         self._wall_clock = wall_clock
         self._runs: dict[model.SubmissionId, runs.SubmissionRun] = {}
         self._prompt_caches: dict[ids.GroupId, set[fleet.InstanceId]] = {}
-        self._writes: set[asyncio.Task[None]] = set()
+        self._lengths: dict[str, lengths.LengthEstimator] = {}
+        """By model, which stands for one trainer."""
         self._wake = asyncio.Event()
 
     def add(
@@ -106,7 +117,9 @@
             entry,
             journal_,
             jobs,
-            order.rank_groups(entry.submission.items, resumed_groups),
+            order.rank_groups(
+                _find_longest_outputs(entry.submission.items), resumed_groups
+            ),
             set(),
             {},
         )
@@ -205,7 +218,7 @@
                 self._spawn(
                     submission_run,
                     job,
-                    self._store_reused_result(submission_run, reused),
+                    self._results.store_reused(submission_run, reused),
                 )
 
     def _resume_drafts(self, submission_run: runs.SubmissionRun) -> None:
@@ -254,57 +267,85 @@
         self._wake.set()
 
     def _dispatch(self) -> None:
+        """Starts waiting items, the most urgent first, while slots are free.
+
+        Engines are compared once for all items of a submission.
+        """
         now = asyncio.get_running_loop().time()
-        jobs: dict[tuple[model.SubmissionId, model.ItemId], runs.Job] = {}
+        candidates: list[order.Candidate[_JobKey]] = []
+        pools: dict[_PoolKey, list[fleet.Target]] = {}
         for submission_run in list(self._runs.values()):
-            for item_id, job in list(submission_run.waiting.items()):
+            for job in list(submission_run.waiting.values()):
                 if self._is_too_old(submission_run, job):
-                    self._spawn(
+                    self._spawn_give_up(
                         submission_run,
                         job,
-                        self._give_up(
-                            submission_run,
-                            job,
-                            'older than the retention of its route',
-                        ),
+                        'older than the retention of its route',
                     )
-                    continue
-                if job.not_before <= now:
-                    key = (
-                        submission_run.entry.submission.submission_id,
-                        item_id,
-                    )
-                    jobs[key] = job
-        if not jobs:
-            return
-        for candidate in order.sort_candidates(
-            [self._describe(key[0], job) for key, job in jobs.items()]
-        ):
-            submission_run = self._runs[candidate.submission_id]
-            self._try_start(
-                submission_run,
-                jobs[candidate.submission_id, candidate.item_id],
+                elif job.not_before <= now and self._find_pool(
+                    submission_run, job, pools, now
+                ):
+                    candidates.append(self._describe(submission_run, job))
+        for candidate in order.sort_candidates(candidates):
+            submission_run, job = candidate.key
+            self._try_start(submission_run, job, pools, now)
+
+    def _find_pool(
+        self,
+        submission_run: runs.SubmissionRun,
+        job: runs.Job,
+        pools: dict[_PoolKey, list[fleet.Target]],
+        now: float,
+    ) -> list[fleet.Target]:
+        """Returns the engines that may run a job; none if all are full.
+
+        ``pools`` keeps them during one dispatch.
+        """
+        submission = submission_run.entry.submission
+        key = submission.submission_id, job.item.path
+        if key not in pools:
+            route = self._find_route(submission.host, job.item.path)
+            pools[key] = (
+                placement.find_eligible(
+                    self._find_ready(route),
+                    submission.model,
+                    submission.minimum_version,
+                    now,
+                )
+                if route
+                else []
             )
+        if not any(
+            placement.count_free_slots(target, now) >= 1
+            for target in pools[key]
+        ):
+            pools[key] = []
+        return pools[key]
 
     def _describe(
-        self, submission_id: model.SubmissionId, job: runs.Job
-    ) -> order.Candidate:
-        submission_run = self._runs[submission_id]
+        self, submission_run: runs.SubmissionRun, job: runs.Job
+    ) -> order.Candidate[_JobKey]:
         submission = submission_run.entry.submission
         route = self._find_route(submission.host, submission.path)
         run_target = route.run_target if route else 0.0
-        tokens = job.item.expected_output_tokens or job.item.max_total_tokens
         return order.Candidate(
-            submission_id,
-            job.item.item_id,
-            job.item.group,
+            (submission_run, job),
             submission.accepted_at + run_target,
             submission_run.ranks[job.item.group],
             submission.wanted_groups,
             route.priority if route else 0,
-            tokens,
+            self._estimate_remaining(submission.model, job),
         )
 
+    def _estimate_remaining(self, model_name: str, job: runs.Job) -> float:
+        """Returns the events that the text of a job is expected to lack."""
+        return self._find_lengths(model_name).estimate_remaining(
+            job.item.expected_output_tokens, len(job.text.events)
+        )
+
+    def _find_lengths(self, model_name: str) -> lengths.LengthEstimator:
+        return self._lengths.setdefault(model_name, lengths.LengthEstimator())
+
     def _is_too_old(
         self, submission_run: runs.SubmissionRun, job: runs.Job
     ) -> bool:
@@ -314,17 +355,17 @@
         return route is not None and age > route.retention
 
     def _try_start(
-        self, submission_run: runs.SubmissionRun, job: runs.Job
+        self,
+        submission_run: runs.SubmissionRun,
+        job: runs.Job,
+        pools: dict[_PoolKey, list[fleet.Target]],
+        now: float,
     ) -> None:
         submission = submission_run.entry.submission
         route = self._find_route(submission.host, job.item.path)
-        if route is None:
+        eligible = self._find_pool(submission_run, job, pools, now)
+        if route is None or not eligible:
             return
-        now = asyncio.get_running_loop().time()
-        ready = self._find_ready(route)
-        eligible = placement.find_eligible(
-            ready, submission.model, submission.minimum_version, now
-        )
         if route.single_version:
             eligible = _select_or_start_over(job, eligible, submission.model)
         engines_with_prompt = self._prompt_caches.setdefault(
@@ -347,12 +388,16 @@
                 'item': job.item.item_id,
                 'instance': target.entry.instance,
                 'fitting': len(eligible),
-                'ready': len(ready),
+                'ready': len(self._find_ready(route)),
                 'load': round(target.compute_load(now), 2),
                 'load_age_s': target.compute_load_age(now),
+                'proven': target.proven,
                 'version': target.versions.get(submission.model),
                 'minimum_version': submission.minimum_version,
                 'after_event': len(job.text.events),
+                'remaining': round(
+                    self._estimate_remaining(submission.model, job)
+                ),
             },
         )
         slot = runs.EngineSlot(target)
@@ -377,7 +422,14 @@
         submission_run: runs.SubmissionRun,
         job: runs.Job,
         target: fleet.Target,
+        first_event: int,
     ) -> bool:
+        """Returns whether a run should move; decides at some events only.
+
+        ``first_event`` is the number of events before the run.
+        """
+        if len(job.text.events) % _MOVE_CHECK_EVENTS:
+            return False
         submission = submission_run.entry.submission
         route = self._find_route(submission.host, job.item.path)
         if route is None or route.single_version:
@@ -389,8 +441,18 @@
             submission.minimum_version,
             now,
         )
-        return placement.should_move(
-            target, eligible, len(job.text.events), _EXPECTED_EVENTS, now
+        progress = placement.RunProgress(
+            len(job.text.events) - first_event,
+            first_event > 0,
+            self._estimate_remaining(submission.model, job),
+        )
+        return placement.should_move(target, eligible, progress, now)
+
+    def _spawn_give_up(
+        self, submission_run: runs.SubmissionRun, job: runs.Job, reason: str
+    ) -> None:
+        self._spawn(
+            submission_run, job, self._give_up(submission_run, job, reason)
         )
 
     def _spawn(
@@ -431,7 +493,11 @@
                 route.single_version,
                 route.priority,
                 functools.partial(
-                    self._should_move, submission_run, job, slot.target
+                    self._should_move,
+                    submission_run,
+                    job,
+                    slot.target,
+                    len(job.text.events),
                 ),
             )
         )
@@ -439,6 +505,9 @@
         self._count_run(outcome)
         match outcome:
             case Result(tag='ok'):
+                self._find_lengths(
+                    submission_run.entry.submission.model
+                ).record(job.item.expected_output_tokens, len(job.text.events))
                 self._wake.set()
                 await self._finish(submission_run, job)
                 return
@@ -506,7 +575,7 @@
                     submission_run, job, 'no score after too many failed calls'
                 )
                 return
-        await self._write(
+        await self._results.store(
             submission_run,
             model.ItemResult(
                 job.item.item_id,
@@ -532,78 +601,18 @@
         result = model.ItemResult(
             job.item.item_id, model.ItemState.ERRORED, (), (), None
         )
-        await self._write(submission_run, result)
-
-    async def _write(
-        self, submission_run: runs.SubmissionRun, result: model.ItemResult
-    ) -> None:
-        submission_id = submission_run.entry.submission.submission_id
-        storing = submission_run.journal.store_result(submission_id, result)
-        await self._complete_write(submission_run, result, storing)
-
-    async def _store_reused_result(
-        self, submission_run: runs.SubmissionRun, reused: model.FinishedItem
-    ) -> None:
-        submission_id = submission_run.entry.submission.submission_id
-        storing = submission_run.journal.store_finished_item(
-            submission_id, reused
-        )
-        await self._complete_write(submission_run, reused, storing)
-
-    async def _complete_write(
-        self,
-        submission_run: runs.SubmissionRun,
-        result: model.ItemResult | model.FinishedItem,
-        storing: Coroutine[None, None, Result[None, base.Fault]],
-    ) -> None:
-        """Waits until a result is written and records the outcome.
-
-        The write continues if the submission's run is dropped meanwhile: the
-        record of the last result is often read back before the log has
-        confirmed it, and reading it drops the run.
-        """
-
-        async def write() -> None:
-            self._record_outcome(submission_run, result, await storing)
-
-        task = asyncio.get_running_loop().create_task(write())
-        self._writes.add(task)
-        task.add_done_callback(self._writes.discard)
-        await asyncio.shield(task)
-
-    def _record_outcome(
-        self,
-        submission_run: runs.SubmissionRun,
-        result: model.ItemResult | model.FinishedItem,
-        done: Result[None, base.Fault],
-    ) -> None:
-        submission_id = submission_run.entry.submission.submission_id
-        match done:
-            case Result(tag='ok'):
-                submission_run.started.pop(result.item_id, None)
-                self._metrics.count(
-                    'waxwingport_items_listed_total',
-                    'Items whose result was stored, by state.',
-                    state=result.state.value,
-                )
-                _LOG.info(
-                    'item-listed',
-                    extra={
-                        'submission': submission_id,
-                        'item': result.item_id,
-                        'state': result.state.value,
-                        'versions': result.versions,
-                    },
-                )
-            case Result(error=fault):
-                _LOG.warning(
-                    'result-dropped',
-                    extra={
-                        'submission': submission_id,
-                        'item': result.item_id,
-                        'reason': fault.detail,
-                    },
-                )
+        await self._results.store(submission_run, result)
+
+
+def _find_longest_outputs(
+    items: Iterable[model.Item],
+) -> dict[ids.GroupId, int]:
+    """Returns the longest output hinted in each group, in tokens."""
+    longest: dict[ids.GroupId, int] = {}
+    for item in items:
+        tokens = item.expected_output_tokens or _DEFAULT_OUTPUT_TOKENS
+        longest[item.group] = max(longest.get(item.group, 0), tokens)
+    return longest
 
 
 def _select_or_start_over(
