Let the next holder of orders begin sooner

The rule forbids a lower fence after a higher one and orders of A, B and A within lease-ms, not those of A and B.

Change: the next holder waits until the last order has arrived for certain, 1.4 s from the intent (0.4 s in which an order may be sent, 1 s after which its connection is reset). Intents name their node; a node that gets the lease back waits the turn time from its own last intent, also one of an earlier process. Intents of an earlier version count as anybody's.

--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -144,6 +144,7 @@
         node = self._settings.node
         self.lease = lease.OrderLease(
             self._log,
+            self._settings.node.name,
             self._member_name,
             self._settings.rollout,
             clocks.BootClock(),
--- a/waxwingport/rollout/lease.py
+++ b/waxwingport/rollout/lease.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import dependency
 from waxwingport.log import leases
@@ -40,13 +41,16 @@
     """Settings of the order lease."""
 
     turn_time: float = 3.0
-    """Turn time: least number of seconds between the orders of two VMs."""
+    """Turn time: least number of seconds between two orders of one VM that
+    orders of another VM separate."""
 
 
 class _Intent(msgspec.Struct, frozen=True, tag='intent', array_like=True):
     """The holder is about to send an order."""
 
     member: base.MemberName
+    node: ids.NodeName | None = None
+    """Node of the member; earlier versions did not write it."""
 
 
 _DECODER = msgspec.msgpack.Decoder(leases.LeaseRecord | _Intent)
@@ -55,25 +59,30 @@
 class OrderLease(tails.RecordListener, leases.LeaseListener):
     """Claims, renews and checks the right to send orders.
 
-    ``member`` has to be unique to this run of the process.  ``clock`` has to
-    advance while the machine is suspended.
+    ``member`` has to be unique to this run of the process, while ``node``
+    names its VM.  ``clock`` has to advance while the machine is suspended.
     """
 
     def __init__(
         self,
         log: base.PartitionLog,
+        node: ids.NodeName,
         member: base.MemberName,
         settings: LeaseSettings,
         clock: clocks.SuspendAwareClock,
         wall_clock: clocks.WallClock,
         rng: random.Random,
     ) -> None:
+        self._node = node
         self._member = member
         self._settings = settings
         self._clock = clock
         self._writer: writers.FencedWriter | None = None
-        self._foreign_intent_at = float('-inf')
-        """Time by ``clock`` at which another member's last intent was read."""
+        self._own_intent_at = float('-inf')
+        """Time by ``clock`` at which this node's last intent was read, also
+        one of an earlier process."""
+        self._free_at = float('-inf')
+        """Time by ``clock`` from which on this node may order."""
         store = dependency.Dependency('log:orders')
         self._tail = tails.PartitionTail(log, _PARTITION, self, store)
         self._lease = leases.PartitionLease(
@@ -117,8 +126,8 @@
             return
         if not isinstance(found, _Intent):
             self._lease.handle_record(found)
-        elif found.member != self._member:
-            self._foreign_intent_at = self._clock.read()
+        else:
+            self._apply_intent(found)
 
     def handle_gap(self) -> None:
         """Does nothing: renewals and later intents repeat what expired."""
@@ -133,15 +142,22 @@
         self._writer = None
 
     def may_order(self) -> bool:
-        """Returns whether the lease is held and the turn time is over.
+        """Returns whether the lease is held and no wait is left.
 
-        The turn time counts from the last intent of another holder.
+        Another node's last order may still arrive for some time after its
+        intent, and this node's own orders from before it have to be a turn
+        time old.
         """
-        since = self._clock.read() - self._foreign_intent_at
-        return (
-            self.held
-            and since > self._settings.turn_time + _MAX_ORDER_TRANSIT_S
-        )
+        return self.held and self._clock.read() > self._free_at
+
+    def _apply_intent(self, intent: _Intent) -> None:
+        now = self._clock.read()
+        if intent.node is None or intent.node == self._node:
+            self._own_intent_at = now
+        if intent.node != self._node:
+            transit = _INTENT_VALIDITY_S + _MAX_ORDER_TRANSIT_S
+            since_own = self._own_intent_at + self._settings.turn_time
+            self._free_at = max(now, since_own) + transit
 
     async def declare_intent(self) -> Result[None, str]:
         """Appends an intent, which proves that the lease is still held.
@@ -154,7 +170,7 @@
         if writer is None or not self.may_order():
             return Error('lease not held or turn time not over')
         sent_at = self._clock.read()
-        record = msgspec.msgpack.encode(_Intent(self._member))
+        record = msgspec.msgpack.encode(_Intent(self._member, self._node))
         try:
             async with asyncio.timeout(_INTENT_VALIDITY_S):
                 done = await writer.write((record,))
