--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -26,6 +26,8 @@
         self.orders = []
         self.runs = []
         """Request ids with the event after which to resume the text."""
+        self.sent = {}
+        """Last event sent, by request id."""
         self.score_pause = 0.0
         """Seconds that a reward call takes."""
         self.failing_scores = set()
@@ -111,6 +113,7 @@
             await asyncio.sleep(self.engine.pause)
             self.write(f'id: {number}\ndata: {name}-{number}\n\n')
             await self.flush()
+            self.engine.sent[name] = number
             if self.engine.break_after.get(name) == number:
                 del self.engine.break_after[name]
                 self.request.connection.stream.close()
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -204,7 +204,9 @@
     engine.events, engine.pause = 60, 0.03
     served = await deployment.start_node()
     await deployment.submit(served, items=2)
-    await asyncio.sleep(1.5)
+    async with asyncio.timeout(20.0):
+        while min(engine.sent.get(f's1-{item}', 0) for item in (0, 1)) < 40:
+            await asyncio.sleep(0.01)
     await served.close()
     engine.pause = 0.0
     again = await deployment.start_node()
