Replay load patterns on a model of engines; settings of the placement

Placement is an object with settings, so that a policy is a set of settings and no second copy of a decision. The timeouts of runs are decisions too and moved to scheduling.

--- a/waxwingport/cli.py
+++ b/waxwingport/cli.py
@@ -15,6 +15,7 @@
 from waxwingport.commands import check
 from waxwingport.commands import entry_node
 from waxwingport.commands import example
+from waxwingport.commands import experiments
 from waxwingport.commands import explanation
 from waxwingport.commands import gateway_node
 from waxwingport.commands import measurement
@@ -32,6 +33,8 @@
 
 _EXIT_REFUSED = 1
 _EXIT_USAGE = 2
+_PIPE_WIDTH = 100
+"""Columns of a table that is not printed to a terminal."""
 
 
 class Commands:
@@ -240,6 +243,40 @@
         if page is not None:
             measurement.write_page(pathlib.Path(page), reports, commit)
 
+    def experiment(
+        self,
+        *patterns: str,
+        policy: str = 'current',
+        seeds: int = 3,
+        plots: str | None = None,
+    ) -> None:
+        """Replays load patterns in virtual time and compares policies.
+
+        Prints the patterns and policies without arguments.
+
+        Args:
+            patterns: Names of patterns, or paths of TOML files.
+            policy: Names of policies, separated by commas.
+            seeds: Number of replays of each, with other random numbers.
+            plots: Existing directory to write a plot of each pattern to.
+        """
+        if not patterns:
+            print('\n'.join(experiments.list_experiments()))
+            return
+        if not isinstance(seeds, int) or seeds < 1:
+            _fail_usage(f'seeds is {seeds!r}; expected a whole number from 1')
+        names = policy.split(',') if isinstance(policy, str) else policy
+        _check(
+            experiments.run(
+                patterns, names, seeds, _to_path(plots), _make_console()
+            )
+        )
+
+
+def _make_console() -> console.Console:
+    """Returns a console that is wide enough for tables in a file or pipe."""
+    return console.Console(width=None if sys.stdout.isatty() else _PIPE_WIDTH)
+
 
 def _find_deployment(name: str) -> deployments.Deployment:
     deployment = deployments.DEPLOYMENTS.get(name)
--- /dev/null
+++ b/waxwingport/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Replays of load patterns on a model of engines in virtual time."""
--- /dev/null
+++ b/waxwingport/experiment/policies.py
@@ -0,0 +1,69 @@
+"""Policies that a replay compares: settings of the deciding objects."""
+
+import math
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from waxwingport.scheduling import placement
+
+__all__ = ['POLICIES', 'Policy', 'find_policy']
+
+
+class Policy(msgspec.Struct, frozen=True):
+    """How a replayed node decides."""
+
+    name: str
+    description: str
+    placement_settings: placement.PlacementSettings = (
+        placement.PlacementSettings()
+    )
+    max_gap_ratio: float | None = None
+    """Largest influence of one gap on an engine's pace; by default that of
+    ``EventPace``."""
+    silence_timeout: float | None = None
+    """Seconds without an event after which a stream is broken; by default
+    derived from the engine's pace."""
+    longest_first: bool = True
+
+
+_FULL_SHARE = 1.0
+
+POLICIES = (
+    Policy('current', 'the settings of a node'),
+    Policy(
+        'mean-pace',
+        'paces are plain means, runs move for a sixth of speed at any time',
+        placement.PlacementSettings(
+            min_speedup=1.15, min_events_before_move=0
+        ),
+        max_gap_ratio=math.inf,
+    ),
+    Policy(
+        'trusting',
+        'engines that failed or were added get all of their slots',
+        placement.PlacementSettings(
+            suspect_cost=0.0,
+            suspect_share=_FULL_SHARE,
+            unproven_share=_FULL_SHARE,
+        ),
+        silence_timeout=1.2,
+    ),
+    Policy(
+        'no-moves',
+        'no run moves',
+        placement.PlacementSettings(min_speedup=math.inf),
+    ),
+    Policy('any-order', 'items start in any order', longest_first=False),
+)
+
+
+def find_policy(name: str) -> Result[Policy, str]:
+    """Returns a policy by its name."""
+    for policy in POLICIES:
+        if policy.name == name:
+            return Ok(policy)
+    known = ', '.join(policy.name for policy in POLICIES)
+    return Error(f'no policy {name!r}; expected one of {known}')
--- /dev/null
+++ b/waxwingport/experiment/report.py
@@ -0,0 +1,152 @@
+"""Summaries, tables and plots of replays."""
+
+from collections.abc import Sequence
+import math
+import pathlib
+import statistics
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from rich import table
+
+from waxwingport.experiment import replay
+
+__all__ = ['Summary', 'make_table', 'summarise', 'write_plot']
+
+_WORST_SHARE = 0.9
+"""Quantile of the step times that is shown beside the mean."""
+_PLOT_SIZE_INCHES = (9.0, 4.5)
+_BAR_WIDTH = 0.25
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """Figures of one policy on one pattern, over all seeds.
+
+    Times are in seconds.
+    """
+
+    pattern: str
+    policy: str
+    steps: int
+    mean: float
+    """Mean step time."""
+    p90: float
+    worst: float
+    bound: float
+    """Mean of the least times that the steps take."""
+    late: int
+    mean_wait: float
+    """Mean wait of an item for its first run."""
+    moves: int
+    broken: int
+    rejected: int
+    unused_events: int
+
+
+def summarise(
+    pattern: str, policy: str, outcomes: Sequence[replay.Outcome]
+) -> Summary:
+    """Returns the figures of several replays of a pattern by one policy."""
+    times = sorted(time for outcome in outcomes for time in outcome.step_times)
+    waits = [wait for outcome in outcomes for wait in outcome.waits]
+    return Summary(
+        pattern,
+        policy,
+        len(times),
+        statistics.mean(times),
+        times[math.ceil(_WORST_SHARE * len(times)) - 1],
+        times[-1],
+        statistics.mean(
+            bound for outcome in outcomes for bound in outcome.bounds
+        ),
+        sum(outcome.late_steps for outcome in outcomes),
+        statistics.mean(waits) if waits else 0.0,
+        sum(outcome.moves for outcome in outcomes),
+        sum(outcome.broken for outcome in outcomes),
+        sum(outcome.rejected for outcome in outcomes),
+        sum(outcome.unused_events for outcome in outcomes),
+    )
+
+
+def make_table(summaries: Sequence[Summary]) -> table.Table:
+    """Returns a table with a row for each pattern and policy."""
+    made = table.Table(title='step times in seconds', box=None)
+    for name in ('pattern', 'policy'):
+        made.add_column(name, no_wrap=True)
+    for name in (
+        'bound',
+        'mean',
+        'p90',
+        'worst',
+        'late',
+        'wait',
+        'moves',
+        'broken',
+        'rejected',
+        'unused',
+    ):
+        made.add_column(name, justify='right')
+    for row in summaries:
+        made.add_row(
+            row.pattern,
+            row.policy,
+            *(
+                f'{value:.2f}'
+                for value in (row.bound, row.mean, row.p90, row.worst)
+            ),
+            f'{row.late}/{row.steps}',
+            f'{row.mean_wait:.2f}',
+            *(
+                str(value)
+                for value in (
+                    row.moves,
+                    row.broken,
+                    row.rejected,
+                    row.unused_events,
+                )
+            ),
+        )
+    return made
+
+
+def write_plot(
+    summaries: Sequence[Summary], path: pathlib.Path
+) -> Result[None, str]:
+    """Writes bars of the step times of one pattern by policy, with the bound.
+
+    Fails if matplotlib is not installed or the file can't be written.
+    """
+    try:
+        from matplotlib import figure
+    except ImportError:
+        return Error("plots need matplotlib: pip install 'waxwingport[plots]'")
+    drawn = figure.Figure(figsize=_PLOT_SIZE_INCHES, layout='constrained')
+    axes = drawn.add_subplot()
+    positions = range(len(summaries))
+    for offset, (label, values) in enumerate(
+        (
+            ('mean', [row.mean for row in summaries]),
+            ('p90', [row.p90 for row in summaries]),
+            ('worst', [row.worst for row in summaries]),
+        )
+    ):
+        axes.bar(
+            [position + (offset - 1) * _BAR_WIDTH for position in positions],
+            values,
+            _BAR_WIDTH,
+            label=label,
+        )
+    axes.axhline(
+        summaries[0].bound, color='black', linestyle='--', label='bound (mean)'
+    )
+    axes.set_xticks(list(positions), [row.policy for row in summaries])
+    axes.set_ylabel('step time, s')
+    axes.set_title(summaries[0].pattern)
+    axes.legend()
+    try:
+        drawn.savefig(path)
+    except OSError as error:
+        return Error(f'{path}: {error.strerror}')
+    return Ok(None)
--- a/waxwingport/fleet/pace.py
+++ b/waxwingport/fleet/pace.py
@@ -28,6 +28,8 @@
     """Number of gaps recorded."""
     estimate: float = 0.0
     """Seconds; reliable only as returned by ``seconds``."""
+    max_ratio: float = _MAX_RATIO
+    """See ``_MAX_RATIO``; infinite for a plain mean."""
 
     def record(self, gap: float) -> None:
         """Adds the time between two events of one run, in seconds.
@@ -36,8 +38,8 @@
         """
         self.count += 1
         if self.count > _MIN_GAPS:
-            low, high = self.estimate / _MAX_RATIO, self.estimate * _MAX_RATIO
-            gap = min(high, max(low, gap))
+            low = self.estimate / self.max_ratio
+            gap = max(low, min(self.estimate * self.max_ratio, gap))
         weight = max(_SMOOTHING, 1.0 / self.count)
         self.estimate += weight * (gap - self.estimate)
 
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -30,6 +30,7 @@
 from waxwingport.requests import progress
 from waxwingport.rollout import controller
 from waxwingport.rollout import lease
+from waxwingport.scheduling import placement
 from waxwingport.submissions import generation
 from waxwingport.submissions import holder
 from waxwingport.submissions import partition_state
@@ -119,9 +120,8 @@
             self.submission_view,
             reader,
             self.configuration.find_route,
-            local_data_centre,
+            placement.Placement(local_data_centre, rng),
             self._wall_clock,
-            rng,
             self.metrics,
         )
         self.targets.add_listener(self.runner.wake)
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -16,6 +16,7 @@
 from waxwingport.gateway import dialect
 from waxwingport.http import client
 from waxwingport import ids
+from waxwingport.scheduling import timeouts
 from waxwingport.submissions import events
 from waxwingport.submissions import model
 
@@ -25,31 +26,12 @@
     'Outcome',
     'RunEnd',
     'Text',
-    'compute_silence_timeout',
     'is_usable',
 ]
 
-_HEAD_TIMEOUT_S = 1.5
-"""Time within which an engine with a free slot has to start its response;
-after this the response counts as lost."""
-_SUSPECT_HEAD_TIMEOUT_S = 0.6
-"""The same for an engine that failed and has not answered since; engines with
-a free slot usually answer in a tenth of it."""
-_QUEUED_HEAD_TIMEOUT_S = 4.0
-"""Time within which an engine without a free slot has to start its response;
-the run may wait there for requests of other nodes."""
-_MAX_SILENCE_TIMEOUT_S = 1.2
-"""Longest time between two pieces of a stream before it counts as broken: ten
-times the longest pause between events that trainers allow."""
-_MIN_SILENCE_TIMEOUT_S = 0.5
-"""Shortest such time, whatever the engine's pace: longer than the pauses while
-an engine processes the prompts of several new runs."""
-_SILENCE_GAPS = 12
-"""Gaps between events after which a stream counts as broken.  An engine that
-turns slow has up to six times its usual gap."""
 _RUN_TIMEOUT_S = 120.0
 """Bounds a whole run.  A run without progress usually ends earlier, by
-``_SILENCE_TIMEOUT_S``."""
+the timeout between events."""
 _ITEM_PRIORITY = 5
 """Priority at the engine, where 0 goes first, of items of the most urgent
 route.  Streams, for which callers wait, have lower numbers."""
@@ -200,7 +182,10 @@
             priority=min(_LOWEST_PRIORITY, _ITEM_PRIORITY + run.priority),
         )
         try:
-            async with asyncio.timeout(_choose_head_timeout(run.target)):
+            now = asyncio.get_running_loop().time()
+            async with asyncio.timeout(
+                timeouts.choose_head_timeout(run.target, now)
+            ):
                 return await attempts.open_attempt(
                     self._sender,
                     call,
@@ -241,7 +226,7 @@
             run, head.version, self._sender.dialect.read_event_version
         )
         while True:
-            timeout = compute_silence_timeout(run.target.pace.seconds)
+            timeout = timeouts.compute_silence_timeout(run.target.pace.seconds)
             piece = await _read_piece(response, timeout)
             if piece is None:
                 health.record_success(run.target)
@@ -312,32 +297,6 @@
     return run.single_version and bool(run.text.versions)
 
 
-def compute_silence_timeout(gap: float | None) -> float:
-    """Returns the seconds without an event after which a stream is broken.
-
-    ``gap`` is the usual time between two events at the engine, ``None`` if it
-    is not known.
-
-    Load pattern: an engine goes dark while it runs the longest items of a
-    step.  Each tenth of a second until they resume elsewhere delays the step.
-    """
-    if gap is None:
-        return _MAX_SILENCE_TIMEOUT_S
-    return min(
-        _MAX_SILENCE_TIMEOUT_S,
-        max(_MIN_SILENCE_TIMEOUT_S, _SILENCE_GAPS * gap),
-    )
-
-
-def _choose_head_timeout(target: fleet.Target) -> float:
-    now = asyncio.get_running_loop().time()
-    if target.compute_load(now) > target.entry.slots:
-        return _QUEUED_HEAD_TIMEOUT_S
-    if target.failures and not target.proven:
-        return _SUSPECT_HEAD_TIMEOUT_S
-    return _HEAD_TIMEOUT_S
-
-
 async def _read_piece(
     response: client.Response, timeout: float
 ) -> bytes | client.TransportFault | None:
