Refuse requests that arrive at the end of a gateway's drain

Cause: the gateway never asked whether new requests are refused; after the drain it forwarded them as before. Now they get 503 with a short Retry-After and 'not run', and the node flushes such answers before it closes its connections.

--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -202,3 +202,24 @@
     assert servers[0].runs == []
     harness.request_tracker.free((1 << 20) - 5)
     assert (await harness.call()).ok.status == 200
+
+
+async def test_a_request_after_the_drain_is_refused_without_a_run(
+    harness, start_servers
+):
+    harness.configure()
+    servers = await start_servers([Behaviour.SILENT])
+    in_progress = asyncio.ensure_future(harness.call('q1'))
+    await asyncio.sleep(0.05)
+    drain = asyncio.ensure_future(
+        harness.request_tracker.drain(0.0, 5.0, lambda: None)
+    )
+    await asyncio.sleep(0.05)
+    answer = (await harness.call('q2')).ok
+    assert answer.status == 503
+    headers = dict(answer.headers)
+    assert float(headers['Retry-After']) > 0
+    assert headers['Connection'] == 'close'
+    assert [name for name, _ in servers[0].runs] == ['q1']
+    drain.cancel()
+    in_progress.cancel()
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -483,3 +483,31 @@
             sum(record.msg == 'item-listed' for record in caplog.records) < 4
         ):
             await asyncio.sleep(0.05)
+
+
+async def test_a_request_that_arrives_while_a_node_closes_is_answered(
+    deployment,
+):
+    """Seen as LOST on mix 155525691254 of registro-conjunto.
+
+    A node without requests in progress closed at the end of its drain; one
+    that arrived meanwhile was forwarded and cut.
+    """
+    deployment.engine.score_pause = 0.3
+    served = await deployment.start_node(drain_delay=0.1)
+    host, _, port = served.address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    stop_tasks = served.background.stop
+
+    async def send_and_stop_tasks():
+        head = f'POST /score/x HTTP/1.1\r\nHost: {HOST}\r\n'
+        head += 'Request-Id: q1\r\nContent-Length: 0\r\n\r\n'
+        writer.write(head.encode())
+        await asyncio.sleep(0.05)
+        await stop_tasks()
+
+    served.background.stop = send_and_stop_tasks
+    await served.stop()
+    assert (await reader.readline()).startswith(b'HTTP/1.1 503')
+    assert deployment.engine.runs == []
+    writer.close()
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -47,6 +47,9 @@
 """Time between the end of the last requests and the platform's SIGKILL.
 Interrupted requests have the same time to end."""
 
+_FLUSH_TIME_S = 0.05
+"""Time for refusing requests that arrive while the node closes."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -228,6 +231,7 @@
         self._status_server.stop()
         await self.background.stop()
         self._http.close()
+        await self.request_tracker.wait_idle(_FLUSH_TIME_S)
         await self.gateway.server.close_all_connections()
         await self._status_server.close_all_connections()
 
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -48,6 +48,8 @@
 _STARTING_RETRY_AFTER_S = 0.5
 """Sent before the first configuration was read: about the time that a node
 takes to start."""
+_STOPPING_RETRY_AFTER_S = 0.05
+"""Sent while the node stops: the load balancer already uses other nodes."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -212,6 +214,9 @@
             case Result(error=reason):
                 await self._refuse(exchange, None, _make_bad_request(reason))
                 return
+        if self._tracker.is_refusing:
+            await self._refuse(exchange, call, _make_stopping())
+            return
         if self._configuration.current is None:
             await self._refuse(exchange, call, _make_not_ready())
             return
@@ -413,6 +418,14 @@
     )
 
 
+def _make_stopping() -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Reason.SHUTTING_DOWN,
+        'the node stops',
+        retry_after=_STOPPING_RETRY_AFTER_S,
+    )
+
+
 def _find_reason_phrase(status: int) -> str:
     return httputil.responses.get(status, 'Unknown')
 
