Pause between reads of the log on nodes without work

Cause: each node's waiting reads return with every append, so that the reads of a node grow with the rate of appends and changed entries: 28 to 36 calls a second and node at 78 machines, and all nodes read each result of the one that runs the step.

Change: a tail or follower that returned records pauses for 0.2 s unless its node holds the partition (or, for targets, any lease), or somebody waits for records. PartitionTail.wait_for_offset, without use, is gone.

--- a/tests/log/test_tails.py
+++ b/tests/log/test_tails.py
@@ -173,3 +173,76 @@
     await memory.append(partition, (b'b',))
     await asyncio.sleep(2.0)
     assert records.rows == [b'a', b'b']
+
+
+@pytest.fixture
+def start_tail(memory, partition, records):
+    """Returns a function that starts a tail and waits until it caught up."""
+    running = []
+
+    async def start(needs_records):
+        made = tails.PartitionTail(
+            memory,
+            partition,
+            records,
+            dependency.Dependency('log'),
+            needs_records=lambda: needs_records,
+        )
+        running.append(asyncio.ensure_future(made.run()))
+        await made.caught_up.wait()
+        return made
+
+    yield start
+    for task in running:
+        task.cancel()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ('needs_records', 'fewest', 'most'), [(True, 50, 60), (False, 1, 12)]
+)
+async def test_a_node_without_work_reads_many_records_at_once(
+    start_tail, memory, partition, records, needs_records, fewest, most
+):
+    """Load pattern: one of hundreds of nodes appends 50 results a second."""
+    await start_tail(needs_records)
+    memory.reads.clear()
+    for number in range(100):
+        await memory.append(partition, (b'%d' % number,))
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(tails.PAUSE_S)
+    assert records.rows == [b'%d' % number for number in range(100)]
+    assert fewest <= len(memory.reads) / 2 <= most
+
+
+@pytest.mark.looptime
+async def test_a_pause_ends_for_whoever_waits_for_records(
+    start_tail, memory, partition
+):
+    tail = await start_tail(False)
+    await memory.append(partition, (b'first',))
+    await asyncio.sleep(0.01)
+    waiting = asyncio.ensure_future(tail.wait_for_records())
+    await asyncio.sleep(0.01)
+    await memory.append(partition, (b'second',))
+    async with asyncio.timeout(0.05):
+        await waiting
+
+
+@pytest.mark.looptime
+async def test_a_follower_without_work_reads_many_changes_at_once(memory):
+    """Load pattern: each target changes its entry every 1.2 s."""
+    listener = Rows()
+    made = followers.KeyedFollower(
+        memory, TOPIC, listener, needs_records=lambda: False
+    )
+    running = asyncio.ensure_future(made.run())
+    await made.started.wait()
+    memory.reads.clear()
+    for number in range(100):
+        memory.write_keyed(TOPIC, f'i{number % 20}', b'%d' % number)
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.5)
+    assert listener.rows['i19'] == b'99'
+    assert len(memory.reads) <= 14
+    running.cancel()
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -86,7 +86,12 @@
             self._record_version,
         )
         self._target_follower = followers.KeyedFollower(
-            self._log, operators.TARGET_TOPIC, self.targets
+            self._log,
+            operators.TARGET_TOPIC,
+            self.targets,
+            needs_records=lambda: (
+                self.holder.count_held() > 0 or self.lease.held
+            ),
         )
         self.targets.set_log_dependency(self._target_follower.dependency)
         self._operator_follower = followers.KeyedFollower(
--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import logging
 
@@ -12,6 +13,7 @@
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import dependency
+from waxwingport.log import tails
 
 __all__ = ['KeyedFollower', 'KeyedListener']
 
@@ -39,15 +41,21 @@
 
 
 class KeyedFollower:
-    """Passes a keyed topic's newest records and changes to a listener."""
+    """Passes a keyed topic's newest records and changes to a listener.
+
+    ``needs_records`` returns whether changes are needed at once; if not, the
+    follower pauses between reads, as ``PartitionTail`` does.
+    """
 
     def __init__(
         self,
         log: base.PartitionLog,
         topic: base.Topic,
         listener: KeyedListener,
+        needs_records: Callable[[], bool] = lambda: True,
     ) -> None:
         self._log = log
+        self._needs_records = needs_records
         self._partition = base.Partition(topic, 0)
         self._listener = listener
         self._position: ids.Offset | None = None
@@ -61,9 +69,12 @@
         Reads the whole topic again if changes have expired unread.
         """
         while True:
+            before = self._position
             match await self._advance():
                 case Result(tag='ok'):
                     self.dependency.record_success()
+                    if self._position != before and not self._needs_records():
+                        await asyncio.sleep(tails.PAUSE_S)
                 case Result(error=fault):
                     self._handle_fault(fault)
                     await asyncio.sleep(_RETRY_INTERVAL_S)
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 import logging
 import random
 
@@ -24,6 +25,10 @@
 _RETRY_INTERVAL_S = 0.2
 """Time between retries while the log is unavailable."""
 
+PAUSE_S = 0.2
+"""Pause after a read that returned records, unless they are needed at once.
+One read then returns the records of that time, so that the reads of a node do
+not grow with the rate of appends."""
 _START_JITTER_S = 0.025
 """Upper bound of the random delay of a start, for each page of history that is
 still to be read."""
@@ -51,6 +56,11 @@
     """Passes each record of a partition to a listener once and in order.
 
     ``dependency_`` records which reads of the log succeed and fail.
+    ``needs_records`` returns whether records are needed at once; if not, the
+    tail pauses between reads while nobody waits for records.
+
+    Load pattern: hundreds of nodes follow a partition to which one of them
+    appends results tens of times a second.
     """
 
     def __init__(
@@ -60,8 +70,13 @@
         listener: RecordListener,
         dependency_: dependency.Dependency,
         rng: random.Random | None = None,
+        needs_records: Callable[[], bool] = lambda: True,
     ) -> None:
         self._log = log
+        self._needs_records = needs_records
+        self._waiters = 0
+        self._wanted = asyncio.Event()
+        """Set while somebody waits for records."""
         self._rng = rng or random.Random()
         self._listener = listener
         self.dependency = dependency_
@@ -85,9 +100,12 @@
         await self._read_history()
         while True:
             wait = 0.0 if self.caught_up_at == _NEVER else _READ_WAIT_S
+            before = self.position
             match await self._read_with_timeout(wait):
                 case Result(tag='ok'):
                     self.dependency.record_success()
+                    if self._end <= self.position > before:
+                        await self._pause()
                 case Result(error=fault):
                     self.dependency.record_failure(fault.detail)
                     await asyncio.sleep(_RETRY_INTERVAL_S)
@@ -132,24 +150,26 @@
                     return Error(fault)
         return Ok(None)
 
-    async def wait_for_offset(
-        self, offset: ids.Offset, timeout: float
-    ) -> bool:
-        """Waits until all records before ``offset`` have been passed on.
-
-        Returns false if ``timeout`` seconds pass first.
-        """
-        try:
-            async with asyncio.timeout(timeout):
-                while self.position < offset:
-                    await self.wait_for_records()
-        except TimeoutError:
-            return False
-        return True
-
     async def wait_for_records(self) -> None:
         """Waits until further records have been passed on."""
-        await self._advanced.wait()
+        self._waiters += 1
+        self._wanted.set()
+        try:
+            await self._advanced.wait()
+        finally:
+            self._waiters -= 1
+            if not self._waiters:
+                self._wanted.clear()
+
+    async def _pause(self) -> None:
+        """Waits before the next read, unless records are needed at once."""
+        if self._needs_records():
+            return
+        try:
+            async with asyncio.timeout(PAUSE_S):
+                await self._wanted.wait()
+        except TimeoutError:
+            return
 
     async def _read(self, wait: float) -> Result[None, base.Fault]:
         loop = asyncio.get_running_loop()
--- a/waxwingport/rollout/lease.py
+++ b/waxwingport/rollout/lease.py
@@ -84,7 +84,9 @@
         self._free_at = float('-inf')
         """Time by ``clock`` from which on this node may order."""
         store = dependency.Dependency('log:orders')
-        self._tail = tails.PartitionTail(log, _PARTITION, self, store)
+        self._tail = tails.PartitionTail(
+            log, _PARTITION, self, store, needs_records=lambda: self.held
+        )
         self._lease = leases.PartitionLease(
             log, self._tail, member, self, _MAX_APPEND_BYTES, wall_clock, rng
         )
--- a/waxwingport/submissions/view.py
+++ b/waxwingport/submissions/view.py
@@ -62,7 +62,13 @@
     ) -> None:
         self.log_partition = log_partition
         self.state = partition_state.PartitionState()
-        self.tail = tails.PartitionTail(log, log_partition, self, dependency_)
+        self.tail = tails.PartitionTail(
+            log,
+            log_partition,
+            self,
+            dependency_,
+            needs_records=lambda: self.lease is not None and self.lease.held,
+        )
         self.lease: leases.PartitionLease | None = None
         """Receives the partition's lease records, once set."""
         self._assembler = records.Assembler()
