Prefer a holder of orders without a wait

After the loss of all nodes each one reads the intents of before; the last holder's machine may have to wait the turn time, others only the transit of the last order. A claim is now delayed by the turn time that is left, so that a node without one holds the lease.

--- a/tests/rollout/test_lease.py
+++ b/tests/rollout/test_lease.py
@@ -142,6 +142,28 @@
     assert await wait_until_ordering(first) - ordered_at >= TURN_TIME
 
 
+async def test_after_the_loss_of_all_nodes_a_fresh_one_orders_first(start):
+    """Load pattern: all nodes are killed at once while versions load."""
+    names = [f'n{number}' for number in range(4)]
+    leases = [start(name) for name in names]
+    await asyncio.sleep(3.0)
+    for found in list(leases):
+        if found.held:
+            assert (await found.declare_intent()).is_ok()
+            await found.resign()
+    await asyncio.sleep(3.0)
+    for found in leases:
+        if found.held:
+            assert (await found.declare_intent()).is_ok()
+    for found in leases:
+        found.task.cancel()
+    restarted_at = asyncio.get_running_loop().time()
+    leases = [start(name) for name in names]
+    while not any(found.may_order() for found in leases):
+        await asyncio.sleep(0.05)
+    assert asyncio.get_running_loop().time() - restarted_at < TURN_TIME
+
+
 async def test_an_intent_without_a_node_may_be_of_any_node(start, log):
     """Nodes of an earlier version run beside this one during an upgrade."""
     found = start('a')
--- a/waxwingport/log/leases.py
+++ b/waxwingport/log/leases.py
@@ -44,9 +44,6 @@
 _CLAIM_JITTER_S = 0.2
 """Upper bound of the random delay of a claim, so that most processes see
 another's claim before they claim themselves."""
-_HELD_DELAY_S = 0.1
-"""Extra delay of a claim for each partition that the process holds already, so
-that the partitions spread over the processes."""
 _CLAIM_TIMEOUT_S = 1.5
 """Time after which a claim that was not read back is abandoned."""
 _MAX_READ_AGE_S = 2.0
@@ -117,8 +114,9 @@
     """Claims one partition and renews the claim.
 
     ``member`` has to be unique to this run of the process.  ``call_size``
-    bounds the bytes of one append.  ``count_held`` returns how many partitions
-    this process holds; a process that holds fewer claims sooner.
+    bounds the bytes of one append.  ``compute_delay`` returns the seconds by
+    which this process should claim later than others, which are then preferred
+    as holders.
     """
 
     def __init__(
@@ -130,7 +128,7 @@
         call_size: int,
         wall_clock: clocks.WallClock,
         rng: random.Random,
-        count_held: Callable[[], int] = lambda: 0,
+        compute_delay: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._log = log
         self._tail = tail
@@ -139,7 +137,7 @@
         self._call_size = call_size
         self._wall_clock = wall_clock
         self._rng = rng
-        self._count_held = count_held
+        self._compute_delay = compute_delay
         self._holder: base.MemberName | None = None
         self._renewed_at = float('-inf')
         """Loop time of the holder's last claim or renewal."""
@@ -287,7 +285,7 @@
 
     async def _try_claim(self) -> None:
         jitter = self._rng.uniform(0.0, _CLAIM_JITTER_S)
-        await asyncio.sleep(jitter + _HELD_DELAY_S * self._count_held())
+        await asyncio.sleep(jitter + self._compute_delay())
         match await self._tail.catch_up(0.0):
             case Result(tag='error'):
                 return
--- a/waxwingport/rollout/lease.py
+++ b/waxwingport/rollout/lease.py
@@ -81,6 +81,9 @@
         self._own_intent_at = float('-inf')
         """Time by ``clock`` at which this node's last intent was read, also
         one of an earlier process."""
+        self._turn_ends_at = float('-inf')
+        """Time by ``clock`` at which this node's orders from before another
+        node's are a turn time old."""
         self._free_at = float('-inf')
         """Time by ``clock`` from which on this node may order."""
         store = dependency.Dependency('log:orders')
@@ -88,7 +91,14 @@
             log, _PARTITION, self, store, needs_records=lambda: self.held
         )
         self._lease = leases.PartitionLease(
-            log, self._tail, member, self, _MAX_APPEND_BYTES, wall_clock, rng
+            log,
+            self._tail,
+            member,
+            self,
+            _MAX_APPEND_BYTES,
+            wall_clock,
+            rng,
+            self._compute_turn_left,
         )
 
     @property
@@ -158,8 +168,17 @@
             self._own_intent_at = now
         if intent.node != self._node:
             transit = _INTENT_VALIDITY_S + _MAX_ORDER_TRANSIT_S
-            since_own = self._own_intent_at + self._settings.turn_time
-            self._free_at = max(now, since_own) + transit
+            turn_time = self._settings.turn_time
+            self._turn_ends_at = self._own_intent_at + turn_time
+            self._free_at = max(now, self._turn_ends_at) + transit
+
+    def _compute_turn_left(self) -> float:
+        """Returns the seconds of turn time left, 0 if none are.
+
+        Load pattern: all nodes are killed at once.  One that has not ordered
+        of late may order sooner than the last holder, and claims first.
+        """
+        return max(0.0, self._turn_ends_at - self._clock.read())
 
     async def declare_intent(self) -> Result[None, str]:
         """Appends an intent, which proves that the lease is still held.
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -26,6 +26,9 @@
 _DRAFT_EVENTS = 10
 """Events by which a text has to grow before its draft is stored again: about
 as many as an engine generates in the interval."""
+_HELD_DELAY_S = 0.1
+"""Delay of a claim for each partition that the node holds already, so that the
+partitions spread over the nodes."""
 _RESIGN_TIMEOUT_S = 1.0
 """Bounds the release of all partitions before the node stops."""
 
@@ -72,7 +75,7 @@
                 limits.max_call_bytes,
                 wall_clock,
                 rng,
-                self.count_held,
+                lambda: _HELD_DELAY_S * self.count_held(),
             )
             for held in self._partitions
         ]
