Run steps on strong nodes, spare engines that load, recover sooner at size

Changes: a node with less than a core claims 0.25 s later; an intent to order names engine and model, so that every node spares that engine for the load, and one run at a time tries it afterwards; a timeout that passes late gives a stream 0.15 s more; starts spread over the time that all of them need, as the first page's time tells.

The runner's choice of engines is a module of its own (selection).

--- a/tests/experiment/test_replay.py
+++ b/tests/experiment/test_replay.py
@@ -72,6 +72,13 @@
     assert current.mean <= trusting.mean
 
 
+def test_engines_that_load_reject_fewer_runs(play):
+    """A burst of runs for each free slot would be rejected at every try."""
+    current, bursts = play('loading-third'), play('loading-third', 'no-probes')
+    assert current.rejected <= 0.5 * bursts.rejected
+    assert current.mean <= 1.01 * bursts.mean
+
+
 def test_prompts_of_other_runs_move_few_runs(play):
     current, eager = play('prompt-waves'), play('prompt-waves', 'mean-pace')
     assert current.moves <= eager.moves / 3
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -423,7 +423,9 @@
     deployment.engine.break_after = {'s1-0': 4}
     deployment.engine.pause = 0.05
     await deployment.submit(served)
-    await asyncio.sleep(0.12)
+    async with asyncio.timeout(5.0):
+        while 's1-0' not in deployment.engine.sent:
+            await asyncio.sleep(0.01)
     deployment.engine.version = 2
     results = {
         result['id']: result for result in await deployment.read_all(served)
@@ -436,6 +438,23 @@
     assert starts == [0, 0]
 
 
+async def test_a_single_version_text_is_kept_while_its_engine_is_avoided(
+    deployment,
+):
+    """A run broke off; for a moment no engine may run the item."""
+    deployment.configure(2, **{'single-version': True})
+    served = await deployment.start_node()
+    deployment.engine.break_after = {'s1-0': 4}
+    deployment.engine.pause = 0.05
+    await deployment.submit(served)
+    await deployment.read_all(served)
+    starts = [
+        start for name, start in deployment.engine.runs if name == 's1-0'
+    ]
+    assert starts[0] == 0
+    assert starts[1] > 0
+
+
 async def test_a_load_waits_for_running_texts_of_a_single_version(
     deployment,
 ):
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -15,6 +15,7 @@
     'ip': '127.0.0.1',
     'zone': 'here',
     'listen': {'front': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
+    'limits': {'cpu-share': 0.516, 'cores': 1},
     'bounds': {'grace-s': 8, 'status-s': 120, 'lease-ms': 3000},
     'platform': {
         'address': '127.0.0.1:3',
@@ -54,6 +55,7 @@
     found = settings.read_settings(write_settings(render(TEMPLATE))).ok
     assert found.node.name == 'edge-1'
     assert found.node.shutdown_timeout == 8
+    assert found.node.cpu_share * found.node.cpu_speed == 0.516
     assert found.rollout.turn_time == 3.0
     assert found.store.call_size == 2097152
 
--- a/tests/rollout/test_lease.py
+++ b/tests/rollout/test_lease.py
@@ -86,7 +86,7 @@
     await asyncio.sleep(3.0)
     holder, other = (first, second) if first.held else (second, first)
     fence = holder.fencing_number
-    assert (await holder.declare_intent()).is_ok()
+    assert (await holder.declare_intent('i1', 'm')).is_ok()
     ordered_at = asyncio.get_running_loop().time()
     holder.task.cancel()
     while not other.may_order():
@@ -105,7 +105,7 @@
     leases = [start(name) for name in names]
     await asyncio.sleep(3.0)
     (number,) = [place for place in range(4) if leases[place].held]
-    assert (await leases[number].declare_intent()).is_ok()
+    assert (await leases[number].declare_intent('i1', 'm')).is_ok()
     for found in leases:
         found.task.cancel()
     restarted_at = asyncio.get_running_loop().time()
@@ -117,6 +117,20 @@
     assert TRANSIT_S <= waited < TURN_TIME
 
 
+async def test_every_node_learns_which_engine_is_about_to_load(start):
+    first, second = start('a'), start('b')
+    seen = {first: [], second: []}
+    for found in (first, second):
+        found.add_load_listener(
+            lambda *load, found=found: seen[found].append(load)
+        )
+    await asyncio.sleep(3.0)
+    holder = first if first.held else second
+    assert (await holder.declare_intent('i1', 'm')).is_ok()
+    await asyncio.sleep(0.5)
+    assert seen == {first: [('i1', 'm')], second: [('i1', 'm')]}
+
+
 async def test_an_intent_without_a_node_is_another_nodes(start, log):
     """Nodes of an earlier version run beside this one during an upgrade."""
     found = start('a')
@@ -139,7 +153,7 @@
     await asyncio.sleep(8.0)
     assert second.may_order()
     switch.cut = False
-    assert (await first.declare_intent()).is_error()
+    assert (await first.declare_intent('i1', 'm')).is_error()
 
 
 async def test_an_intent_fails_after_a_suspension(start, log):
@@ -152,7 +166,7 @@
         return await append(*arguments)
 
     log.append = append_slowly
-    assert (await first.declare_intent()).is_error()
+    assert (await first.declare_intent('i1', 'm')).is_error()
 
 
 async def test_a_lost_answer_does_not_lose_the_lease(start, log):
@@ -160,7 +174,7 @@
     await asyncio.sleep(3.0)
     log.failures.append(partitions.LogFailure.LOST)
     count = len(log.get_records(lease._PARTITION))
-    assert (await first.declare_intent()).is_ok()
+    assert (await first.declare_intent('i1', 'm')).is_ok()
     assert len(log.get_records(lease._PARTITION)) == count + 1
     assert first.held
 
@@ -207,7 +221,7 @@
         for number, found in enumerate(leases):
             if switches[number].cut or not found.may_order():
                 continue
-            if (await found.declare_intent()).is_ok():
+            if (await found.declare_intent('i1', 'm')).is_ok():
                 orders.append((loop.time(), number, found.fencing_number))
     assert orders
     for before, after in zip(orders, orders[1:], strict=False):
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -69,6 +69,21 @@
     assert placement.find_eligible([engine], 'm', 1, 0.11) == [engine]
 
 
+def test_one_run_at_a_time_probes_an_engine_after_a_load(make_engine):
+    """Load pattern: a step starts while engines load weights."""
+    engine = make_engine('a')
+    engine.expect_load('m', 0.0)
+    assert not engine.accepts_model('m', 0.6)
+    assert engine.accepts_model('other', 0.6)
+    assert engine.accepts_model('m', 0.8)
+    engine.probe_model('m', 0.8)
+    assert not engine.accepts_model('m', 0.85)
+    assert engine.accepts_model('m', 0.95)
+    engine.resume_model('m')
+    engine.probe_model('m', 0.95)
+    assert engine.accepts_model('m', 0.95)
+
+
 def test_pauses_of_a_model_grow_until_it_is_accepted_again(make_engine):
     engine = make_engine('a')
     engine.pause_model('m', 0.0)
--- a/waxwingport/experiment/policies.py
+++ b/waxwingport/experiment/policies.py
@@ -27,6 +27,8 @@
     """Seconds without an event after which a stream is broken; by default
     derived from the engine's pace."""
     longest_first: bool = True
+    probes_models: bool = True
+    """Whether one run at a time tries an engine that rejected a model."""
 
 
 _FULL_SHARE = 1.0
@@ -50,12 +52,18 @@
             unproven_share=_FULL_SHARE,
         ),
         silence_timeout=1.2,
+        probes_models=False,
     ),
     Policy(
         'no-moves',
         'no run moves',
         placement.PlacementSettings(min_speedup=math.inf),
     ),
+    Policy(
+        'no-probes',
+        'an engine that rejected runs gets all of its slots again at once',
+        probes_models=False,
+    ),
     Policy('any-order', 'items start in any order', longest_first=False),
 )
 
--- a/waxwingport/experiment/replay.py
+++ b/waxwingport/experiment/replay.py
@@ -202,10 +202,18 @@
             eligible = []
         for candidate in self._sort() if eligible else ():
             target = self._placement.choose_engine(
-                eligible, frozenset(), self._now
+                [
+                    found
+                    for found in eligible
+                    if found.accepts_model(engines.MODEL, self._now)
+                ],
+                frozenset(),
+                self._now,
             )
             if target is None:
                 break
+            if self._policy.probes_models:
+                target.probe_model(engines.MODEL, self._now)
             self._start(candidate.key, targets[target.entry.instance])
         if self._waiting and not self._ticking:
             self._ticking = True
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -30,6 +30,9 @@
 them; doubled with each rejection.  Loading weights takes about a second."""
 _MAX_PAUSE_S = 0.4
 """Upper bound of that time."""
+_LOAD_PAUSE_S = 0.7
+"""Time without requests for a model that an engine is about to load.  A load
+takes about a second; requests are rejected until it is complete."""
 
 
 class Stage(enum.Enum):
@@ -135,6 +138,27 @@
         pause = min(pause, _MAX_PAUSE_S)
         self.paused_models[model] = ModelPause(now + pause, pause)
 
+    def expect_load(self, model: str, now: float) -> None:
+        """Pauses a model that the engine is about to be ordered to load."""
+        self.paused_models[model] = ModelPause(
+            now + _LOAD_PAUSE_S, _FIRST_PAUSE_S
+        )
+
+    def probe_model(self, model: str, now: float) -> None:
+        """Called when a request for a model is about to be sent.
+
+        After a pause it is the only one until the engine accepts it or the
+        pause has passed again.
+
+        Load pattern: a step starts while a third of the engines load weights.
+        Each free slot there would take an item and reject it.
+        """
+        previous = self.paused_models.get(model)
+        if previous is not None:
+            self.paused_models[model] = ModelPause(
+                now + previous.pause, previous.pause
+            )
+
     def resume_model(self, model: str) -> None:
         """Ends the pause of a model after a request for it was accepted."""
         self.paused_models.pop(model, None)
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -10,6 +10,7 @@
 
 from waxwingport import background
 from waxwingport import clocks
+from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
@@ -144,6 +145,7 @@
             reader,
             self._wall_clock,
             rng,
+            settings_.node.cpu_share * settings_.node.cpu_speed,
         )
         for partition in self.submission_view:
             partition.add_listener(self._record_submission)
@@ -158,7 +160,9 @@
             clocks.BootClock(),
             self._wall_clock,
             random.Random(),
+            needs_records=lambda: self.holder.count_held() > 0,
         )
+        self.lease.add_load_listener(self._expect_load)
         self.controller = controller.RolloutController(
             node.name,
             orders.PlatformEngineControl(self._http),
@@ -240,6 +244,11 @@
         await self.gateway.server.close_all_connections()
         await self._status_server.close_all_connections()
 
+    def _expect_load(self, instance: fleet.InstanceId, model: str) -> None:
+        target = self.targets.find(instance)
+        if target is not None:
+            target.expect_load(model, asyncio.get_running_loop().time())
+
     def _record_version(self, record: base.KeyedRecord) -> None:
         match operators.read_published_version(
             record.key, record.value or b''
--- a/waxwingport/gateway/settings.py
+++ b/waxwingport/gateway/settings.py
@@ -41,6 +41,11 @@
     drain_delay: float = 2.5
     """Seconds for which a stopping node still accepts requests: the load
     balancer checks once a second and removes a node after two failures."""
+    cpu_share: float = 1.0
+    """Share of a core that the node has."""
+    cpu_speed: float = 1.0
+    """Speed of that core; 1 is the speed of the smallest VMs.  Nodes with
+    less than one core by share times speed run steps only if no other does."""
     body_memory: int = 64 * 1024 * 1024
     """Maximum total size of the request bodies in memory, in bytes."""
 
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -30,11 +30,11 @@
 One read then returns the records of that time, so that the reads of a node do
 not grow with the rate of appends."""
 _START_JITTER_S = 0.025
-"""Upper bound of the random delay of a start, for each page of history that is
-still to be read."""
-_MAX_START_JITTER_S = 1.5
-"""Upper bound of that delay for any number of pages; a start has to end long
-before the callers' calls time out."""
+"""Least upper bound of the random delay of a start, for each page of history
+that is still to be read."""
+_MAX_START_JITTER_S = 6.0
+"""Upper bound of that delay for any number of pages; a start has to end before
+callers give up on a submission."""
 _NEVER = float('-inf')
 
 _LOG = logging.getLogger(__name__)
@@ -125,16 +125,21 @@
     async def _read_history(self) -> None:
         """Reads the first page; if there are more, waits for a random time.
 
-        Nodes that start together share the log's bandwidth.  Without the
-        delay none of them would catch up before all of them do.
+        Load pattern: hundreds of nodes lose power at once, start together and
+        share the log's bandwidth.  Without the delay none of them would catch
+        up before all of them do.  The time of the first page tells how many
+        share it; the delays spread over the time that all of them take.
         """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         match await self._read(0.0):
             case Result(tag='error', error=fault):
                 self.dependency.record_failure(fault.detail)
                 return
         if self.position and self.caught_up_at == _NEVER:
             pages = (self._end - self.position) / self.position
-            jitter = min(_MAX_START_JITTER_S, _START_JITTER_S * pages)
+            page_time = max(_START_JITTER_S, loop.time() - started_at)
+            jitter = min(_MAX_START_JITTER_S, page_time * pages)
             await asyncio.sleep(self._rng.uniform(0.0, jitter))
 
     async def catch_up(self, max_age: float) -> Result[None, base.Fault]:
--- a/waxwingport/rollout/controller.py
+++ b/waxwingport/rollout/controller.py
@@ -199,7 +199,7 @@
         report: base.EngineReport,
     ) -> None:
         load = pending.load
-        match await self._lease.declare_intent():
+        match await self._lease.declare_intent(load.instance, load.model):
             case Result(tag='error', error=reason):
                 _LOG.info(
                     'order-withheld',
--- a/waxwingport/rollout/lease.py
+++ b/waxwingport/rollout/lease.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import logging
 import random
 
@@ -16,6 +17,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport.fleet import model as fleet
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import dependency
@@ -49,9 +51,15 @@
 
     member: base.MemberName
     node: ids.NodeName | None = None
-    """Node of the member; earlier versions did not write it."""
+    """Node of the member; earlier versions wrote none of what follows."""
+    instance: fleet.InstanceId | None = None
+    """Engine that the order loads a version on."""
+    model: str | None = None
 
 
+LoadListener = Callable[[fleet.InstanceId, str], None]
+"""Called with an engine that is about to load a version, and the model."""
+
 _DECODER = msgspec.msgpack.Decoder(leases.LeaseRecord | _Intent)
 
 
@@ -60,6 +68,8 @@
 
     ``member`` has to be unique to this run of the process, while ``node``
     names its VM.  ``clock`` has to advance while the machine is suspended.
+    ``needs_records`` returns whether this node needs to know at once which
+    engines load.
     """
 
     def __init__(
@@ -71,7 +81,9 @@
         clock: clocks.SuspendAwareClock,
         wall_clock: clocks.WallClock,
         rng: random.Random,
+        needs_records: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._load_listeners: list[LoadListener] = []
         self._node = node
         self._member = member
         self._settings = settings
@@ -84,7 +96,11 @@
         """Time by ``clock`` from which on this node may order."""
         store = dependency.Dependency('log:orders')
         self._tail = tails.PartitionTail(
-            log, _PARTITION, self, store, needs_records=lambda: self.held
+            log,
+            _PARTITION,
+            self,
+            store,
+            needs_records=lambda: self.held or needs_records(),
         )
         self._lease = leases.PartitionLease(
             log,
@@ -134,8 +150,12 @@
             return
         if not isinstance(found, _Intent):
             self._lease.handle_record(found)
-        else:
+            return
+        if found.member != self._member:
             self._apply_intent(found)
+        if found.instance is not None and found.model is not None:
+            for listener in self._load_listeners:
+                listener(found.instance, found.model)
 
     def handle_gap(self) -> None:
         """Does nothing: renewals and later intents repeat what expired."""
@@ -175,9 +195,17 @@
         """
         return max(0.0, self._turn_ends_at - self._clock.read())
 
-    async def declare_intent(self) -> Result[None, str]:
+    def add_load_listener(self, listener: LoadListener) -> None:
+        """Calls ``listener`` for each load that any node intends to order."""
+        self._load_listeners.append(listener)
+
+    async def declare_intent(
+        self, instance: fleet.InstanceId, model: str
+    ) -> Result[None, str]:
         """Appends an intent, which proves that the lease is still held.
 
+        It names the engine and the model that the order is for.
+
         An order may be sent only directly after this succeeds.  Fails with a
         reason if another process holds the lease, if the turn time is not
         over or if the log does not confirm the intent in time.
@@ -186,7 +214,9 @@
         if writer is None or not self.may_order():
             return Error('lease not held or turn time not over')
         sent_at = self._clock.read()
-        record = msgspec.msgpack.encode(_Intent(self._member, self._node))
+        record = msgspec.msgpack.encode(
+            _Intent(self._member, self._node, instance, model)
+        )
         try:
             async with asyncio.timeout(_INTENT_VALIDITY_S):
                 done = await writer.write((record,))
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -29,6 +29,10 @@
     'is_usable',
 ]
 
+_LATE_TIMEOUT_S = 0.02
+"""Delay of a timeout from which on this process counts as busy."""
+_EXTRA_TIME_S = 0.15
+"""Time for pieces that a busy process may not have read yet."""
 _RUN_TIMEOUT_S = 120.0
 """Bounds a whole run.  A run without progress usually ends earlier, by
 the timeout between events."""
@@ -300,15 +304,38 @@
 async def _read_piece(
     response: client.Response, timeout: float
 ) -> bytes | client.TransportFault | None:
+    """Returns the next piece of a stream, ``None`` at its end.
+
+    If the timeout passes late because this process was busy, the piece may
+    have arrived unread, so that it gets a little more time.
+    """
+    loop = asyncio.get_running_loop()
+    due_at = loop.time() + timeout
     try:
         async with asyncio.timeout(timeout):
             return await response.read_chunk()
     except TimeoutError:
-        return client.TransportFault(
-            client.TransportFaultKind.SILENT,
-            f'no event within {timeout:.2g} s',
-            True,
-        )
+        if loop.time() - due_at >= _LATE_TIMEOUT_S:
+            return await _read_late_piece(response, timeout)
+        return _make_silence(timeout)
+
+
+async def _read_late_piece(
+    response: client.Response, timeout: float
+) -> bytes | client.TransportFault | None:
+    try:
+        async with asyncio.timeout(_EXTRA_TIME_S):
+            return await response.read_chunk()
+    except TimeoutError:
+        return _make_silence(timeout)
+
+
+def _make_silence(timeout: float) -> client.TransportFault:
+    return client.TransportFault(
+        client.TransportFaultKind.SILENT,
+        f'no event within {timeout:.2g} s',
+        True,
+    )
 
 
 def _check_event(
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -29,6 +29,10 @@
 _HELD_DELAY_S = 0.1
 """Delay of a claim for each partition that the node holds already, so that the
 partitions spread over the nodes."""
+_WEAK_DELAY_S = 0.25
+"""Delay of a claim by a node with less than one core.  The holder reads the
+streams of a whole step, which take about half a core for 100 of them."""
+_FULL_CORES = 1.0
 _RESIGN_TIMEOUT_S = 1.0
 """Bounds the release of all partitions before the node stops."""
 
@@ -48,6 +52,8 @@
     The log refuses the appends of an earlier holder once a later one has
     claimed the partition.  Two nodes that both consider themselves the holder
     may run an item twice, but its result is stored and returned once only.
+    ``cores`` is the processor time of the node a second; a node with less
+    than one core claims later than others.
     """
 
     def __init__(
@@ -60,7 +66,9 @@
         reader: texts.TextReader,
         wall_clock: clocks.WallClock,
         rng: random.Random,
+        cores: float = _FULL_CORES,
     ) -> None:
+        self._weak_delay = 0.0 if cores >= _FULL_CORES else _WEAK_DELAY_S
         journals = _JournalFactory(log, reader, limits, wall_clock, rng)
         self._partitions = [
             _HeldPartition(partition, item_runner, journals)
@@ -75,7 +83,7 @@
                 limits.max_call_bytes,
                 wall_clock,
                 rng,
-                lambda: _HELD_DELAY_S * self.count_held(),
+                self._compute_claim_delay,
             )
             for held in self._partitions
         ]
@@ -86,6 +94,9 @@
         """Returns how many partitions' leases this node holds."""
         return sum(held.journal is not None for held in self._partitions)
 
+    def _compute_claim_delay(self) -> float:
+        return _HELD_DELAY_S * self.count_held() + self._weak_delay
+
     async def run(self) -> None:
         """Claims partitions and stores drafts until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-from collections.abc import Iterable
 from collections.abc import Sequence
 import functools
 import logging
@@ -10,13 +9,10 @@
 from expression import Result
 
 from waxwingport import clocks
-from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import routes
-from waxwingport import ids
 from waxwingport.log import base
 from waxwingport import metrics
-from waxwingport.scheduling import lengths
 from waxwingport.scheduling import order
 from waxwingport.scheduling import placement
 from waxwingport.submissions import generation
@@ -26,6 +22,7 @@
 from waxwingport.submissions import results
 from waxwingport.submissions import runs
 from waxwingport.submissions import scores
+from waxwingport.submissions import selection
 from waxwingport.submissions import texts
 from waxwingport.submissions import view
 
@@ -45,18 +42,9 @@
 _RESTORE_TIMEOUT_S = 1.0
 """Bounds the read of drafts.  An item whose draft is not read starts anew;
 most drafts can be generated anew in a few times this bound."""
-_MOVE_CHECK_EVENTS = 5
-"""Events between two decisions whether a run should move: a fifth of a second,
-which delays a move little and costs little processor time."""
-_DEFAULT_OUTPUT_TOKENS = 1000
-"""Output tokens assumed for the rank of a group if its items have no hint."""
 
 _LOG = logging.getLogger(__name__)
 
-_JobKey = tuple[runs.SubmissionRun, runs.Job]
-_PoolKey = tuple[model.SubmissionId, str]
-"""Submission and path, which together decide the engines of an item."""
-
 
 class ItemRunner:
     """Starts waiting items on free engine slots and stores their results."""
@@ -77,16 +65,12 @@
         self._results = results.ResultWriter(counters)
         self._generator = generator
         self._scorer = scorer
-        self._targets = targets
         self._view = view_
         self._texts = reader
         self._find_route = find_route
-        self._placement = placer
+        self._selector = selection.EngineSelector(targets, find_route, placer)
         self._wall_clock = wall_clock
         self._runs: dict[model.SubmissionId, runs.SubmissionRun] = {}
-        self._prompt_caches: dict[ids.GroupId, set[fleet.InstanceId]] = {}
-        self._lengths: dict[str, lengths.LengthEstimator] = {}
-        """By model, which stands for one trainer."""
         self._wake = asyncio.Event()
 
     def add(
@@ -115,7 +99,8 @@
             journal_,
             jobs,
             order.rank_groups(
-                _find_longest_outputs(entry.submission.items), resumed_groups
+                runs.find_longest_outputs(entry.submission.items),
+                resumed_groups,
             ),
             set(),
             {},
@@ -150,8 +135,7 @@
             return None
         for task in submission_run.tasks:
             task.cancel()
-        for item in submission_run.entry.submission.items:
-            self._prompt_caches.pop(item.group, None)
+        self._selector.forget(submission_run)
         _LOG.info(
             'submission-stopped',
             extra={
@@ -268,9 +252,7 @@
 
         Engines are compared once for all items of a submission.
         """
-        now = asyncio.get_running_loop().time()
-        candidates: list[order.Candidate[_JobKey]] = []
-        pools: dict[_PoolKey, list[fleet.Target]] = {}
+        waiting: list[selection.JobKey] = []
         for submission_run in list(self._runs.values()):
             for job in list(submission_run.waiting.values()):
                 if self._is_too_old(submission_run, job):
@@ -279,69 +261,11 @@
                         job,
                         'older than the retention of its route',
                     )
-                elif job.not_before <= now and self._find_pool(
-                    submission_run, job, pools, now
-                ):
-                    candidates.append(self._describe(submission_run, job))
-        for candidate in order.sort_candidates(candidates):
-            submission_run, job = candidate.key
-            self._try_start(submission_run, job, pools, now)
-
-    def _find_pool(
-        self,
-        submission_run: runs.SubmissionRun,
-        job: runs.Job,
-        pools: dict[_PoolKey, list[fleet.Target]],
-        now: float,
-    ) -> list[fleet.Target]:
-        """Returns the engines that may run a job; none if all are full.
-
-        ``pools`` keeps them during one dispatch.
-        """
-        submission = submission_run.entry.submission
-        key = submission.submission_id, job.item.path
-        if key not in pools:
-            route = self._find_route(submission.host, job.item.path)
-            pools[key] = (
-                placement.find_eligible(
-                    self._find_ready(route),
-                    submission.model,
-                    submission.minimum_version,
-                    now,
-                )
-                if route
-                else []
-            )
-        if not any(
-            self._placement.count_free_slots(target, now) >= 1
-            for target in pools[key]
-        ):
-            pools[key] = []
-        return pools[key]
-
-    def _describe(
-        self, submission_run: runs.SubmissionRun, job: runs.Job
-    ) -> order.Candidate[_JobKey]:
-        submission = submission_run.entry.submission
-        route = self._find_route(submission.host, submission.path)
-        run_target = route.run_target if route else 0.0
-        return order.Candidate(
-            (submission_run, job),
-            submission.accepted_at + run_target,
-            submission_run.ranks[job.item.group],
-            submission.wanted_groups,
-            route.priority if route else 0,
-            self._estimate_remaining(submission.model, job),
-        )
-
-    def _estimate_remaining(self, model_name: str, job: runs.Job) -> float:
-        """Returns the events that the text of a job is expected to lack."""
-        return self._find_lengths(model_name).estimate_remaining(
-            job.item.expected_output_tokens, len(job.text.events)
-        )
-
-    def _find_lengths(self, model_name: str) -> lengths.LengthEstimator:
-        return self._lengths.setdefault(model_name, lengths.LengthEstimator())
+                else:
+                    waiting.append((submission_run, job))
+        now = asyncio.get_running_loop().time()
+        for choice in self._selector.select(waiting, now):
+            self._start(choice)
 
     def _is_too_old(
         self, submission_run: runs.SubmissionRun, job: runs.Job
@@ -351,96 +275,19 @@
         age = self._wall_clock.read() - submission.accepted_at
         return route is not None and age > route.retention
 
-    def _try_start(
-        self,
-        submission_run: runs.SubmissionRun,
-        job: runs.Job,
-        pools: dict[_PoolKey, list[fleet.Target]],
-        now: float,
-    ) -> None:
-        submission = submission_run.entry.submission
-        route = self._find_route(submission.host, job.item.path)
-        eligible = self._find_pool(submission_run, job, pools, now)
-        if route is None or not eligible:
-            return
-        if route.single_version:
-            eligible = _select_or_start_over(job, eligible, submission.model)
-        engines_with_prompt = self._prompt_caches.setdefault(
-            job.item.group, set()
-        )
-        target = self._placement.choose_engine(
-            eligible, frozenset(engines_with_prompt), now
-        )
-        if target is None:
-            return
-        engines_with_prompt.add(target.entry.instance)
-        _LOG.info(
-            'item-started',
-            extra={
-                'submission': submission.submission_id,
-                'item': job.item.item_id,
-                'instance': target.entry.instance,
-                'fitting': len(eligible),
-                'ready': len(self._find_ready(route)),
-                'load': round(target.compute_load(now), 2),
-                'load_age_s': target.compute_load_age(now),
-                'proven': target.proven,
-                'version': target.versions.get(submission.model),
-                'minimum_version': submission.minimum_version,
-                'after_event': len(job.text.events),
-                'remaining': round(
-                    self._estimate_remaining(submission.model, job)
-                ),
-            },
-        )
-        slot = runs.EngineSlot(target)
+    def _start(self, choice: selection.Choice) -> None:
+        """Starts a job at the engine that was selected for it."""
+        slot = runs.EngineSlot(choice.target)
         task = self._spawn(
-            submission_run,
-            job,
-            self._run_item(submission_run, job, slot, route),
+            choice.submission_run,
+            choice.job,
+            self._run_item(
+                choice.submission_run, choice.job, slot, choice.route
+            ),
         )
         # A task that is cancelled before it starts does not release the slot.
         task.add_done_callback(lambda _: slot.release())
 
-    def _find_ready(self, route: routes.Route) -> list[fleet.Target]:
-        services = {share.service for share in route.shares if share.weight}
-        return [
-            target
-            for service in services
-            for target in self._targets.find_ready(service)
-        ]
-
-    def _should_move(
-        self,
-        submission_run: runs.SubmissionRun,
-        job: runs.Job,
-        target: fleet.Target,
-        first_event: int,
-    ) -> bool:
-        """Returns whether a run should move; decides at some events only.
-
-        ``first_event`` is the number of events before the run.
-        """
-        if len(job.text.events) % _MOVE_CHECK_EVENTS:
-            return False
-        submission = submission_run.entry.submission
-        route = self._find_route(submission.host, job.item.path)
-        if route is None or route.single_version:
-            return False
-        now = asyncio.get_running_loop().time()
-        eligible = placement.find_eligible(
-            self._find_ready(route),
-            submission.model,
-            submission.minimum_version,
-            now,
-        )
-        progress = placement.RunProgress(
-            len(job.text.events) - first_event,
-            first_event > 0,
-            self._estimate_remaining(submission.model, job),
-        )
-        return self._placement.should_move(target, eligible, progress, now)
-
     def _spawn_give_up(
         self, submission_run: runs.SubmissionRun, job: runs.Job, reason: str
     ) -> None:
@@ -486,7 +333,7 @@
                 route.single_version,
                 route.priority,
                 functools.partial(
-                    self._should_move,
+                    self._selector.should_move,
                     submission_run,
                     job,
                     slot.target,
@@ -498,9 +345,7 @@
         self._count_run(outcome)
         match outcome:
             case Result(tag='ok'):
-                self._find_lengths(
-                    submission_run.entry.submission.model
-                ).record(job.item.expected_output_tokens, len(job.text.events))
+                self._selector.record_length(submission_run, job)
                 self._wake.set()
                 await self._finish(submission_run, job)
                 return
@@ -595,35 +440,3 @@
             job.item.item_id, model.ItemState.ERRORED, (), (), None
         )
         await self._results.store(submission_run, result)
-
-
-def _find_longest_outputs(
-    items: Iterable[model.Item],
-) -> dict[ids.GroupId, int]:
-    """Returns the longest output hinted in each group, in tokens."""
-    longest: dict[ids.GroupId, int] = {}
-    for item in items:
-        tokens = item.expected_output_tokens or _DEFAULT_OUTPUT_TOKENS
-        longest[item.group] = max(longest.get(item.group, 0), tokens)
-    return longest
-
-
-def _select_or_start_over(
-    job: runs.Job, eligible: list[fleet.Target], model_name: str
-) -> list[fleet.Target]:
-    """Returns the engines with the version that generated the text so far.
-
-    Discards the text and returns all of ``eligible`` if none has it any more.
-    """
-    versions = job.text.versions
-    if not versions:
-        return eligible
-    same = [
-        target
-        for target in eligible
-        if target.versions.get(model_name) == versions[-1]
-    ]
-    if same:
-        return same
-    job.start_over()
-    return eligible
--- a/waxwingport/submissions/runs.py
+++ b/waxwingport/submissions/runs.py
@@ -1,6 +1,7 @@
 """Submissions whose items a node runs, and engine slots reserved for them."""
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 
@@ -11,7 +12,10 @@
 from waxwingport.submissions import model
 from waxwingport.submissions import partition_state
 
-__all__ = ['EngineSlot', 'Job', 'SubmissionRun']
+__all__ = ['EngineSlot', 'Job', 'SubmissionRun', 'find_longest_outputs']
+
+_DEFAULT_OUTPUT_TOKENS = 1000
+"""Output tokens assumed for the rank of a group if its items have no hint."""
 
 
 class Job(msgspec.Struct, eq=False):
@@ -85,3 +89,14 @@
             )
             for job in grown
         ]
+
+
+def find_longest_outputs(
+    items: Iterable[model.Item],
+) -> dict[ids.GroupId, int]:
+    """Returns the longest output hinted in each group, in tokens."""
+    longest: dict[ids.GroupId, int] = {}
+    for item in items:
+        tokens = item.expected_output_tokens or _DEFAULT_OUTPUT_TOKENS
+        longest[item.group] = max(longest.get(item.group, 0), tokens)
+    return longest
--- /dev/null
+++ b/waxwingport/submissions/selection.py
@@ -0,0 +1,268 @@
+"""Selection of engines for the jobs of submissions.
+
+The decisions are those of ``scheduling``; this module describes jobs and
+engines to them.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Iterator
+import logging
+
+import msgspec
+
+from waxwingport.fleet import model as fleet
+from waxwingport.fleet import registry
+from waxwingport.gateway import routes
+from waxwingport import ids
+from waxwingport.scheduling import lengths
+from waxwingport.scheduling import order
+from waxwingport.scheduling import placement
+from waxwingport.submissions import model
+from waxwingport.submissions import runs
+from waxwingport.submissions import scores
+
+__all__ = ['Choice', 'EngineSelector', 'JobKey']
+
+_MOVE_CHECK_EVENTS = 5
+"""Events between two decisions whether a run should move: a fifth of a second,
+which delays a move little and costs little processor time."""
+
+_LOG = logging.getLogger(__name__)
+
+JobKey = tuple[runs.SubmissionRun, runs.Job]
+_PoolKey = tuple[model.SubmissionId, str]
+"""Submission and path, which together decide the engines of an item."""
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """A job and the engine that it should start at."""
+
+    submission_run: runs.SubmissionRun
+    job: runs.Job
+    target: fleet.Target
+    route: routes.Route
+    eligible_count: int
+    """Engines that it was chosen from."""
+
+
+class EngineSelector:
+    """Selects engines for waiting jobs and decides on moves of runs."""
+
+    def __init__(
+        self,
+        targets: registry.Registry,
+        find_route: scores.FindRoute,
+        placer: placement.Placement,
+    ) -> None:
+        self._targets = targets
+        self._find_route = find_route
+        self._placement = placer
+        self._prompt_caches: dict[ids.GroupId, set[fleet.InstanceId]] = {}
+        self._lengths: dict[str, lengths.LengthEstimator] = {}
+        """By model, which stands for one trainer."""
+
+    def select(
+        self, waiting: Iterable[JobKey], now: float
+    ) -> Iterator[Choice]:
+        """Yields jobs to start, the most urgent first, while slots are free.
+
+        The caller starts each job before it asks for the next, so that its
+        slot counts.  Engines are compared once for all items of a submission.
+        Leaves out jobs that must not start before a later loop time.
+        """
+        pools: dict[_PoolKey, list[fleet.Target]] = {}
+        candidates = [
+            self._describe(submission_run, job)
+            for submission_run, job in waiting
+            if job.not_before <= now
+            and self._find_pool(submission_run, job, pools, now)
+        ]
+        for candidate in order.sort_candidates(candidates):
+            submission_run, job = candidate.key
+            choice = self._choose(submission_run, job, pools, now)
+            if choice is not None:
+                self._log_start(choice, candidate.remaining, now)
+                yield choice
+
+    def should_move(
+        self,
+        submission_run: runs.SubmissionRun,
+        job: runs.Job,
+        target: fleet.Target,
+        first_event: int,
+    ) -> bool:
+        """Returns whether a run should move; decides at some events only.
+
+        ``first_event`` is the number of events before the run.
+        """
+        if len(job.text.events) % _MOVE_CHECK_EVENTS:
+            return False
+        submission = submission_run.entry.submission
+        route = self._find_route(submission.host, job.item.path)
+        if route is None or route.single_version:
+            return False
+        now = asyncio.get_running_loop().time()
+        eligible = placement.find_eligible(
+            self._find_ready(route),
+            submission.model,
+            submission.minimum_version,
+            now,
+        )
+        progress = placement.RunProgress(
+            len(job.text.events) - first_event,
+            first_event > 0,
+            self._estimate_remaining(submission.model, job),
+        )
+        return self._placement.should_move(target, eligible, progress, now)
+
+    def record_length(
+        self, submission_run: runs.SubmissionRun, job: runs.Job
+    ) -> None:
+        """Records the length of a job's complete text."""
+        model_name = submission_run.entry.submission.model
+        self._find_lengths(model_name).record(
+            job.item.expected_output_tokens, len(job.text.events)
+        )
+
+    def forget(self, submission_run: runs.SubmissionRun) -> None:
+        """Forgets which engines processed the prompts of a submission."""
+        for item in submission_run.entry.submission.items:
+            self._prompt_caches.pop(item.group, None)
+
+    def _find_pool(
+        self,
+        submission_run: runs.SubmissionRun,
+        job: runs.Job,
+        pools: dict[_PoolKey, list[fleet.Target]],
+        now: float,
+    ) -> list[fleet.Target]:
+        """Returns the engines that may run a job; none if all are full.
+
+        ``pools`` keeps them during one dispatch.
+        """
+        submission = submission_run.entry.submission
+        key = submission.submission_id, job.item.path
+        if key not in pools:
+            route = self._find_route(submission.host, job.item.path)
+            pools[key] = (
+                placement.find_eligible(
+                    self._find_ready(route),
+                    submission.model,
+                    submission.minimum_version,
+                    now,
+                )
+                if route
+                else []
+            )
+        if not any(
+            self._placement.count_free_slots(target, now) >= 1
+            for target in pools[key]
+        ):
+            pools[key] = []
+        return pools[key]
+
+    def _describe(
+        self, submission_run: runs.SubmissionRun, job: runs.Job
+    ) -> order.Candidate[JobKey]:
+        submission = submission_run.entry.submission
+        route = self._find_route(submission.host, submission.path)
+        run_target = route.run_target if route else 0.0
+        return order.Candidate(
+            (submission_run, job),
+            submission.accepted_at + run_target,
+            submission_run.ranks[job.item.group],
+            submission.wanted_groups,
+            route.priority if route else 0,
+            self._estimate_remaining(submission.model, job),
+        )
+
+    def _estimate_remaining(self, model_name: str, job: runs.Job) -> float:
+        """Returns the events that the text of a job is expected to lack."""
+        return self._find_lengths(model_name).estimate_remaining(
+            job.item.expected_output_tokens, len(job.text.events)
+        )
+
+    def _find_lengths(self, model_name: str) -> lengths.LengthEstimator:
+        return self._lengths.setdefault(model_name, lengths.LengthEstimator())
+
+    def _choose(
+        self,
+        submission_run: runs.SubmissionRun,
+        job: runs.Job,
+        pools: dict[_PoolKey, list[fleet.Target]],
+        now: float,
+    ) -> Choice | None:
+        submission = submission_run.entry.submission
+        route = self._find_route(submission.host, job.item.path)
+        eligible = self._find_pool(submission_run, job, pools, now)
+        if route is None or not eligible:
+            return None
+        eligible = [
+            target
+            for target in eligible
+            if target.accepts_model(submission.model, now)
+        ]
+        if route.single_version:
+            eligible = _select_or_start_over(job, eligible, submission.model)
+        engines_with_prompt = self._prompt_caches.setdefault(
+            job.item.group, set()
+        )
+        target = self._placement.choose_engine(
+            eligible, frozenset(engines_with_prompt), now
+        )
+        if target is None:
+            return None
+        engines_with_prompt.add(target.entry.instance)
+        target.probe_model(submission.model, now)
+        return Choice(submission_run, job, target, route, len(eligible))
+
+    def _log_start(self, choice: Choice, remaining: float, now: float) -> None:
+        submission = choice.submission_run.entry.submission
+        target = choice.target
+        _LOG.info(
+            'item-started',
+            extra={
+                'submission': submission.submission_id,
+                'item': choice.job.item.item_id,
+                'instance': target.entry.instance,
+                'fitting': choice.eligible_count,
+                'ready': len(self._find_ready(choice.route)),
+                'load': round(target.compute_load(now), 2),
+                'load_age_s': target.compute_load_age(now),
+                'proven': target.proven,
+                'version': target.versions.get(submission.model),
+                'minimum_version': submission.minimum_version,
+                'after_event': len(choice.job.text.events),
+                'remaining': round(remaining),
+            },
+        )
+
+    def _find_ready(self, route: routes.Route) -> list[fleet.Target]:
+        services = {share.service for share in route.shares if share.weight}
+        return [
+            target
+            for service in services
+            for target in self._targets.find_ready(service)
+        ]
+
+
+def _select_or_start_over(
+    job: runs.Job, eligible: list[fleet.Target], model_name: str
+) -> list[fleet.Target]:
+    """Returns the engines with the version that generated the text so far.
+
+    Discards the text and returns all of ``eligible`` if none has it any more.
+    """
+    versions = job.text.versions
+    if not versions:
+        return eligible
+    same = [
+        target
+        for target in eligible
+        if target.versions.get(model_name) == versions[-1]
+    ]
+    if same:
+        return same
+    job.start_over()
+    return eligible
