--- a/tests/log/test_tails.py
+++ b/tests/log/test_tails.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 
 from expression import Error
 from expression import Ok
@@ -246,3 +247,56 @@
     assert listener.rows['i19'] == b'99'
     assert len(memory.reads) <= 14
     running.cancel()
+
+
+class SharedBandwidthLog:
+    """Reads of a log that take turns, as with a bound on all reads."""
+
+    PAGE_S = 0.002
+
+    def __init__(self, log, page):
+        self._log = log
+        self._page = page
+        self._free_at = 0.0
+
+    async def read(self, partition, offset, wait=0.0, size=None):
+        found = await self._log.read(partition, offset, wait)
+        records = found.ok.records[: self._page]
+        loop = asyncio.get_running_loop()
+        if records:
+            start = max(loop.time(), self._free_at)
+            self._free_at = start + self.PAGE_S
+            await asyncio.sleep(self._free_at - loop.time())
+        return Ok(base.Page(records, found.ok.end, found.ok.oldest))
+
+
+@pytest.mark.looptime
+async def test_some_of_many_nodes_read_the_history_early(memory, partition):
+    """Load pattern: 200 nodes lose power and start together."""
+    await memory.append(partition, tuple(b'%d' % row for row in range(200)))
+    shared = SharedBandwidthLog(memory, 10)
+    rng = random.Random(1)
+    started = [
+        tails.PartitionTail(
+            shared, partition, Records(), dependency.Dependency('log'), rng
+        )
+        for _ in range(200)
+    ]
+    running = [asyncio.ensure_future(made.run()) for made in started]
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    done_at = []
+    for made in started:
+
+        async def wait(made=made):
+            await made.caught_up.wait()
+            done_at.append(loop.time() - started_at)
+
+        running.append(asyncio.ensure_future(wait()))
+    await asyncio.sleep(30.0)
+    assert len(done_at) == 200
+    total = 200 * 20 * SharedBandwidthLog.PAGE_S
+    assert sorted(done_at)[9] < 0.25 * total
+    assert max(done_at) < 1.5 * total
+    for task in running:
+        task.cancel()
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -25,6 +25,9 @@
 _RETRY_INTERVAL_S = 0.2
 """Time between retries while the log is unavailable."""
 
+_TIMED_PAGES = 2
+"""Pages whose times are taken at a start; the first one of a node may be
+answered before those of others are asked for."""
 PAUSE_S = 0.2
 """Pause after a read that returned records, unless they are needed at once.
 One read then returns the records of that time, so that the reads of a node do
@@ -123,24 +126,27 @@
             return Error(base.Fault(base.FaultKind.UNKNOWN, detail))
 
     async def _read_history(self) -> None:
-        """Reads the first page; if there are more, waits for a random time.
+        """Reads the first pages; if there are more, waits for a random time.
 
         Load pattern: hundreds of nodes lose power at once, start together and
         share the log's bandwidth.  Without the delay none of them would catch
-        up before all of them do.  The time of the first page tells how many
-        share it; the delays spread over the time that all of them take.
+        up before all of them do.  The time of a page tells how many share
+        it; the delays spread over the time that all of them take.
         """
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        match await self._read(0.0):
-            case Result(tag='error', error=fault):
-                self.dependency.record_failure(fault.detail)
+        page_time = _START_JITTER_S
+        for _ in range(_TIMED_PAGES):
+            started_at = loop.time()
+            match await self._read(0.0):
+                case Result(tag='error', error=fault):
+                    self.dependency.record_failure(fault.detail)
+                    return
+            if self.caught_up_at != _NEVER or not self.position:
                 return
-        if self.position and self.caught_up_at == _NEVER:
-            pages = (self._end - self.position) / self.position
-            page_time = max(_START_JITTER_S, loop.time() - started_at)
-            jitter = min(_MAX_START_JITTER_S, page_time * pages)
-            await asyncio.sleep(self._rng.uniform(0.0, jitter))
+            page_time = max(page_time, loop.time() - started_at)
+        pages = _TIMED_PAGES * (self._end - self.position) / self.position
+        jitter = min(_MAX_START_JITTER_S, page_time * pages)
+        await asyncio.sleep(self._rng.uniform(0.0, jitter))
 
     async def catch_up(self, max_age: float) -> Result[None, base.Fault]:
         """Reads to the partition's end unless that was done recently.
