Keep texts of one version while their engine is probed

Read in the diff: a job whose engines are all being probed for a loading model reached the choice by version with no engine left and lost its text. Tests of the selection, one of them red before.

--- /dev/null
+++ b/tests/submissions/test_selection.py
@@ -0,0 +1,107 @@
+"""Tests the selection of engines for the jobs of a submission."""
+
+import random
+
+import pytest
+
+from waxwingport.fleet import model as fleet
+from waxwingport.gateway import routes
+from waxwingport.scheduling import placement
+from waxwingport.submissions import generation
+from waxwingport.submissions import partition_state
+from waxwingport.submissions import runs
+from waxwingport.submissions import selection
+
+LOCAL = 'here'
+SERVICE = 'llm'
+
+
+class Targets:
+    """The registry as far as the selection uses it."""
+
+    def __init__(self, *targets):
+        self.targets = list(targets)
+
+    def find_ready(self, service):
+        return self.targets
+
+
+def make_target(name, version=1):
+    entry = fleet.TargetEntry(
+        name, SERVICE, '', LOCAL, 4, fleet.Stage.READY, 1, {}
+    )
+    return fleet.Target(entry, versions={'m': version}, proven=True)
+
+
+@pytest.fixture
+def route():
+    return routes.Route(
+        name='r',
+        host='host',
+        prefix='/a/',
+        kind=routes.RouteKind.BATCH,
+        shares=(routes.Share(SERVICE, 1),),
+        max_attempts=3,
+        timeout=1.0,
+        target_time=0.5,
+        single_version=True,
+    )
+
+
+@pytest.fixture
+def submission_run(make_submission):
+    submission = make_submission(items=('a', 'b', 'c'))
+    items = {item.item_id: item for item in submission.items}
+    entry = partition_state.Entry(submission, items, [], {}, {})
+    jobs = {
+        name: runs.Job(item, generation.Text([], []))
+        for name, item in items.items()
+    }
+    ranks = {item.group: 0 for item in submission.items}
+    return runs.SubmissionRun(entry, None, jobs, ranks, set(), {})
+
+
+def select(targets, route, submission_run, now=0.0):
+    selector = selection.EngineSelector(
+        Targets(*targets),
+        lambda host, path: route,
+        placement.Placement(LOCAL, random.Random(1)),
+    )
+    waiting = [
+        (submission_run, job) for job in submission_run.waiting.values()
+    ]
+    return [
+        (choice.job.item.item_id, choice.target.entry.instance)
+        for choice in selector.select(waiting, now)
+    ]
+
+
+def test_one_job_probes_an_engine_that_was_loading(route, submission_run):
+    """Load pattern: a step starts while its engines load weights."""
+    target = make_target('i1')
+    target.expect_load('m', 0.0)
+    assert select([target], route, submission_run, now=0.5) == []
+    assert len(select([target], route, submission_run, now=0.8)) == 1
+    target.resume_model('m')
+    assert len(select([target], route, submission_run, now=0.8)) == 3
+
+
+def test_a_text_is_kept_while_an_engine_is_probed(route, submission_run):
+    """A text of one version waits for the engine that another job probes."""
+    for job in submission_run.waiting.values():
+        job.text.add('event', 1)
+    target = make_target('i1')
+    target.expect_load('m', 0.0)
+    assert len(select([target], route, submission_run, now=0.8)) == 1
+    assert all(
+        job.text.events == ['event'] for job in submission_run.waiting.values()
+    )
+
+
+def test_a_text_starts_over_if_no_engine_has_its_version(
+    route, submission_run
+):
+    job = submission_run.waiting['a']
+    job.text.add('event', 1)
+    select([make_target('i1', version=2)], route, submission_run)
+    assert job.text.events == []
--- a/waxwingport/fleet/__init__.py
+++ b/waxwingport/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""Registered engines and services: entries, health, load and choice."""
+"""Registered engines and services: entries, health, load and pace."""
--- a/waxwingport/submissions/selection.py
+++ b/waxwingport/submissions/selection.py
@@ -203,6 +203,8 @@
             for target in eligible
             if target.accepts_model(submission.model, now)
         ]
+        if not eligible:
+            return None
         if route.single_version:
             eligible = _select_or_start_over(job, eligible, submission.model)
         engines_with_prompt = self._prompt_caches.setdefault(
