--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -18,7 +18,7 @@
 from waxwingport.submissions import texts
 from waxwingport.submissions import view
 
-__all__ = ['AppendLimits', 'Holder']
+__all__ = ['AppendLimits', 'Holder', 'compute_claim_delay']
 
 _DRAFT_INTERVAL_S = 0.5
 """Interval at which drafts are stored.  When a node fails, its runs lose
@@ -46,6 +46,19 @@
     max_call_bytes: int
 
 
+def compute_claim_delay(held: int, cores: float) -> float:
+    """Returns the seconds by which a node claims later than others.
+
+    ``held`` is the number of partitions that it holds already, ``cores`` its
+    processor time a second.
+
+    Load pattern: a step of a hundred items on a fleet in which three of four
+    nodes have half a core.
+    """
+    weak = cores < _FULL_CORES
+    return _HELD_DELAY_S * held + (_WEAK_DELAY_S if weak else 0.0)
+
+
 class Holder:
     """Runs the submissions of the partitions whose lease this node holds.
 
@@ -68,7 +81,7 @@
         rng: random.Random,
         cores: float = _FULL_CORES,
     ) -> None:
-        self._weak_delay = 0.0 if cores >= _FULL_CORES else _WEAK_DELAY_S
+        self._cores = cores
         journals = _JournalFactory(log, reader, limits, wall_clock, rng)
         self._partitions = [
             _HeldPartition(partition, item_runner, journals)
@@ -83,7 +96,7 @@
                 limits.max_call_bytes,
                 wall_clock,
                 rng,
-                self._compute_claim_delay,
+                lambda: compute_claim_delay(self.count_held(), self._cores),
             )
             for held in self._partitions
         ]
@@ -94,9 +107,6 @@
         """Returns how many partitions' leases this node holds."""
         return sum(held.journal is not None for held in self._partitions)
 
-    def _compute_claim_delay(self) -> float:
-        return _HELD_DELAY_S * self.count_held() + self._weak_delay
-
     async def run(self) -> None:
         """Claims partitions and stores drafts until cancelled."""
         async with asyncio.TaskGroup() as group:
