Keep the probing of engines and the moments of moves in one place

Read as a newcomer: the selection of a node and the replay each filtered the engines that accept a model, marked the probed one and counted the events between checks of a move. All three are Placement's now, as settings, so that the policy without probes is a set of settings too. The ready engines are counted once a dispatch and submission instead of once a start.

--- a/tests/test_abandoned_requests.py
+++ b/tests/test_abandoned_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from waxwingport.http import client
 
 _BODY = bytes(8 * 1024 * 1024)
@@ -142,12 +144,9 @@
         self._server.close()
 
 
-async def test_silent_connections_cost_one_timeout_together():
-    """Load pattern: all open connections to the log fall silent at once.
-
-    A node that tried its pooled connections one after another would not read
-    the log for the time of as many timeouts.
-    """
+@pytest.fixture
+async def silenced():
+    """A client with four idle connections that fell silent, and its target."""
     target = _SilencedTarget()
     await target.start()
     http = client.HttpClient()
@@ -156,27 +155,32 @@
         *(http.fetch(target.address, request, 1.0) for _ in range(4))
     )
     target.silence()
-    timed_out = await http.fetch(target.address, request, 0.6)
+    yield http, target.address
+    http.close()
+    target.close()
+
+
+async def test_silent_connections_cost_one_timeout_together(silenced):
+    """Load pattern: all open connections to the log fall silent at once.
+
+    A node that tried its pooled connections one after another would not read
+    the log for the time of as many timeouts.
+    """
+    http, address = silenced
+    request = client.Request('GET', '/')
+    timed_out = await http.fetch(address, request, 0.6)
     assert timed_out.is_error()
-    found = await http.fetch(target.address, request, 0.6)
+    found = await http.fetch(address, request, 0.6)
     assert found.is_ok()
-    target.close()
 
 
-async def test_silent_connection_is_noticed_by_a_cancelled_request():
-    target = _SilencedTarget()
-    await target.start()
-    http = client.HttpClient()
+async def test_silent_connection_is_noticed_by_a_cancelled_request(silenced):
+    http, address = silenced
     request = client.Request('GET', '/')
-    await asyncio.gather(
-        *(http.fetch(target.address, request, 1.0) for _ in range(4))
-    )
-    target.silence()
     try:
         async with asyncio.timeout(0.6):
-            await http.fetch(target.address, request, 30.0)
+            await http.fetch(address, request, 30.0)
     except TimeoutError:
         pass
-    found = await http.fetch(target.address, request, 0.6)
+    found = await http.fetch(address, request, 0.6)
     assert found.is_ok()
-    target.close()
--- a/waxwingport/experiment/policies.py
+++ b/waxwingport/experiment/policies.py
@@ -27,11 +27,10 @@
     """Seconds without an event after which a stream is broken; by default
     derived from the engine's pace."""
     longest_first: bool = True
-    probes_models: bool = True
-    """Whether one run at a time tries an engine that rejected a model."""
 
 
 _FULL_SHARE = 1.0
+"""All slots of an engine."""
 
 POLICIES = (
     Policy('current', 'the settings of a node'),
@@ -50,9 +49,9 @@
             suspect_cost=0.0,
             suspect_share=_FULL_SHARE,
             unproven_share=_FULL_SHARE,
+            probes_models=False,
         ),
         silence_timeout=1.2,
-        probes_models=False,
     ),
     Policy(
         'no-moves',
@@ -62,7 +61,7 @@
     Policy(
         'no-probes',
         'an engine that rejected runs gets all of its slots again at once',
-        probes_models=False,
+        placement.PlacementSettings(probes_models=False),
     ),
     Policy('any-order', 'items start in any order', longest_first=False),
 )
--- a/waxwingport/experiment/replay.py
+++ b/waxwingport/experiment/replay.py
@@ -26,8 +26,9 @@
 __all__ = ['Outcome', 'replay']
 
 _DISPATCH_INTERVAL_S = 0.05
+"""Longest time between two attempts to start waiting items, as in a node."""
 _REJECTION_TIME_S = 0.01
-_MOVE_CHECK_EVENTS = 5
+"""Time from the start of a run to its rejection: a round trip."""
 _MAX_TIME_S = 300.0
 """End of a replay whose steps do not finish."""
 
@@ -202,18 +203,13 @@
             eligible = []
         for candidate in self._sort() if eligible else ():
             target = self._placement.choose_engine(
-                [
-                    found
-                    for found in eligible
-                    if found.accepts_model(engines.MODEL, self._now)
-                ],
+                placement.find_accepting(eligible, engines.MODEL, self._now),
                 frozenset(),
                 self._now,
             )
             if target is None:
                 break
-            if self._policy.probes_models:
-                target.probe_model(engines.MODEL, self._now)
+            self._placement.record_start(target, engines.MODEL, self._now)
             self._start(candidate.key, targets[target.entry.instance])
         if self._waiting and not self._ticking:
             self._ticking = True
@@ -282,7 +278,7 @@
         item.generated += 1
         if item.generated >= item.length:
             self._finish(run)
-        elif item.generated % _MOVE_CHECK_EVENTS == 0 and self._moves_on(run):
+        elif self._moves_on(run):
             self._moves += 1
             self._end(run)
             self._waiting.append(item)
@@ -291,6 +287,8 @@
             self._schedule_event(run)
 
     def _moves_on(self, run: engines.Run) -> bool:
+        if not self._placement.checks_move(run.item.generated):
+            return False
         eligible = placement.find_eligible(
             [engine.target for engine in self._engines if engine.listed],
             engines.MODEL,
--- a/waxwingport/experiment/workload.py
+++ b/waxwingport/experiment/workload.py
@@ -11,6 +11,7 @@
 __all__ = ['draw_steps']
 
 _TOKENS_PER_EVENT = 46
+"""Hinted tokens for each event; any number serves, since nodes learn it."""
 _STEP_TARGET_S = 7.5
 """Time within which a step is due."""
 _TRAINER_OFFSET_S = 0.03
--- a/waxwingport/scheduling/placement.py
+++ b/waxwingport/scheduling/placement.py
@@ -17,6 +17,7 @@
     'Placement',
     'PlacementSettings',
     'RunProgress',
+    'find_accepting',
     'find_eligible',
 ]
 
@@ -54,10 +55,16 @@
     move_cost: float = 0.25
     """Seconds that a move takes: connecting, getting a slot and processing
     the text so far."""
+    move_check_events: int = 5
+    """Events between two decisions whether a run should move: a fifth of a
+    second, which delays a move little and costs little processor time."""
     min_events_before_move: int = 10
     """Events that a run that resumed a text generates before it may move
     again.  A move delays the other runs at the engine that it reaches, which
     would make these move in turn."""
+    probes_models: bool = True
+    """Whether one run at a time tries an engine that rejected or loads a
+    model.  Each free slot there would take a run and reject it."""
 
 
 class RunProgress(msgspec.Struct, frozen=True):
@@ -94,6 +101,16 @@
     ]
 
 
+def find_accepting(
+    eligible: Iterable[fleet.Target], model: str, now: float
+) -> list[fleet.Target]:
+    """Returns the engines that accept the model at the loop time ``now``.
+
+    A run that was started since ``find_eligible`` may probe one of them.
+    """
+    return [target for target in eligible if target.accepts_model(model, now)]
+
+
 class Placement:
     """Chooses engines for the items that one node runs."""
 
@@ -155,6 +172,17 @@
 
         return min(free, key=estimate, default=None)
 
+    def record_start(
+        self, target: fleet.Target, model: str, now: float
+    ) -> None:
+        """Records that a run for a model starts at an engine."""
+        if self._settings.probes_models:
+            target.probe_model(model, now)
+
+    def checks_move(self, event_count: int) -> bool:
+        """Returns whether ``should_move`` is asked at this event of a text."""
+        return event_count % self._settings.move_check_events == 0
+
     def should_move(
         self,
         target: fleet.Target,
--- a/waxwingport/submissions/holder.py
+++ b/waxwingport/submissions/holder.py
@@ -33,6 +33,8 @@
 """Delay of a claim by a node with less than one core.  The holder reads the
 streams of a whole step, which take about half a core for 100 of them."""
 _FULL_CORES = 1.0
+"""Cores from which on a node claims without that delay: twice what the streams
+of a step take."""
 _RESIGN_TIMEOUT_S = 1.0
 """Bounds the release of all partitions before the node stops."""
 
--- a/waxwingport/submissions/selection.py
+++ b/waxwingport/submissions/selection.py
@@ -24,10 +24,6 @@
 
 __all__ = ['Choice', 'EngineSelector', 'JobKey']
 
-_MOVE_CHECK_EVENTS = 5
-"""Events between two decisions whether a run should move: a fifth of a second,
-which delays a move little and costs little processor time."""
-
 _LOG = logging.getLogger(__name__)
 
 JobKey = tuple[runs.SubmissionRun, runs.Job]
@@ -44,6 +40,16 @@
     route: routes.Route
     eligible_count: int
     """Engines that it was chosen from."""
+    ready_count: int
+    """Engines of the route that accept requests, whatever their weights."""
+
+
+class _Pool(msgspec.Struct):
+    """Engines for the items of one submission, during one dispatch."""
+
+    eligible: list[fleet.Target]
+    """Empty once all are full."""
+    ready_count: int
 
 
 class EngineSelector:
@@ -71,12 +77,12 @@
         slot counts.  Engines are compared once for all items of a submission.
         Leaves out jobs that must not start before a later loop time.
         """
-        pools: dict[_PoolKey, list[fleet.Target]] = {}
+        pools: dict[_PoolKey, _Pool] = {}
         candidates = [
             self._describe(submission_run, job)
             for submission_run, job in waiting
             if job.not_before <= now
-            and self._find_pool(submission_run, job, pools, now)
+            and self._find_pool(submission_run, job, pools, now).eligible
         ]
         for candidate in order.sort_candidates(candidates):
             submission_run, job = candidate.key
@@ -96,7 +102,7 @@
 
         ``first_event`` is the number of events before the run.
         """
-        if len(job.text.events) % _MOVE_CHECK_EVENTS:
+        if not self._placement.checks_move(len(job.text.events)):
             return False
         submission = submission_run.entry.submission
         route = self._find_route(submission.host, job.item.path)
@@ -134,9 +140,9 @@
         self,
         submission_run: runs.SubmissionRun,
         job: runs.Job,
-        pools: dict[_PoolKey, list[fleet.Target]],
+        pools: dict[_PoolKey, _Pool],
         now: float,
-    ) -> list[fleet.Target]:
+    ) -> _Pool:
         """Returns the engines that may run a job; none if all are full.
 
         ``pools`` keeps them during one dispatch.
@@ -145,22 +151,20 @@
         key = submission.submission_id, job.item.path
         if key not in pools:
             route = self._find_route(submission.host, job.item.path)
-            pools[key] = (
+            ready = self._find_ready(route) if route else []
+            pools[key] = _Pool(
                 placement.find_eligible(
-                    self._find_ready(route),
-                    submission.model,
-                    submission.minimum_version,
-                    now,
-                )
-                if route
-                else []
+                    ready, submission.model, submission.minimum_version, now
+                ),
+                len(ready),
             )
+        pool = pools[key]
         if not any(
             self._placement.count_free_slots(target, now) >= 1
-            for target in pools[key]
+            for target in pool.eligible
         ):
-            pools[key] = []
-        return pools[key]
+            pool.eligible = []
+        return pool
 
     def _describe(
         self, submission_run: runs.SubmissionRun, job: runs.Job
@@ -190,19 +194,17 @@
         self,
         submission_run: runs.SubmissionRun,
         job: runs.Job,
-        pools: dict[_PoolKey, list[fleet.Target]],
+        pools: dict[_PoolKey, _Pool],
         now: float,
     ) -> Choice | None:
         submission = submission_run.entry.submission
         route = self._find_route(submission.host, job.item.path)
-        eligible = self._find_pool(submission_run, job, pools, now)
-        if route is None or not eligible:
+        pool = self._find_pool(submission_run, job, pools, now)
+        if route is None:
             return None
-        eligible = [
-            target
-            for target in eligible
-            if target.accepts_model(submission.model, now)
-        ]
+        eligible = placement.find_accepting(
+            pool.eligible, submission.model, now
+        )
         if not eligible:
             return None
         if route.single_version:
@@ -216,8 +218,10 @@
         if target is None:
             return None
         engines_with_prompt.add(target.entry.instance)
-        target.probe_model(submission.model, now)
-        return Choice(submission_run, job, target, route, len(eligible))
+        self._placement.record_start(target, submission.model, now)
+        return Choice(
+            submission_run, job, target, route, len(eligible), pool.ready_count
+        )
 
     def _log_start(self, choice: Choice, remaining: float, now: float) -> None:
         submission = choice.submission_run.entry.submission
@@ -229,7 +233,7 @@
                 'item': choice.job.item.item_id,
                 'instance': target.entry.instance,
                 'fitting': choice.eligible_count,
-                'ready': len(self._find_ready(choice.route)),
+                'ready': choice.ready_count,
                 'load': round(target.compute_load(now), 2),
                 'load_age_s': target.compute_load_age(now),
                 'proven': target.proven,
