--- a/waxwingport/gateway/configured.py
+++ b/waxwingport/gateway/configured.py
@@ -9,6 +9,7 @@
 
 from waxwingport.gateway import routes
 from waxwingport.log import base
+from waxwingport.log import dependency
 from waxwingport.log import followers
 
 __all__ = ['ActiveConfiguration', 'ReadConfiguration', 'ReadOther']
@@ -39,11 +40,29 @@
         self._read = read
         self._read_other = read_other
         self._listeners: list[Callable[[routes.Configuration], None]] = []
+        self._log_dependency: dependency.Dependency | None = None
         self.current: routes.Configuration | None = None
         self.applied_at = float('-inf')
         """Time of the event loop's clock at which the current version was
         applied."""
 
+    def set_log_dependency(
+        self, log_dependency: dependency.Dependency
+    ) -> None:
+        """Sets the log's dependency, which tells when it last answered."""
+        self._log_dependency = log_dependency
+
+    def compute_unconfirmed_time(self) -> float | None:
+        """Returns the seconds since the log last told what is newest.
+
+        Returns ``None`` if it has told nothing yet.
+        """
+        source = self._log_dependency
+        if source is None or source.answered_at is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        return round(now - source.answered_at, 3)
+
     def add_listener(
         self, listener: Callable[[routes.Configuration], None]
     ) -> None:
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -98,6 +98,9 @@
         self._operator_follower = followers.KeyedFollower(
             self._log, operators.OPERATOR_TOPIC, self.configuration
         )
+        self.configuration.set_log_dependency(
+            self._operator_follower.dependency
+        )
 
     def _make_submissions(self, local_data_centre: ids.DataCentre) -> None:
         settings_ = self._settings
@@ -319,6 +322,11 @@
                 'Seconds since the current configuration was applied.',
                 now - self.configuration.applied_at,
             ),
+            (
+                'configuration_unconfirmed_seconds',
+                'Seconds since the log last told what the newest one is.',
+                self.configuration.compute_unconfirmed_time() or 0.0,
+            ),
         ):
             self.metrics.set(f'waxwingport_{name}', help_text, value)
         return self.metrics.render()
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -379,6 +379,7 @@
     ) -> None:
         request_id = call.request_id if call else None
         status = _STATUSES.get(refusal.reason, 500)
+        configuration = self._configuration.current
         _LOG.info(
             'request-refused',
             extra={
@@ -389,6 +390,12 @@
                 'ran': refusal.ran.value,
                 'retry_after_s': refusal.retry_after,
                 'path': call.path if call else None,
+                'configuration': (
+                    configuration.version if configuration else None
+                ),
+                'unconfirmed_s': (
+                    self._configuration.compute_unconfirmed_time()
+                ),
             },
         )
         headers = self._dialect.make_response_headers(
--- a/waxwingport/log/dependency.py
+++ b/waxwingport/log/dependency.py
@@ -14,12 +14,14 @@
     ``lost_at`` is the loop time of the first failure since the last success,
     ``None`` if the last call succeeded.  ``recovered_at`` is the loop time of
     the last success that followed a failure, ``None`` if there was none.
+    ``answered_at`` is the loop time of the last success, ``None`` before it.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.lost_at: float | None = None
         self.recovered_at: float | None = None
+        self.answered_at: float | None = None
         self._failures = 0
 
     @property
@@ -29,9 +31,10 @@
 
     def record_success(self) -> None:
         """Marks the dependency available after a successful call."""
+        now = asyncio.get_running_loop().time()
+        self.answered_at = now
         if self.lost_at is None:
             return
-        now = asyncio.get_running_loop().time()
         _LOG.info(
             'dependency-returned',
             extra={
