Give up unanswered reads of changes in time; repeat them without a wait

Cause: a follower of a keyed topic gave a read that waits for records up 2.5 s after it was sent, paused 0.2 s, and then waited at the log again. Over a connection that died without a reset a change was so in force after 2.7 s, one whose records had expired after 2.9 s, and after 5.4 s if the next connection was dead as well; each of these is over the 2 s of the promise, and the last over the 3 s that a fault of connections excuses.

Change: tails and followers share WaitingReader. It gives an answer 0.7 s beyond the wait of 1.0 s; after a failure the next read does not wait at the log and has twice that time from the second repetition on, so that a slow log still gets its answer through. A call that took long is repeated without a pause; expired records are followed by a new read of the topic at once.

--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -13,18 +13,11 @@
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import dependency
+from waxwingport.log import reads
 from waxwingport.log import tails
 
 __all__ = ['KeyedFollower', 'KeyedListener']
 
-_READ_WAIT_S = 1.0
-"""Time that a read waits for a record.  A dead connection is detected after
-this plus the log's timeout.  Both together are no longer than the 2 s in which
-a change has to take effect plus the time for which such a connection counts as
-a fault."""
-_RETRY_INTERVAL_S = 0.2
-"""Time between retries while the log is unavailable."""
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -58,7 +51,10 @@
         self._needs_records = needs_records
         self._partition = base.Partition(topic, 0)
         self._listener = listener
+        self._reader = reads.WaitingReader(log, self._partition)
         self._position: ids.Offset | None = None
+        self._expired_at = float('-inf')
+        """Loop time at which records were last found to have expired."""
         self.dependency = dependency.Dependency(f'log:{topic}')
         self.started = asyncio.Event()
         """Set once the whole topic has been read."""
@@ -68,22 +64,29 @@
 
         Reads the whole topic again if changes have expired unread.
         """
+        loop = asyncio.get_running_loop()
         while True:
             before = self._position
+            started_at = loop.time()
             match await self._advance():
                 case Result(tag='ok'):
                     self.dependency.record_success()
                     if self._position != before and not self._needs_records():
                         await asyncio.sleep(tails.PAUSE_S)
                 case Result(error=fault):
-                    self._handle_fault(fault)
-                    await asyncio.sleep(_RETRY_INTERVAL_S)
+                    if fault.kind is base.FaultKind.EXPIRED:
+                        started_at = self._expired_at
+                        self._forget_position(fault)
+                    else:
+                        self.dependency.record_failure(fault.detail)
+                    elapsed = loop.time() - started_at
+                    await asyncio.sleep(reads.compute_retry_pause(elapsed))
 
     async def _advance(self) -> Result[None, base.Fault]:
         if self._position is None:
             return await self._read_topic()
         offset = self._position
-        found = await self._log.read(self._partition, offset, _READ_WAIT_S)
+        found = await self._reader.read(offset)
         return found.map(lambda page: self._apply_page(offset, page))
 
     async def _read_topic(self) -> Result[None, base.Fault]:
@@ -125,16 +128,14 @@
                     )
         self._position = ids.Offset(offset + len(page.records))
 
-    def _handle_fault(self, fault: base.Fault) -> None:
-        if fault.kind is base.FaultKind.EXPIRED:
-            _LOG.info(
-                'topic-reread',
-                extra={
-                    'partition': str(self._partition),
-                    'position': self._position,
-                    'reason': fault.detail,
-                },
-            )
-            self._position = None
-            return
-        self.dependency.record_failure(fault.detail)
+    def _forget_position(self, fault: base.Fault) -> None:
+        _LOG.info(
+            'topic-reread',
+            extra={
+                'partition': str(self._partition),
+                'position': self._position,
+                'reason': fault.detail,
+            },
+        )
+        self._expired_at = asyncio.get_running_loop().time()
+        self._position = None
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
 import random
@@ -13,18 +14,10 @@
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import dependency
+from waxwingport.log import reads
 
 __all__ = ['PartitionTail', 'RecordListener']
 
-_READ_WAIT_S = 1.0
-"""Time that a read waits for a record; bounds how long a dead connection
-delays the records of other writers."""
-_ANSWER_TIMEOUT_S = 0.7
-"""Time allowed for the answer beyond the wait of a read: a log 60 times slower
-than its usual 4 ms needs less than half of it."""
-_RETRY_INTERVAL_S = 0.2
-"""Time between retries while the log is unavailable."""
-
 _TIMED_PAGES = 2
 """Pages whose times are taken at a start; the first one of a node may be
 answered before those of others are asked for."""
@@ -76,6 +69,7 @@
         needs_records: Callable[[], bool] = lambda: True,
     ) -> None:
         self._log = log
+        self._reader = reads.WaitingReader(log, partition)
         self._needs_records = needs_records
         self._waiters = 0
         self._wanted = asyncio.Event()
@@ -100,30 +94,21 @@
 
     async def run(self) -> None:
         """Reads until cancelled; retries while the log is unavailable."""
+        loop = asyncio.get_running_loop()
         await self._read_history()
         while True:
-            wait = 0.0 if self.caught_up_at == _NEVER else _READ_WAIT_S
+            caught_up = self.caught_up_at != _NEVER
             before = self.position
-            match await self._read_with_timeout(wait):
+            started_at = loop.time()
+            match await (self._follow() if caught_up else self._read()):
                 case Result(tag='ok'):
                     self.dependency.record_success()
                     if self._end <= self.position > before:
                         await self._pause()
                 case Result(error=fault):
                     self.dependency.record_failure(fault.detail)
-                    await asyncio.sleep(_RETRY_INTERVAL_S)
-
-    async def _read_with_timeout(
-        self, wait: float
-    ) -> Result[None, base.Fault]:
-        if not wait:
-            return await self._read(wait)
-        try:
-            async with asyncio.timeout(wait + _ANSWER_TIMEOUT_S):
-                return await self._read(wait)
-        except TimeoutError:
-            detail = f'no answer {_ANSWER_TIMEOUT_S:g} s after the wait'
-            return Error(base.Fault(base.FaultKind.UNKNOWN, detail))
+                    elapsed = loop.time() - started_at
+                    await asyncio.sleep(reads.compute_retry_pause(elapsed))
 
     async def _read_history(self) -> None:
         """Reads the first pages; if there are more, waits for a random time.
@@ -137,7 +122,7 @@
         page_time = _START_JITTER_S
         for _ in range(_TIMED_PAGES):
             started_at = loop.time()
-            match await self._read(0.0):
+            match await self._read():
                 case Result(tag='error', error=fault):
                     self.dependency.record_failure(fault.detail)
                     return
@@ -156,7 +141,7 @@
         """
         oldest_allowed = asyncio.get_running_loop().time() - max_age
         while self.caught_up_at < oldest_allowed:
-            match await self._read(0.0):
+            match await self._read():
                 case Result(tag='error', error=fault):
                     return Error(fault)
         return Ok(None)
@@ -182,11 +167,24 @@
         except TimeoutError:
             return
 
-    async def _read(self, wait: float) -> Result[None, base.Fault]:
+    async def _read(self) -> Result[None, base.Fault]:
+        """Reads what is there; does not wait for records."""
+        return await self._pass_on_read(
+            lambda offset: self._log.read(self.partition, offset)
+        )
+
+    async def _follow(self) -> Result[None, base.Fault]:
+        """Waits for records and reads them."""
+        return await self._pass_on_read(self._reader.read)
+
+    async def _pass_on_read(
+        self,
+        read: Callable[[ids.Offset], Awaitable[Result[base.Page, base.Fault]]],
+    ) -> Result[None, base.Fault]:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         offset = self.position
-        match await self._log.read(self.partition, offset, wait):
+        match await read(offset):
             case Result(tag='ok', ok=page):
                 self._pass_on(offset, page, sent_at)
                 return Ok(None)
