--- a/tests/outside/test_log.py
+++ b/tests/outside/test_log.py
@@ -9,6 +9,7 @@
 import pytest
 from tornado import web
 
+from tests.soak import proxy
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.outside import adapters
@@ -18,6 +19,8 @@
 
 STREAM = ids.StreamName('s')
 KINDS = base.LogFaultKind
+CHANGE_TIME_S = 3.0
+"""Time in which a change of the configuration has to be in force."""
 
 
 @pytest.fixture
@@ -261,3 +264,23 @@
             assert fault.detail
         case _:
             pytest.fail('the list is down')
+
+
+async def test_a_change_is_read_in_time_after_a_read_without_an_answer(
+    http, standin
+):
+    # Guards against a configuration that is late by 6 s on a dead connection.
+    server = servers.serve_log(standin)
+    link = proxy.Proxy(server.address)
+    await link.start()
+    log = adapters.HttpLog(http, link.address)
+    link.set_impairment(proxy.Impairment.SILENCE)
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    assert get_fault(await log.read(STREAM, ids.Offset(0), wait=1.0))
+    taken = loop.time() - started_at
+    link.set_impairment(proxy.Impairment.NONE)
+    assert (await log.read(STREAM, ids.Offset(0))).is_ok()
+    await link.stop()
+    await server.stop()
+    assert taken < CHANGE_TIME_S
--- a/waxwingport/outside/adapters.py
+++ b/waxwingport/outside/adapters.py
@@ -24,7 +24,11 @@
 
 _DECODE_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeError)
 _TIMEOUT_S = 5.0
-"""Timeout of one request, without the requested wait."""
+"""Timeout of one request that does not wait at the log."""
+_WAITING_TIMEOUT_S = 1.0
+"""Time allowed for an answer beyond the requested wait.  Only the missing
+answer tells that a connection is dead; a wait of 1 s, this time and a read
+without a wait are within the 3 s in which a change has to be in force."""
 _CONTENT_TYPE = ('Content-Type', 'application/octet-stream')
 
 
@@ -82,13 +86,15 @@
     ) -> Result[base.LogPage, base.LogFault]:
         """Returns up to ``limit`` records from ``offset`` on.
 
-        Fails with ``UNKNOWN`` if the page holds other records than those.
+        Fails with ``UNKNOWN`` if the page holds other records than those, or
+        without an answer soon after ``wait`` seconds.  A caller then repeats
+        the read without a wait, which a slow log has more time to answer.
         """
         path = (
             f'/v1/streams/{stream}?offset={offset}&limit={limit}&wait={wait}'
         )
         request = client.Request('GET', path, self._headers)
-        timeout = wait + _TIMEOUT_S
+        timeout = wait + _WAITING_TIMEOUT_S if wait else _TIMEOUT_S
         match await self._http.fetch(self._address, request, timeout):
             case Result(tag='ok', ok=response):
                 return _read_page(response, offset)
