Follow a topic from the records of its first page, not from the page's end

Cause: after a start, and after records expired, a follower continued at the end that the page of newest records names. If the page lags behind that end, the change between them was never read, and the node stayed at the older version until the next change.

Change: a page tells up to which offset its records reach, and the follower continues there; changes that are read twice are applied in order, as before. After expiry it continues no earlier than the oldest stored record, so that a topic whose last key was removed is not read again and again.

--- a/tests/log/test_contract.py
+++ b/tests/log/test_contract.py
@@ -94,6 +94,7 @@
     page = (await log.read_newest(KEYED)).ok
     assert page.records == (base.KeyedRecord('config', b'2'),)
     assert page.end == 4
+    assert page.covered == 3
 
 
 async def test_keyed_records_are_parsed_like_their_newest(log, memory):
--- a/tests/log/test_late_changes.py
+++ b/tests/log/test_late_changes.py
@@ -7,6 +7,8 @@
 import asyncio
 
 from expression import Error
+from expression import Ok
+from msgspec import structs
 import pytest
 
 from waxwingport.log import base
@@ -34,6 +36,24 @@
             return Error(base.Fault(kind, 'deadline passed'))
 
 
+class LaggingLog(partitions.MemoryLog):
+    """A log whose pages of newest records lag behind the end that they name.
+
+    ``lagging_page`` is returned, with the current end, until it is ``None``.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.lagging_page = None
+
+    async def read_newest(self, topic, after=None):
+        found = await super().read_newest(topic, after)
+        if self.lagging_page is None:
+            return found
+        end = found.ok.end
+        return Ok(structs.replace(self.lagging_page, end=end))
+
+
 class Changes(followers.KeyedListener):
     """Records the time of each change by its value."""
 
@@ -62,10 +82,11 @@
     """
     running = []
 
-    async def start():
+    async def start(log=timed_log):
         found = Changes()
-        timed_log.write_keyed(TOPIC, 'config', b'1')
-        follower = followers.KeyedFollower(timed_log, TOPIC, found)
+        if log is timed_log:
+            log.write_keyed(TOPIC, 'config', b'1')
+        follower = followers.KeyedFollower(log, TOPIC, found)
         running.append(asyncio.ensure_future(follower.run()))
         await follower.started.wait()
         return found
@@ -132,3 +153,41 @@
     timed_log.reads.clear()
     await asyncio.sleep(5.0)
     assert 5 < len(timed_log.reads) < 30
+
+
+@pytest.fixture
+def lagging_log():
+    return LaggingLog()
+
+
+@pytest.mark.looptime
+async def test_a_change_is_read_if_the_page_of_newest_records_lags(
+    lagging_log, follow
+):
+    # Guards against a change that is skipped until the next one.
+    lagging_log.write_keyed(TOPIC, 'config', b'1')
+    lagging_log.lagging_page = (await lagging_log.read_newest(TOPIC)).ok
+    lagging_log.write_keyed(TOPIC, 'config', b'2')
+    changes = await follow(lagging_log)
+    await asyncio.sleep(APPLY_TIME_S)
+    assert b'2' in changes.times
+
+
+@pytest.mark.looptime
+async def test_a_topic_whose_last_key_was_removed_is_followed(
+    lagging_log, follow
+):
+    # Guards against a topic that is read again and again after expiry.
+    lagging_log.write_keyed(TOPIC, 'old', b'0')
+    lagging_log.write_keyed(TOPIC, 'config', b'1')
+    lagging_log.write_keyed(TOPIC, 'old')
+    page = (await lagging_log.read_newest(TOPIC)).ok
+    lagging_log.lagging_page = page
+    lagging_log.expire(base.Partition(TOPIC, 0), 3)
+    changes = await follow(lagging_log)
+    await asyncio.sleep(APPLY_TIME_S)
+    lagging_log.reads.clear()
+    lagging_log.write_keyed(TOPIC, 'config', b'2')
+    await asyncio.sleep(APPLY_TIME_S)
+    assert b'2' in changes.times
+    assert len(lagging_log.reads) <= 4
--- a/waxwingport/log/base.py
+++ b/waxwingport/log/base.py
@@ -119,12 +119,16 @@
 
 
 class KeyedPage(msgspec.Struct, frozen=True):
-    """Newest records of consecutive keys; ``end`` is the partition's end."""
+    """Newest records of consecutive keys."""
 
     records: tuple[KeyedRecord, ...]
     more: bool
     """Whether there are further keys after the last one."""
     end: ids.Offset
+    """Offset after the partition's last record."""
+    covered: ids.Offset = ids.Offset(0)
+    """Offset after the newest of ``records``.  Changes between it and ``end``
+    may be missing from the page."""
 
 
 class PartitionLog(abc.ABC):
--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -55,6 +55,8 @@
         self._position: ids.Offset | None = None
         self._expired_at = float('-inf')
         """Loop time at which records were last found to have expired."""
+        self._oldest = ids.Offset(0)
+        """Offset of the oldest record that was stored then."""
         self.dependency = dependency.Dependency(f'log:{topic}')
         self.started = asyncio.Event()
         """Set once the whole topic has been read."""
@@ -75,6 +77,8 @@
                         await asyncio.sleep(tails.PAUSE_S)
                 case Result(error=fault):
                     if fault.kind is base.FaultKind.EXPIRED:
+                        # The topic is read again at once, unless records
+                        # expired just before too.
                         started_at = self._expired_at
                         self._forget_position(fault)
                     else:
@@ -91,7 +95,7 @@
 
     async def _read_topic(self) -> Result[None, base.Fault]:
         newest: list[base.KeyedRecord] = []
-        end: ids.Offset | None = None
+        position: ids.Offset | None = None
         after = None
         while True:
             match await self._log.read_newest(self._partition.topic, after):
@@ -99,9 +103,11 @@
                     pass
                 case Result(error=fault):
                     return Error(fault)
-            # The pages are no consistent snapshot.  Following from the end of
-            # the first one repeats the changes made during the read.
-            end = page.end if end is None else end
+            # The pages are no consistent snapshot, and one may lag behind the
+            # end that it names.  Following from what the first one covers
+            # repeats the changes made during the read.
+            if position is None:
+                position = max(page.covered, self._oldest)
             newest += page.records
             if not page.more or not page.records:
                 break
@@ -109,7 +115,7 @@
         self._listener.replace(
             [record for record in newest if record.value is not None]
         )
-        self._position = end
+        self._position = position
         self.started.set()
         return Ok(None)
 
@@ -138,4 +144,5 @@
             },
         )
         self._expired_at = asyncio.get_running_loop().time()
+        self._oldest = fault.oldest or self._oldest
         self._position = None
--- a/waxwingport/platform/standin.py
+++ b/waxwingport/platform/standin.py
@@ -128,7 +128,8 @@
                                 'value': base64.b64encode(
                                     record.value or b''
                                 ).decode(),
-                                'offset': 0,
+                                # Only the highest one is known here.
+                                'offset': page.covered - 1,
                             }
                             for record in page.records
                         ],
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -74,6 +74,7 @@
 class _NewestItem(msgspec.Struct, frozen=True):
     key: str
     value: str
+    offset: ids.Offset = ids.Offset(-1)
 
 
 class _NewestAnswer(msgspec.Struct, frozen=True, rename='kebab'):
@@ -276,7 +277,12 @@
         )
     except binascii.Error as error:
         return _make_invalid(f'value of a keyed record: {error}')
-    return Ok(base.KeyedPage(records, answer.has_more, answer.end))
+    covered = 1 + max((item.offset for item in answer.items), default=-1)
+    return Ok(
+        base.KeyedPage(
+            records, answer.has_more, answer.end, ids.Offset(covered)
+        )
+    )
 
 
 def _check_status(
--- a/waxwingport/standins/partitions.py
+++ b/waxwingport/standins/partitions.py
@@ -162,18 +162,26 @@
         if self.down:
             return _fail(base.FaultKind.BUSY, 'rejected')
         state = self._get_state(base.Partition(topic, 0))
-        newest: dict[str, bytes | None] = {}
-        for record in state.records:
+        newest: dict[str, tuple[int, bytes | None]] = {}
+        for offset, record in enumerate(state.records, state.oldest):
             parsed = self.parse_keyed(record).default_value(
                 base.KeyedRecord('', None)
             )
-            newest[parsed.key] = parsed.value
-        records = tuple(
-            base.KeyedRecord(key, value)
-            for key, value in sorted(newest.items())
+            newest[parsed.key] = (offset, parsed.value)
+        selected = [
+            (offset, base.KeyedRecord(key, value))
+            for key, (offset, value) in sorted(newest.items())
             if value is not None and (after is None or key > after)
+        ]
+        covered = 1 + max((offset for offset, _ in selected), default=-1)
+        return Ok(
+            base.KeyedPage(
+                tuple(record for _, record in selected),
+                False,
+                state.end,
+                ids.Offset(covered),
+            )
         )
-        return Ok(base.KeyedPage(records, False, state.end))
 
     def write_keyed(
         self, topic: base.Topic, key: str, value: bytes = b''
