Accept fractional numbers in a configuration

Cause: weights, priorities, attempts and sizes had to be JSON integers. One number written as 2.0 or 0.5 dropped the whole version with one log line, and the node stayed at the version before for good.

Change: these fields are read as numbers; weights stay fractions, the others are cut to integers. Wrong types still reject the version as a whole.

Evidence: the three cases of the new test failed before.

--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -60,6 +60,30 @@
     assert found.models == {'x': ('m',)}
 
 
+@pytest.mark.parametrize(
+    ('fields', 'limits'),
+    [
+        ({'traffic-split': [{'service': 'x', 'weight': 0.5}]}, {}),
+        ({'priority': 2.0, 'max-attempts': 2.0}, {}),
+        ({}, {'max-body-bytes': 1e7, 'max-header-bytes': 16384.0}),
+    ],
+)
+def test_a_configuration_with_fractional_numbers_is_not_dropped(
+    fields, limits
+):
+    # Guards against a version that is acknowledged and never in force.
+    value = msgspec.json.encode(
+        {
+            'version': 7,
+            'routes': [ROUTE | fields],
+            'services': [],
+            'limits': limits,
+        }
+    )
+    (route,) = operators.read_configuration(value).ok.routes
+    assert (route.priority, route.max_attempts) == (2, 2)
+
+
 @pytest.mark.parametrize(
     ('fields', 'kind'),
     [
--- a/waxwingport/gateway/routes.py
+++ b/waxwingport/gateway/routes.py
@@ -31,7 +31,7 @@
     """A service and its relative share of a route's requests."""
 
     service: ids.ServiceName
-    weight: int
+    weight: float
 
 
 class Route(msgspec.Struct, frozen=True):
--- a/waxwingport/platform/operators.py
+++ b/waxwingport/platform/operators.py
@@ -47,7 +47,7 @@
 
 class _Share(msgspec.Struct, frozen=True):
     service: str
-    weight: int
+    weight: float
 
 
 class _Route(msgspec.Struct, frozen=True, rename='kebab'):
@@ -57,10 +57,10 @@
     kind: str
     timeout_ms: float
     latency_target_ms: float = 1000.0
-    priority: int = 0
+    priority: float = 0.0
     service: str | None = None
     traffic_split: list[_Share] | None = None
-    max_attempts: int = 1
+    max_attempts: float = 1.0
     resumable: bool = False
     streaming: bool = False
     single_version: bool = False
@@ -82,8 +82,8 @@
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 33_554_432
+    max_header_bytes: float = 16_384.0
+    max_body_bytes: float = 33_554_432.0
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15_000.0
 
@@ -140,8 +140,8 @@
             found.version,
             known_routes,
             routes.Limits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
+                int(limits.max_header_bytes),
+                int(limits.max_body_bytes),
                 limits.header_timeout_ms / 1000,
                 limits.idle_timeout_ms / 1000,
             ),
@@ -228,10 +228,10 @@
             routes.Share(ids.ServiceName(share.service), share.weight)
             for share in split
         ),
-        max(1, route.max_attempts),
+        max(1, int(route.max_attempts)),
         route.timeout_ms / 1000,
         route.latency_target_ms / 1000,
-        route.priority,
+        int(route.priority),
         route.resumable,
         route.single_version,
         route.run_target_ms / 1000,
