Send nothing new to a target whose answer says that it leaves

What callers could meet: a target that leaves says so in its answers (Server-Leaving) while its entry still says ready, as while the log is unavailable.

Change: the HTTP client tells a request's peer the head of each response as soon as it arrives, whatever follows, and asks it again right before a request is written and before a connection is kept. Departures reads the header, by the dialect, marks the target in the registry, closes its idle connections, logs and counts. A target has one stage from its entry and its answers: a ready entry does not take it back, nor does an entry that expired and returns with the same start; a new start does, and another target at its address is not affected. A request that was chosen and not sent yet is placed again without using up an attempt. Choices log how many targets leave.

Six tests of the registry.

--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -175,3 +175,60 @@
     targets.update(base.KeyedRecord('i4', b'ready,2'))
     proven = {target.entry.instance: target.proven for target in targets}
     assert proven == {'i3': True, 'i4': False, 'i5': False}
+
+
+def find(targets, name):
+    return targets.find(model.InstanceId(name))
+
+
+async def test_a_ready_entry_does_not_take_a_leaving_target_back(targets):
+    # Guards against requests to a target that leaves without a drain.
+    assert targets.record_leaving(find(targets, 'i1'))
+    targets.update(base.KeyedRecord('i1', b'ready,1'))
+    targets.replace(
+        [
+            base.KeyedRecord('i1', b'ready,1'),
+            base.KeyedRecord('i2', b'ready,1'),
+        ]
+    )
+    assert list_ready(targets) == ['i2']
+    assert targets.count_leaving('s') == 1
+    assert not targets.record_leaving(find(targets, 'i1'))
+
+
+async def test_a_leaving_target_that_starts_anew_gets_work(targets):
+    targets.record_leaving(find(targets, 'i1'))
+    targets.update(base.KeyedRecord('i1', b'ready,2'))
+    assert list_ready(targets) == ['i1', 'i2']
+    assert targets.count_leaving('s') == 0
+
+
+async def test_an_entry_that_returns_does_not_take_a_leaving_target_back(
+    targets,
+):
+    # Guards against requests after an entry expired during an outage.
+    targets.record_leaving(find(targets, 'i1'))
+    targets.update(base.KeyedRecord('i1', None))
+    assert targets.count_leaving('s') == 0
+    targets.update(base.KeyedRecord('i1', b'ready,1'))
+    assert list_ready(targets) == ['i2']
+
+
+async def test_a_target_at_the_address_of_one_that_left_gets_work(targets):
+    targets.record_leaving(find(targets, 'i1'))
+    targets.update(base.KeyedRecord('i1', None))
+    targets.update(base.KeyedRecord('i3', b'ready,1'))
+    assert list_ready(targets) == ['i2', 'i3']
+
+
+async def test_requests_to_a_removed_target_are_withdrawn(targets):
+    removed = find(targets, 'i1')
+    targets.update(base.KeyedRecord('i1', None))
+    assert removed.stage is model.Stage.DRAINING
+
+
+async def test_listeners_learn_that_a_target_leaves(targets):
+    calls = []
+    targets.add_listener(lambda: calls.append(1))
+    targets.record_leaving(find(targets, 'i1'))
+    assert calls == [1]
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -10,6 +10,7 @@
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
 from waxwingport.gateway import configured
+from waxwingport.gateway import departures
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport.gateway import server
@@ -44,7 +45,14 @@
             lambda record: None,
         )
         dialect_ = exchange.PlatformDialect()
-        sender = attempts.Sender(self.http, dialect_)
+        self.metrics = metrics.Metrics()
+        sender = attempts.Sender(
+            self.http,
+            dialect_,
+            departures.Departures(
+                self.targets, self.http, dialect_, self.metrics
+            ),
+        )
         pool = pools.TargetPool(
             self.targets, ids.DataCentre('here'), random.Random(1)
         )
--- a/tests/gateway/raw_server.py
+++ b/tests/gateway/raw_server.py
@@ -11,6 +11,7 @@
     """How the server reacts to a request."""
 
     ANSWERS = 'answers'
+    BREAKS_OFF = 'breaks-off'
     CLOSES_AFTER_HEAD = 'closes-after-head'
     EXTRA_ANSWER = 'extra-answer'
     FAILS = 'fails'
@@ -28,7 +29,9 @@
     """Records the requests that it ran.
 
     Each request uses up one of ``behaviours``; later ones are answered.
-    ``disconnects`` counts clients that left while the server was silent.
+    ``disconnects`` counts clients that left while the server was silent,
+    ``open_connections`` those that are connected.  The answers of a server
+    that is ``leaving`` say so.
     """
 
     def __init__(self, *behaviours):
@@ -36,6 +39,8 @@
         self.runs = []
         self.heads = []
         self.disconnects = 0
+        self.leaving = False
+        self.open_connections = 0
         self._writers = set()
 
     async def start(self):
@@ -51,9 +56,11 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        self.open_connections += 1
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while await self._handle_request(reader, writer):
                 await writer.drain()
+        self.open_connections -= 1
         writer.close()
 
     async def _handle_request(self, reader, writer):
@@ -73,8 +80,13 @@
 
     async def _answer(self, behaviour, name, reader, writer):
         if behaviour in ANSWERS:
-            writer.write(ANSWERS[behaviour](name))
-        if behaviour is Behaviour.SILENT:
+            answer = ANSWERS[behaviour](name)
+            if self.leaving:
+                answer = answer.replace(
+                    b'\r\n', b'\r\nServer-Leaving: 1\r\n', 1
+                )
+            writer.write(answer)
+        if behaviour in (Behaviour.BREAKS_OFF, Behaviour.SILENT):
             # A client that leaves may reset the connection.
             with contextlib.suppress(ConnectionResetError):
                 await reader.read()
@@ -110,6 +122,7 @@
 
 ANSWERS = {
     Behaviour.ANSWERS: render_body,
+    Behaviour.BREAKS_OFF: lambda name: render_body(name)[:-4],
     Behaviour.CLOSES_AFTER_HEAD: lambda name: render_body(name)[:-4],
     Behaviour.EXTRA_ANSWER: lambda name: (
         render_body(name) + render_body('late')
--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -22,6 +22,8 @@
         self.pause = pause
         self.events = EVENTS
         self.version = 1
+        self.leaving = False
+        """Whether all answers say that the engine leaves."""
         self.accepted = 0
         self.orders = []
         self.runs = []
@@ -36,12 +38,13 @@
         """Event after which the connection is closed once, by request id."""
         application = web.Application(
             [
-                (r'/report', _Report, {'engine': self}),
-                (r'/order', _Order, {'engine': self}),
-                (r'/gen/.*', _Generate, {'engine': self}),
-                (r'/score/.*', _Score, {'engine': self}),
-                (r'/once/.*', _Score, {'engine': self}),
-            ]
+                (r'/report', _Report),
+                (r'/order', _Order),
+                (r'/gen/.*', _Generate),
+                (r'/score/.*', _Score),
+                (r'/once/.*', _Score),
+            ],
+            engine=self,
         )
         self._server = httpserver.HTTPServer(application)
         sockets = netutil.bind_sockets(0, '127.0.0.1')
@@ -69,13 +72,16 @@
 
 
 class _Handler(web.RequestHandler):
-    def initialize(self, engine):
-        self.engine = engine
+    @property
+    def engine(self):
+        return self.application.settings['engine']
 
     def set_default_headers(self):
         name = self.request.headers.get('Request-Id')
         if name:
             self.set_header('Request-Id', name)
+        if self.engine.leaving:
+            self.set_header('Server-Leaving', '1')
 
 
 class _Report(_Handler):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -13,14 +13,18 @@
 class StreamServer:
     """Sends events up to ``stop_after`` and then ends as ``end`` says.
 
-    ``full`` rejects the request; any other unknown name closes the connection.
+    The head of each says whether it is ``leaving``.  The end ``full`` rejects
+    the request; any other unknown name closes the connection.
     ``starts`` lists the events after which streams were to be resumed.
     """
 
-    def __init__(self, stop_after=EVENTS, end='whole', pause=0.01):
+    def __init__(
+        self, stop_after=EVENTS, end='whole', pause=0.01, leaving=False
+    ):
         self.stop_after = stop_after
         self.end = end
         self.pause = pause
+        self.leaving = leaving
         self.starts = []
 
     async def start(self):
@@ -48,7 +52,8 @@
             b'HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n'
             b'Response-Signature: sig-%d\r\n'
             b'Content-Type: text/event-stream\r\n'
-            b'Transfer-Encoding: chunked\r\n\r\n' % start
+            b'%sTransfer-Encoding: chunked\r\n\r\n'
+            % (start, b'Server-Leaving: 1\r\n' if self.leaving else b'')
         )
         for number in range(start + 1, self.stop_after + 1):
             self._write_chunk(
--- a/tests/submissions/test_selection.py
+++ b/tests/submissions/test_selection.py
@@ -25,6 +25,9 @@
     def find_ready(self, service):
         return self.targets
 
+    def count_leaving(self, service):
+        return sum(target.leaving for target in self.targets)
+
 
 def make_target(name, version=1):
     entry = fleet.TargetEntry(
--- a/waxwingport/fleet/health.py
+++ b/waxwingport/fleet/health.py
@@ -35,6 +35,8 @@
     """The target returned an error response."""
     FULL = 'full'
     """The target rejected the request for lack of capacity."""
+    LEAVING = 'leaving'
+    """It accepts no new work; the request was not sent."""
     MOVED = 'moved'
     """Another instance uses the target's address."""
     UNREACHABLE = 'unreachable'
@@ -46,6 +48,8 @@
 ) -> None:
     """Sets until when the target is avoided, depending on ``signal``."""
     match signal:
+        case HealthSignal.LEAVING:
+            return
         case HealthSignal.FULL:
             avoidance = _FULL_AVOIDANCE_S
         case HealthSignal.MOVED:
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -119,6 +119,18 @@
     proven: bool = False
     """Whether it may take all of its slots.  It may not after it was added or
     broke off, until it answers."""
+    leaving: bool = False
+    """Whether nothing new may be sent to it until it starts anew: an answer
+    said that it leaves, or it is no longer registered."""
+
+    @property
+    def stage(self) -> Stage:
+        """Whether it accepts new work, by its entry and its answers.
+
+        The entry of a target that leaves may say ``ready`` for long, as while
+        the log is unavailable.
+        """
+        return Stage.DRAINING if self.leaving else self.entry.stage
 
     def record_version(self, model: str, version: ids.WeightVersion) -> None:
         """Records a version that the target reported, if it is newer."""
--- a/waxwingport/fleet/registry.py
+++ b/waxwingport/fleet/registry.py
@@ -19,6 +19,9 @@
 _RETURN_GRACE_S = 2.0
 """Time within which, by the platform's guarantee, live targets have entries
 again after the log was unavailable; others are removed after that."""
+_MAX_LEFT = 4096
+"""Targets remembered after they said that they leave: several days'
+replacements at 1,100 a day, some 100 bytes each."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,6 +41,11 @@
         self._decode = decode
         self._targets: dict[model.InstanceId, model.Target] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._leaving: set[model.Target] = set()
+        """Registered targets that said that they leave."""
+        self._left: dict[model.InstanceId, int] = {}
+        """Start of the last run of each target that said so.  Its entry may
+        expire and come back while the target is still there."""
         self._log_dependency: dependency.Dependency | None = None
 
     def set_log_dependency(
@@ -60,15 +68,44 @@
         """Returns a registered target, or ``None``."""
         return self._targets.get(instance)
 
+    def find_at(self, address: str) -> list[model.Target]:
+        """Returns the targets that are registered at ``ip:port``."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.entry.address == address
+        ]
+
     def find_ready(self, service: ids.ServiceName) -> list[model.Target]:
         """Returns the targets of a service that accept new work."""
         return [
             target
             for target in self._targets.values()
             if target.entry.service == service
-            and target.entry.stage is model.Stage.READY
+            and target.stage is model.Stage.READY
         ]
 
+    def count_leaving(self, service: ids.ServiceName) -> int:
+        """Returns how many targets of a service said that they leave."""
+        return sum(target.entry.service == service for target in self._leaving)
+
+    def record_leaving(self, target: model.Target) -> bool:
+        """Records that a target's answer said that it leaves.
+
+        Nothing new is sent to it until it starts anew, whatever its entry
+        says.  Returns whether that is news.
+        """
+        if target.leaving:
+            return False
+        self._mark_leaving(target)
+        started_at_ms = target.entry.started_at_ms
+        if started_at_ms is not None:
+            self._left[target.entry.instance] = started_at_ms
+            while len(self._left) > _MAX_LEFT:
+                del self._left[next(iter(self._left))]
+        self._notify()
+        return True
+
     def replace(self, entries: Sequence[base.KeyedRecord]) -> None:
         """Applies all entries; targets that have none are removed.
 
@@ -116,9 +153,19 @@
             target.record_version(name, version)
 
     def _add(self, entry: model.TargetEntry, proven: bool) -> None:
-        self._targets[entry.instance] = model.Target(
+        replaced = self._targets.get(entry.instance)
+        if replaced is not None:
+            self._forget(replaced)
+        target = model.Target(
             entry, versions=dict(entry.versions), proven=proven
         )
+        self._targets[entry.instance] = target
+        started_at_ms = entry.started_at_ms
+        if (
+            started_at_ms is not None
+            and self._left.get(entry.instance) == started_at_ms
+        ):
+            self._mark_leaving(target)
         _LOG.info(
             'target-added',
             extra={
@@ -171,11 +218,22 @@
 
     def _drop(self, instance: model.InstanceId) -> None:
         target = self._targets.pop(instance)
+        self._forget(target)
         _LOG.info(
             'target-removed',
             extra={'instance': instance, 'service': target.entry.service},
         )
 
+    def _mark_leaving(self, target: model.Target) -> None:
+        target.leaving = True
+        if self._targets.get(target.entry.instance) is target:
+            self._leaving.add(target)
+
+    def _forget(self, target: model.Target) -> None:
+        """Withdraws what was to be sent to a target that is not registered."""
+        target.leaving = True
+        self._leaving.discard(target)
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from waxwingport.fleet import health
 from waxwingport.fleet import model as fleet
+from waxwingport.gateway import departures
 from waxwingport.gateway import dialect
 from waxwingport.http import client
 
@@ -49,10 +50,14 @@
     """Sends requests to targets and updates their load and health."""
 
     def __init__(
-        self, http: client.HttpClient, dialect_: dialect.Dialect
+        self,
+        http: client.HttpClient,
+        dialect_: dialect.Dialect,
+        departures_: departures.Departures,
     ) -> None:
         self.http = http
         self.dialect = dialect_
+        self._departures = departures_
 
     async def send(
         self,
@@ -67,7 +72,7 @@
         ``timeout`` in seconds covers the whole exchange.  ``fresh`` asks for
         a connection of its own.
         """
-        request = self.dialect.make_request(call, expected, fresh)
+        request = self.make_request(call, target, expected, fresh)
         target.running += 1
         try:
             fetched = await self.http.fetch(
@@ -79,6 +84,22 @@
         record_outcome(target, outcome)
         return outcome
 
+    def make_request(
+        self,
+        call: dialect.Call,
+        target: fleet.Target,
+        expected: dialect.Expectations,
+        fresh: bool,
+    ) -> client.Request:
+        """Returns the request that sends ``call`` to ``target``.
+
+        It is withdrawn if the target accepts no work any more when the
+        request is about to be sent.
+        """
+        return self.dialect.make_request(
+            call, expected, fresh, self._departures.make_peer(target)
+        )
+
     def _classify(
         self,
         call: dialect.Call,
@@ -109,7 +130,7 @@
     Returns ``NotRun`` or ``Lost`` if there is no response to this request.
     The caller records the outcome with ``target`` and closes the response.
     """
-    request = sender.dialect.make_request(call, expected, fresh)
+    request = sender.make_request(call, target, expected, fresh)
     fetched = await sender.http.open(target.entry.address, request, timeout)
     match fetched:
         case Result(tag='ok', ok=response):
@@ -131,6 +152,8 @@
 
 def classify_fault(fault: client.TransportFault) -> NotRun | Lost:
     """Returns ``Lost`` if the request was sent, else ``NotRun``."""
+    if fault.kind is client.TransportFaultKind.WITHDRAWN:
+        return NotRun(health.HealthSignal.LEAVING, fault.detail)
     if not fault.sent:
         return NotRun(health.HealthSignal.UNREACHABLE, fault.detail)
     return Lost(health.HealthSignal.BROKEN, fault.detail)
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -164,6 +164,7 @@
                 'route': route.name,
                 'instance': target.entry.instance,
                 'candidates': len(candidates),
+                'leaving': self._pool.count_leaving(state.service),
                 'load': round(target.compute_load(loop.time()), 2),
                 'load_age_s': target.compute_load_age(loop.time()),
                 'attempt': state.sends,
@@ -210,8 +211,10 @@
                     outcome, failures=state.failures
                 )
                 detail = f'target returned status {outcome.status}'
-            case attempts.NotRun(detail=detail):
-                pass
+            case attempts.NotRun(signal=signal, detail=detail):
+                if signal is health.HealthSignal.LEAVING:
+                    # Nothing was sent, so another target may be tried.
+                    state.sends -= 1
             case attempts.Lost(detail=detail):
                 state.runs += 1
                 state.lost_detail = detail
--- a/waxwingport/gateway/dialect.py
+++ b/waxwingport/gateway/dialect.py
@@ -9,6 +9,7 @@
 
 from expression import Result
 import msgspec
+from tornado import httputil
 
 from waxwingport.fleet import model as fleet
 from waxwingport.http import messages
@@ -134,11 +135,15 @@
 
     @abc.abstractmethod
     def make_request(
-        self, call: Call, expected: Expectations, fresh: bool
+        self,
+        call: Call,
+        expected: Expectations,
+        fresh: bool,
+        peer: messages.Peer | None = None,
     ) -> messages.Request:
         """Returns the request to send to a target.
 
-        ``fresh`` asks for a connection of its own.
+        ``fresh`` asks for a connection of its own; ``peer`` is the target.
         """
 
     @abc.abstractmethod
@@ -153,6 +158,10 @@
     def read_answer(self, status: int, headers: Headers) -> AnswerHead:
         """Returns the parsed head of a target's response."""
 
+    @abc.abstractmethod
+    def is_leaving(self, headers: httputil.HTTPHeaders) -> bool:
+        """Returns whether a target's answer says that the target leaves."""
+
     @abc.abstractmethod
     def read_event_version(self, event: bytes) -> ids.WeightVersion | None:
         """Returns the version of the weights that an event announces.
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -15,6 +15,7 @@
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
 from waxwingport.gateway import configured
+from waxwingport.gateway import departures
 from waxwingport.gateway import pools
 from waxwingport.gateway import server
 from waxwingport.gateway import settings
@@ -95,6 +96,9 @@
             ),
         )
         self.targets.set_log_dependency(self._target_follower.dependency)
+        self._departures = departures.Departures(
+            self.targets, self._http, self._dialect, self.metrics
+        )
         self._operator_follower = followers.KeyedFollower(
             self._log, operators.OPERATOR_TOPIC, self.configuration
         )
@@ -106,7 +110,7 @@
         settings_ = self._settings
         store_settings = settings_.store
         rng = random.Random()
-        sender = attempts.Sender(self._http, self._dialect)
+        sender = attempts.Sender(self._http, self._dialect, self._departures)
         self.submission_view = view.SubmissionView(
             self._log, settings_.submissions, self._wall_clock
         )
@@ -168,7 +172,7 @@
         self.lease.add_load_listener(self._expect_load)
         self.controller = controller.RolloutController(
             node.name,
-            orders.PlatformEngineControl(self._http),
+            orders.PlatformEngineControl(self._http, self._departures),
             self.targets,
             self._versions,
             self.lease,
--- a/waxwingport/gateway/pools.py
+++ b/waxwingport/gateway/pools.py
@@ -35,6 +35,10 @@
         """Returns the targets of a service that accept requests."""
         return self._targets.find_ready(service)
 
+    def count_leaving(self, service: ids.ServiceName) -> int:
+        """Returns how many targets of the service said that they leave."""
+        return self._targets.count_leaving(service)
+
     def find_untried(
         self,
         service: ids.ServiceName,
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -102,8 +102,11 @@
             match await self._attempt(stream, target, write_head, write_body):
                 case None:
                     return Ok(None)
-                case attempts.NotRun() as outcome:
+                case attempts.NotRun(signal=signal) as outcome:
                     attempts.record_outcome(target, outcome)
+                    if signal is health.HealthSignal.LEAVING:
+                        # Nothing was sent, so another target may be tried.
+                        stream.sends -= 1
                 case attempts.Lost(detail=detail) as outcome:
                     attempts.record_outcome(target, outcome)
                     stream.runs += 1
@@ -149,6 +152,7 @@
                 'request': stream.call.request_id,
                 'route': stream.route.name,
                 'instance': target.entry.instance,
+                'leaving': self._pool.count_leaving(stream.service),
                 'attempt': stream.sends,
                 'after_event': stream.last_event,
                 'left_s': round(remaining, 3),
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -27,6 +27,7 @@
 __all__ = [
     'ClientSettings',
     'HttpClient',
+    'Peer',
     'Request',
     'Response',
     'TransportFault',
@@ -43,6 +44,7 @@
 _BODILESS_METHODS = ('GET', 'HEAD', 'DELETE', 'OPTIONS')
 
 ClientSettings = messages.ClientSettings
+Peer = messages.Peer
 Request = messages.Request
 TransportFault = messages.TransportFault
 TransportFaultKind = messages.TransportFaultKind
@@ -118,6 +120,8 @@
         ``address`` is ``ip:port``; ``timeout`` in seconds covers the whole
         exchange, the body included.
         """
+        if not _accepts_requests(request):
+            return Error(_make_withdrawal(address))
         deadline = asyncio.get_running_loop().time() + timeout
         stream = None if request.fresh else self._pop_idle(address)
         if stream is None:
@@ -131,6 +135,7 @@
             self._settings,
             deadline,
             functools.partial(self.close_idle, address),
+            request.peer,
         )
         self._start_exchange(address, request, stream, exchange)
         try:
@@ -233,6 +238,10 @@
                 sent=False,
             )
             return
+        if not _accepts_requests(request):
+            fault = _make_withdrawal(address)
+            exchange.fail(fault.kind, fault.detail, fault.sent)
+            return
         try:
             self._write_request(connection, address, request)
             reusable = await connection.read_response(exchange)
@@ -244,7 +253,12 @@
         finally:
             exchange.fail(TransportFaultKind.BROKEN, f'{address}: closed')
         wants_close = exchange.headers.get('Connection', '').lower() == 'close'
-        if reusable and not wants_close and exchange.fault is None:
+        if (
+            reusable
+            and not wants_close
+            and exchange.fault is None
+            and _accepts_requests(request)
+        ):
             self._store_idle(address, stream)
         else:
             stream.close()
@@ -287,6 +301,18 @@
             idle.popleft()[1].close()
 
 
+def _accepts_requests(request: Request) -> bool:
+    return request.peer is None or request.peer.accepts_requests()
+
+
+def _make_withdrawal(address: str) -> TransportFault:
+    return TransportFault(
+        TransportFaultKind.WITHDRAWN,
+        f'{address}: no longer accepts requests',
+        sent=False,
+    )
+
+
 def _is_reusable(stream: iostream.IOStream) -> bool:
     """Returns whether an idle connection is open and has nothing to read.
 
--- a/waxwingport/http/exchange.py
+++ b/waxwingport/http/exchange.py
@@ -25,6 +25,7 @@
 
     ``deadline`` is in seconds of the event loop's clock.  ``on_silent`` is
     called when the exchange fails after a time without a byte from the peer.
+    ``peer`` is told the head of the response.
     """
 
     def __init__(
@@ -33,8 +34,10 @@
         settings: messages.ClientSettings,
         deadline: float,
         on_silent: Callable[[], None],
+        peer: messages.Peer | None = None,
     ) -> None:
         self._stream = stream
+        self._peer = peer
         self._on_silent = on_silent
         self._settings = settings
         self._deadline = deadline
@@ -64,6 +67,8 @@
                 return
             self.status = start_line.code
             self.headers = headers
+            if self._peer is not None:
+                self._peer.record_head(start_line.code, headers)
         self._wake_reader()
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
--- a/waxwingport/http/messages.py
+++ b/waxwingport/http/messages.py
@@ -1,11 +1,14 @@
 """Requests, responses and faults of the HTTP client, and its settings."""
 
+import abc
 import enum
 
 import msgspec
+from tornado import httputil
 
 __all__ = [
     'ClientSettings',
+    'Peer',
     'Request',
     'TransportFault',
     'TransportFaultKind',
@@ -43,6 +46,8 @@
     """The peer sent nothing for the progress timeout."""
     TIMEOUT = 'timeout'
     """The deadline of the request passed."""
+    WITHDRAWN = 'withdrawn'
+    """The peer no longer accepted requests when this one was to be sent."""
 
 
 class TransportFault(msgspec.Struct, frozen=True):
@@ -56,6 +61,25 @@
     sent: bool
 
 
+class Peer(abc.ABC):
+    """The server of a request, as the client has to treat it."""
+
+    @abc.abstractmethod
+    def accepts_requests(self) -> bool:
+        """Returns whether a request may be sent.
+
+        Called right before the request is written, which may be some time
+        after it was made, and before a connection is kept for another one.
+        """
+
+    @abc.abstractmethod
+    def record_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        """Called with the head of each response, whatever follows it.
+
+        Informational responses are left out.
+        """
+
+
 class Request(msgspec.Struct, frozen=True):
     """A request; ``fresh`` asks for a new connection."""
 
@@ -64,6 +88,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
     fresh: bool = False
+    peer: Peer | None = None
 
 
 class WholeResponse(msgspec.Struct, frozen=True):
--- a/waxwingport/measure/gatewaylogs.py
+++ b/waxwingport/measure/gatewaylogs.py
@@ -16,6 +16,7 @@
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
 from waxwingport.gateway import configured
+from waxwingport.gateway import departures
 from waxwingport.gateway import dialect
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
@@ -254,7 +255,13 @@
             lambda key, value: Ok(_make_target_entry(target_address))
         )
         target_registry.update(log_base.KeyedRecord('t', b'x'))
-        sender = attempts.Sender(self._http, self._dialect)
+        sender = attempts.Sender(
+            self._http,
+            self._dialect,
+            departures.Departures(
+                target_registry, self._http, self._dialect, metrics.Metrics()
+            ),
+        )
         pool = pools.TargetPool(
             target_registry, _DATA_CENTRE, random.Random(0)
         )
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -10,6 +10,7 @@
 from expression import Ok
 from expression import Result
 import msgspec
+from tornado import httputil
 
 from waxwingport.gateway import dialect
 from waxwingport.gateway import routes
@@ -29,6 +30,8 @@
 _LENGTH_HINT_HEADER = 'length-hint'
 _NOT_RUN_HEADER = 'not-executed'
 _SIGNATURE_HEADER = 'response-signature'
+_LEAVING_HEADER = 'Server-Leaving'
+_LEAVING_VALUE = '1'
 _LOAD_HEADER = 'server-load'
 _VERSION_HEADER = 'weight-versions'
 _WAIT_HEADER = 'wait-ms'
@@ -155,6 +158,7 @@
         call: dialect.Call,
         expected: dialect.Expectations,
         fresh: bool,
+        peer: messages.Peer | None = None,
     ) -> messages.Request:
         """Returns the request to send to a target."""
         header_fields = [('Host', call.host), *call.headers]
@@ -178,7 +182,12 @@
         if expected.priority is not None:
             header_fields.append((_PRIORITY_HEADER, str(expected.priority)))
         return messages.Request(
-            call.method, call.path, tuple(header_fields), call.body, fresh
+            call.method,
+            call.path,
+            tuple(header_fields),
+            call.body,
+            fresh,
+            peer,
         )
 
     def make_item_call(self, item: model.Item, host: str) -> dialect.Call:
@@ -242,6 +251,10 @@
             retry_after=_read_seconds(fields.get('retry-after')),
         )
 
+    def is_leaving(self, headers: httputil.HTTPHeaders) -> bool:
+        """Returns whether a target's answer says that the target leaves."""
+        return headers.get(_LEAVING_HEADER, '').strip() == _LEAVING_VALUE
+
     def read_event_version(self, event: bytes) -> ids.WeightVersion | None:
         """Returns the weights' version that an event announces, if any."""
         found = _EVENT_VERSION.match(event)
--- a/waxwingport/platform/orders.py
+++ b/waxwingport/platform/orders.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from waxwingport.fleet import model as fleet
+from waxwingport.gateway import departures
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.rollout import base
@@ -51,15 +52,23 @@
 class PlatformEngineControl(base.EngineControl):
     """Controls engines by requests to ``/report`` and ``/order``."""
 
-    def __init__(self, http: client.HttpClient) -> None:
+    def __init__(
+        self,
+        http: client.HttpClient,
+        departures_: departures.Departures,
+    ) -> None:
         self._http = http
+        self._departures = departures_
 
     async def read_report(
         self, target: fleet.Target
     ) -> Result[base.EngineReport, str]:
         """Returns an engine's report; fails with the reason."""
         request = client.Request(
-            'GET', '/report', _make_instance_header(target)
+            'GET',
+            '/report',
+            _make_instance_header(target),
+            peer=self._departures.make_peer(target),
         )
         match await self._http.fetch(
             target.entry.address, request, _TIMEOUT_S
@@ -112,6 +121,7 @@
                 *_make_instance_header(target),
             ),
             body,
+            peer=self._departures.make_peer(target),
         )
         match await self._http.fetch(
             target.entry.address, request, _TIMEOUT_S
--- a/waxwingport/rollout/controller.py
+++ b/waxwingport/rollout/controller.py
@@ -138,7 +138,7 @@
                 target.compute_load(now),
             )
             for target in self._targets
-            if target.versions and target.entry.stage is fleet.Stage.READY
+            if target.versions and target.stage is fleet.Stage.READY
         ]
         free = [
             engine for engine in engines if engine.instance not in self._tasks
@@ -166,7 +166,7 @@
         load = pending.load
         while True:
             target = self._targets.find(load.instance)
-            if target is None:
+            if target is None or target.stage is fleet.Stage.DRAINING:
                 return
             match await self._control.read_report(target):
                 case Result(tag='ok', ok=report):
@@ -182,6 +182,8 @@
                 target.record_version(name, version)
             if target.versions.get(load.model, 0) >= load.version:
                 return
+            if target.stage is fleet.Stage.DRAINING:
+                return
             if not report.order_in_progress and self._may_order(pending):
                 await self._order(pending, target, report)
             await asyncio.sleep(_REPORT_INTERVAL_S)
--- a/waxwingport/targets/faults.py
+++ b/waxwingport/targets/faults.py
@@ -12,9 +12,9 @@
     client.TransportFaultKind.CONNECT: base.TargetFaultKind.UNREACHABLE,
     client.TransportFaultKind.SILENT: base.TargetFaultKind.SILENT,
     client.TransportFaultKind.TIMEOUT: base.TargetFaultKind.TIMEOUT,
+    client.TransportFaultKind.WITHDRAWN: base.TargetFaultKind.UNREACHABLE,
 }
 
-
 _MAX_RETRY_AFTER_S = 3600.0
 """Longest ``Retry-After`` of a target; a longer one is ignored."""
 _TRANSIENT_STATUSES = (408, 425, 429)
