Soak with changes of configuration, leaving engines and kept connections

Change: series of versions that add and remove routes, SIGHUPs and restarts that overlap, connections that go silent while new ones work, engines that leave with and without an entry and start anew under the same or another name. Callers probe routes over connections kept until the process is gone. New checks: versions in force in time and never back, nothing new sent to a leaving engine, no answer of a request that ran lost in an orderly stop.

--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -26,6 +26,7 @@
             f'[store]\naddress = "{store_address}"\n'
         )
         self._process = None
+        self.starts = 0
 
     @property
     def running(self):
@@ -39,6 +40,7 @@
                 await asyncio.sleep(0.05)
 
     async def run_process(self):
+        self.starts += 1
         with self.log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -22,8 +22,12 @@
         self.pause = pause
         self.events = EVENTS
         self.version = 1
+        self.born = 1
+        """Number of the engine's start."""
         self.leaving = False
         """Whether all answers say that the engine leaves."""
+        self.arrivals = []
+        """Loop time, start and request id of each request but reports."""
         self.accepted = 0
         self.orders = []
         self.runs = []
@@ -43,6 +47,7 @@
                 (r'/gen/.*', _Generate),
                 (r'/score/.*', _Score),
                 (r'/once/.*', _Score),
+                (r'/probe/.*', _Score),
             ],
             engine=self,
         )
@@ -51,7 +56,12 @@
         self._server.add_sockets(sockets)
         self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
 
-    def make_entry(self, service):
+    @property
+    def start_name(self):
+        """Names this start of the engine; its answers bear it."""
+        return f'{self.name}/{self.born}'
+
+    def make_entry(self, service, state='ready'):
         """Returns the engine's entry in the platform's store."""
         return msgspec.json.encode(
             {
@@ -59,9 +69,9 @@
                 'address': self.address,
                 'zone': 'here',
                 'slots': 8,
-                'state': 'ready',
+                'state': state,
                 'models': [{'name': 'm', 'version': self.version}],
-                'born': 1,
+                'born': self.born,
                 'seq': 1,
             }
         )
@@ -76,10 +86,17 @@
     def engine(self):
         return self.application.settings['engine']
 
+    def prepare(self):
+        if self.request.path != '/report':
+            now = asyncio.get_running_loop().time()
+            name = self.request.headers.get('Request-Id', self.request.path)
+            self.engine.arrivals.append((now, self.engine.start_name, name))
+
     def set_default_headers(self):
         name = self.request.headers.get('Request-Id')
         if name:
             self.set_header('Request-Id', name)
+        self.set_header('Engine-Start', self.engine.start_name)
         if self.engine.leaving:
             self.set_header('Server-Leaving', '1')
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,9 @@
             print(
                 f'seed {seed}: {len(soak.accepted)} accepted, '
                 f'{len(soak.refused)} refused, calls {dict(soak.calls)}, '
+                f'probes {dict(soak.probes)}, '
+                f'{soak.configuration.version} versions, '
+                f'{len(soak.leaving.told_at)} told of leaving engines, '
                 f'{len(soak.faults.injected)} faults, {len(violations)} wrong',
                 flush=True,
             )
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,170 @@
+"""What callers and engines saw, checked against the guarantees."""
+
+import asyncio
+import collections
+import contextlib
+import math
+
+APPLY_TIME_S = 2.0
+"""Time after its acknowledgement within which a configuration is in force."""
+DRAIN_TIME_S = 2.0
+"""Time after an answer with the news of a leaving engine from which on the
+node that forwarded it sends no request there."""
+FAULT_WINDOW_S = 3.0
+"""Time after a fault from which on a node keeps times again."""
+
+
+def read_clock():
+    return asyncio.get_running_loop().time()
+
+
+class Disturbances:
+    """Times of the faults that excuse a node.
+
+    ``halts`` are kills, restarts and pauses of its process, ``kills`` those
+    without an orderly end; other faults cut it off from the log.
+    """
+
+    def __init__(self):
+        self._running = collections.Counter()
+        self._last = {}
+        self._halts = collections.defaultdict(list)
+        self._kills = collections.defaultdict(list)
+
+    @contextlib.contextmanager
+    def disturb(self, nodes, halts=False, kills=False):
+        """Counts the nodes as disturbed until the context ends."""
+        started_at = read_clock()
+        for node in nodes:
+            self._running[node.name] += 1
+        try:
+            yield
+        finally:
+            for node in nodes:
+                self._running[node.name] -= 1
+                self._last[node.name] = read_clock()
+                if halts or kills:
+                    self._halts[node.name].append((started_at, read_clock()))
+                if kills:
+                    self._kills[node.name].append((started_at, read_clock()))
+
+    def is_calm(self, node, since):
+        """Returns whether the node was not disturbed from ``since`` on."""
+        running = self._running[node.name]
+        return not running and self._last.get(node.name, -math.inf) < since
+
+    def was_halted(self, node, first, last):
+        """Returns whether the process was halted between two times."""
+        return _overlaps(self._halts[node.name], first, last)
+
+    def was_killed(self, node, first, last):
+        """Returns whether it was killed or paused between two times."""
+        return _overlaps(self._kills[node.name], first, last)
+
+
+def _overlaps(spans, first, last):
+    return any(
+        started_at <= last and first <= ended_at
+        for started_at, ended_at in spans
+    )
+
+
+class ConfigurationCheck:
+    """Checks that nodes apply each version in time and never go back.
+
+    Each version adds one route, and some remove an older one.
+    """
+
+    def __init__(self, disturbances, violations):
+        self._disturbances = disturbances
+        self._violations = violations
+        self.version = 1
+        self.added_at = {}
+        self.removed_at = {}
+        self._known = {}
+        """Versions whose route a start of a node has forwarded."""
+
+    def change(self, rng):
+        """Returns the numbers of the routes of the next version."""
+        self.version += 1
+        self.added_at[self.version] = read_clock()
+        present = self.added_at.keys() - self.removed_at.keys()
+        if len(present) > 3 and rng.random() < 0.3:
+            removed = rng.choice(sorted(present - {self.version}))
+            self.removed_at[removed] = read_clock()
+        return sorted(self.added_at.keys() - self.removed_at.keys())
+
+    def record(self, node, start, number, sent_at, status):
+        """Checks the status of a request for the route ``number``."""
+        if status == 0 or node.starts != start:
+            return
+        calm = self._disturbances.is_calm(node, sent_at - FAULT_WINDOW_S)
+        due = calm and node.running
+        removed_at = self.removed_at.get(number, math.inf)
+        known = self._known.setdefault((node.name, start), set())
+        if status == 404 and removed_at == math.inf:
+            if due and sent_at > self.added_at[number] + APPLY_TIME_S:
+                self._violations.append(
+                    f'{node.name} does not know route {number}, '
+                    f'{sent_at - self.added_at[number]:.2f} s old'
+                )
+            if number in known:
+                self._violations.append(f'{node.name} lost route {number}')
+        if status == 200:
+            known.add(number)
+            if due and sent_at > removed_at + APPLY_TIME_S:
+                self._violations.append(
+                    f'{node.name} forwards removed route {number}'
+                )
+
+
+class LeavingCheck:
+    """Checks that nodes send nothing new to an engine that leaves."""
+
+    def __init__(self, disturbances, violations):
+        self._disturbances = disturbances
+        self._violations = violations
+        self.told_at = {}
+        """Time of the first such answer, by node and start of the engine."""
+        self._sent = {}
+        """Node and time of each caller's request."""
+
+    def record_sent(self, node, name):
+        """Records that a caller sends a request to a node."""
+        self._sent[name] = node, read_clock()
+
+    def record_answer(self, node, headers):
+        """Records the headers of an answer that a node forwarded."""
+        fields = dict(headers)
+        if fields.get('Server-Leaving') == '1':
+            key = node.name, fields['Engine-Start']
+            self.told_at.setdefault(key, read_clock())
+
+    def check(self, nodes, engines):
+        """Checks all requests that the engines saw."""
+        for engine in engines:
+            for arrived_at, start_name, name in engine.arrivals:
+                if name in self._sent:
+                    node, sent_at = self._sent[name]
+                    wrong = self._is_wrong(
+                        node, start_name, sent_at, arrived_at
+                    )
+                else:
+                    # Any node may have sent an item or a reward call.
+                    wrong = all(
+                        self._is_wrong(
+                            node, start_name, arrived_at, arrived_at
+                        )
+                        for node in nodes
+                    )
+                if wrong:
+                    self._violations.append(
+                        f'{name} reached {start_name}, which leaves'
+                    )
+
+    def _is_wrong(self, node, start_name, sent_at, arrived_at):
+        told_at = self.told_at.get((node.name, start_name), math.inf)
+        return (
+            sent_at > told_at + DRAIN_TIME_S
+            and not self._disturbances.was_halted(node, told_at, arrived_at)
+        )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from tests.soak import checks
 from tests.soak import proxy
 from waxwingport.standins import partitions
 
@@ -10,6 +11,10 @@
 """Longest duration of one fault."""
 MIN_DURATION_S = 0.3
 MAX_FAILED_APPENDS = 6
+MAX_SERIES = 8
+"""Most changes or signals of one series."""
+SERIES_GAP_S = 0.3
+"""Longest time between two of a series."""
 
 
 class Faults:
@@ -18,9 +23,11 @@
     ``injected`` lists each fault's name and duration in seconds.
     """
 
-    def __init__(self, soak_run, rng):
+    def __init__(self, soak_run, rng, max_gap):
         self._soak_run = soak_run
         self._rng = rng
+        self._max_gap = max_gap
+        self._disturbances = soak_run.disturbances
         self.injected = []
 
     async def run(self, seconds):
@@ -29,7 +36,9 @@
         end = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
             while loop.time() < end:
-                await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+                await asyncio.sleep(
+                    self._rng.uniform(0.1, 1.0) * self._max_gap
+                )
                 group.create_task(self._inject_one())
 
     async def _inject_one(self):
@@ -43,6 +52,13 @@
                 self._reset_links,
                 self._lose_answers,
                 self._take_log_away,
+                self._silence_open_connections,
+                self._change_configuration,
+                self._change_configuration,
+                self._signal_in_series,
+                self._restart_in_series,
+                self._leave,
+                self._leave,
             ]
         )
         duration = self._rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
@@ -51,37 +67,82 @@
 
     async def _kill(self, duration):
         node = self._rng.choice(self._soak_run.nodes)
-        await node.kill()
-        await asyncio.sleep(duration)
-        await node.launch()
+        with self._disturbances.disturb([node], kills=True):
+            await node.kill()
+            await asyncio.sleep(duration)
+            await node.launch()
 
     async def _terminate(self, duration):
         node = self._rng.choice(self._soak_run.nodes)
-        await node.stop()
-        await node.launch()
+        await self._restart(node)
+
+    async def _restart(self, node):
+        with self._disturbances.disturb([node], halts=True):
+            await node.stop()
+            await node.launch()
 
     async def _pause(self, duration):
         node = self._rng.choice(self._soak_run.nodes)
-        if node.send_signal(signal.SIGSTOP):
-            await asyncio.sleep(duration)
-            node.send_signal(signal.SIGCONT)
+        with self._disturbances.disturb([node], kills=True):
+            if node.send_signal(signal.SIGSTOP):
+                await asyncio.sleep(duration)
+                node.send_signal(signal.SIGCONT)
+
+    async def _signal_in_series(self, duration):
+        for _ in range(self._rng.randint(1, MAX_SERIES)):
+            self._rng.choice(self._soak_run.nodes).send_signal(signal.SIGHUP)
+            await asyncio.sleep(self._rng.uniform(0.0, SERIES_GAP_S))
+
+    async def _restart_in_series(self, duration):
+        """Stops nodes one after the other, before the last one is back."""
+        async with asyncio.TaskGroup() as group:
+            for node in self._soak_run.nodes:
+                group.create_task(self._restart(node))
+                await asyncio.sleep(self._rng.uniform(0.0, duration))
+
+    async def _change_configuration(self, duration):
+        for _ in range(self._rng.randint(1, MAX_SERIES)):
+            self._soak_run.change_configuration()
+            await asyncio.sleep(self._rng.uniform(0.0, SERIES_GAP_S))
+
+    async def _silence_open_connections(self, duration):
+        links = self._soak_run.links
+        number = self._rng.randrange(len(links))
+        with self._disturbances.disturb(self._soak_run.find_cut_off(number)):
+            links[number].silence_open()
+
+    async def _leave(self, duration):
+        """An engine leaves and starts anew, or another one takes its place."""
+        number = self._rng.randrange(len(self._soak_run.engines))
+        if self._soak_run.engines[number].leaving:
+            return
+        how = self._rng.choice(['unsaid', 'draining', 'late', 'removed'])
+        self._soak_run.start_leaving(number, how)
+        await asyncio.sleep(checks.DRAIN_TIME_S + duration)
+        if how == 'late':
+            self._soak_run.start_leaving(number, 'draining')
+        await asyncio.sleep(duration)
+        self._soak_run.replace_engine(number, self._rng.random() < 0.5)
 
     async def _harm_link(self, duration):
-        link = self._rng.choice(self._soak_run.links)
+        links = self._soak_run.links
+        number = self._rng.randrange(len(links))
         impairments = [
             option
             for option in proxy.Impairment
             if option is not proxy.Impairment.NONE
         ]
-        link.set_impairment(self._rng.choice(impairments))
-        await asyncio.sleep(duration)
-        link.set_impairment(proxy.Impairment.NONE)
+        with self._disturbances.disturb(self._soak_run.find_cut_off(number)):
+            links[number].set_impairment(self._rng.choice(impairments))
+            await asyncio.sleep(duration)
+            links[number].set_impairment(proxy.Impairment.NONE)
 
     async def _reset_links(self, duration):
         end = asyncio.get_running_loop().time() + duration
-        while asyncio.get_running_loop().time() < end:
-            self._rng.choice(self._soak_run.links).reset()
-            await asyncio.sleep(0.1)
+        with self._disturbances.disturb(self._soak_run.nodes):
+            while asyncio.get_running_loop().time() < end:
+                self._rng.choice(self._soak_run.links).reset()
+                await asyncio.sleep(0.1)
 
     async def _lose_answers(self, duration):
         failures = [
@@ -97,6 +158,7 @@
         self._soak_run.log.execute_late_appends()
 
     async def _take_log_away(self, duration):
-        self._soak_run.log.down = True
-        await asyncio.sleep(duration)
-        self._soak_run.log.down = False
+        with self._disturbances.disturb(self._soak_run.nodes):
+            self._soak_run.log.down = True
+            await asyncio.sleep(duration)
+            self._soak_run.log.down = False
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -28,6 +28,7 @@
         self._target = target
         self._server = None
         self._writers = set()
+        self._silenced = set()
         self._tasks = set()
         self.impairment = Impairment.NONE
         self.address = ''
@@ -55,6 +56,13 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_open(self):
+        """Drops all further bytes of the connections that are open now.
+
+        They stay open; new connections work.
+        """
+        self._silenced |= self._writers
+
     async def stop(self):
         self._server.close()
         self.reset()
@@ -87,7 +95,10 @@
             while data := await reader.read(65536):
                 if self.impairment is Impairment.DELAY:
                     await asyncio.sleep(DELAY_S)
-                dropped = self.impairment is Impairment.SILENCE
+                dropped = (
+                    self.impairment is Impairment.SILENCE
+                    or writer in self._silenced
+                )
                 if (
                     self.impairment is Impairment.ONE_WAY
                     and not towards_server
@@ -100,4 +111,5 @@
             pass  # Resets are among the impairments.
         finally:
             self._writers.discard(writer)
+            self._silenced.discard(writer)
             writer.close()
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -10,6 +10,7 @@
 
 from tests.gateway import processes
 from tests.gateway import standin_engine
+from tests.soak import checks
 from tests.soak import faults
 from tests.soak import proxy
 from waxwingport.http import client
@@ -20,9 +21,9 @@
 OPERATOR = base.Topic('keyed.op')
 TARGETS = base.Topic('keyed.servers')
 HOST = 'shop.example'
-NODES = 3
-ENGINES = 2
 ITEMS = 3
+LARGE_EVERY = 5
+"""Every so many seeds one runs at a larger scale."""
 REFUSAL_STATUSES = (429, 503)
 EVENT_INTERVAL_S = 0.05
 CALL_DURATION_S = 0.2
@@ -33,6 +34,22 @@
 """Time after the last fault within which accepted submissions finish."""
 
 
+class Scale(msgspec.Struct, frozen=True):
+    """How many processes and engines a run has, and how dense its faults."""
+
+    nodes: int = 3
+    engines: int = 2
+    max_gap: float = 1.0
+    """Longest time between the starts of two faults, in seconds."""
+
+
+LARGE = Scale(nodes=10, engines=5, max_gap=0.3)
+
+
+def choose_scale(seed):
+    return Scale() if seed % LARGE_EVERY else LARGE
+
+
 class Node(processes.NodeProcess):
     """A node that can be started again after it has ended."""
 
@@ -56,15 +73,23 @@
         self.log = partitions.MemoryLog()
         self._store = standin.StoreStandin(self.log)
         self._http = client.HttpClient()
+        self._scale = choose_scale(seed)
         self.engines = [
             standin_engine.StandinEngine(f'i{number}', EVENT_INTERVAL_S)
-            for number in range(ENGINES)
+            for number in range(self._scale.engines)
         ]
         for engine in self.engines:
             engine.score_pause = CALL_DURATION_S
         self.nodes = []
         self.links = []
-        self.faults = faults.Faults(self, self._rng)
+        """A link of each node to the log, then one to each engine."""
+        self.violations = []
+        self.disturbances = checks.Disturbances()
+        self.configuration = checks.ConfigurationCheck(
+            self.disturbances, self.violations
+        )
+        self.leaving = checks.LeavingCheck(self.disturbances, self.violations)
+        self.faults = faults.Faults(self, self._rng, self._scale.max_gap)
         self.accepted = {}
         """Ids of the items of each accepted submission."""
         self._accepted_at = {}
@@ -73,26 +98,26 @@
         self.calls = collections.Counter()
         """Number of calls that may run at most once, by status."""
         self.refused_calls = set()
+        self.probes = collections.Counter()
+        """Number of calls of added routes, by status."""
         self.results = {}
         """Results by submission and position, as first read from any node."""
-        self.violations = []
+        self._unanswered = []
+        """Node, times and id of each probe without an answer."""
 
     async def start(self):
-        for number in range(NODES):
+        for number in range(self._scale.nodes):
             link = proxy.Proxy(self._store.address)
             await link.start()
             self.links.append(link)
             node = Node(self._folder, f'n{number}', link.address)
             self.nodes.append(node)
-        for member in self.engines:
+        for number, member in enumerate(self.engines):
             link = proxy.Proxy(member.address)
             await link.start()
             self.links.append(link)
-            entry = msgspec.json.decode(member.make_entry('llm'))
-            entry['address'] = link.address
-            value = msgspec.json.encode(entry)
-            self.log.write_keyed(TARGETS, member.name, value)
-        self._publish_configuration()
+            self._register(number)
+        self._publish_configuration([])
         await asyncio.gather(
             *(member.start(self._http) for member in self.nodes)
         )
@@ -118,9 +143,48 @@
         await asyncio.gather(*(node.launch() for node in self.nodes))
         await self._check_submissions()
         self._check_executions()
+        self.leaving.check(self.nodes, self.engines)
+        self._check_unanswered()
         return self.violations
 
-    def _publish_configuration(self):
+    def find_cut_off(self, number):
+        """Returns the nodes that a fault of a link cuts off from the log."""
+        return self.nodes[number : number + 1]
+
+    def change_configuration(self):
+        """Publishes a further version."""
+        self._publish_configuration(self.configuration.change(self._rng))
+
+    def start_leaving(self, number, how):
+        """Makes an engine say in its answers that it leaves.
+
+        Its entry says so too, is removed, or still says ``ready``.
+        """
+        engine = self.engines[number]
+        engine.leaving = True
+        if how == 'draining':
+            self._register(number, 'draining')
+        elif how == 'removed':
+            self.log.write_keyed(TARGETS, engine.name)
+
+    def replace_engine(self, number, under_new_name):
+        """Starts an engine anew, or another one at its address."""
+        engine = self.engines[number]
+        if under_new_name:
+            self.log.write_keyed(TARGETS, engine.name)
+            engine.name += 'x'
+        engine.born += 1
+        engine.leaving = False
+        self._register(number)
+
+    def _register(self, number, state='ready'):
+        engine = self.engines[number]
+        entry = msgspec.json.decode(engine.make_entry('llm', state))
+        entry['address'] = self.links[self._scale.nodes + number].address
+        self.log.write_keyed(TARGETS, engine.name, msgspec.json.encode(entry))
+
+    def _publish_configuration(self, added):
+        """Publishes the usual routes and those with the numbers ``added``."""
         common = {
             'host': HOST,
             'service': 'llm',
@@ -135,8 +199,16 @@
             {'name': 'r2', 'path-prefix': '/score/', 'kind': 'idempotent'},
             {'name': 'r3', 'path-prefix': '/once/', 'kind': 'non_idempotent'},
         ]
+        routes += [
+            {
+                'name': f'p{number}',
+                'path-prefix': f'/probe/{number}/',
+                'kind': 'idempotent',
+            }
+            for number in added
+        ]
         configuration = {
-            'version': 1,
+            'version': self.configuration.version,
             'routes': [common | route for route in routes],
             'services': [{'name': 'llm'}],
         }
@@ -149,22 +221,29 @@
             for number in itertools.count():
                 group.create_task(self._submit(f's{number}'))
                 group.create_task(self._call_once(f'c{number}'))
+                for node in self.nodes:
+                    group.create_task(
+                        self._probe(node, f'p{number}-{node.name}')
+                    )
                 for name in list(self.accepted):
                     node = self._rng.choice(self.nodes)
                     group.create_task(self._read_results(node, name))
                 await asyncio.sleep(self._rng.uniform(0.1, 0.3))
 
-    async def _call(self, node, method, path, name, body=b'', timeout=2.0):
+    async def _call(
+        self, node, method, path, name, body=b'', timeout=2.0, fresh=True
+    ):
         """Returns the status and body; status 0 means no response."""
         headers = (
             ('Host', HOST),
             ('Request-Id', name),
             ('Deadline-Ms', str(round(timeout * 1000))),
         )
-        request = client.Request(method, path, headers, body, fresh=True)
+        request = client.Request(method, path, headers, body, fresh)
         response = await self._http.fetch(node.address, request, timeout + 1)
         if response.is_error():
             return 0, b''
+        self.leaving.record_answer(node, response.ok.headers)
         return response.ok.status, response.ok.body
 
     async def _submit(self, name):
@@ -210,11 +289,46 @@
 
     async def _call_once(self, name):
         node = self._rng.choice(self.nodes)
+        self.leaving.record_sent(node, name)
         status, _ = await self._call(node, 'POST', '/once/x', name)
         self.calls[status] += 1
         if status in REFUSAL_STATUSES:
             self.refused_calls.add(name)
 
+    async def _probe(self, node, name):
+        """Calls a route that was added or removed, on a kept connection.
+
+        The connection is used until the node's process has ended.
+        """
+        routes = sorted(self.configuration.added_at)
+        if not routes:
+            return
+        number = self._rng.choice([routes[-1], *routes[-6:]])
+        sent_at = checks.read_clock()
+        start = node.starts
+        self.leaving.record_sent(node, name)
+        status, _ = await self._call(
+            node, 'POST', f'/probe/{number}/x', name, fresh=False
+        )
+        self.probes[status] += 1
+        self.configuration.record(node, start, number, sent_at, status)
+        if status == 0:
+            self._unanswered.append((node, sent_at, checks.read_clock(), name))
+
+    def _check_unanswered(self):
+        """Checks that probes without an answer have not run.
+
+        A node that stops in order answers what it has passed on.
+        """
+        ran = {name for engine in self.engines for name, _ in engine.runs}
+        for node, sent_at, ended_at, name in self._unanswered:
+            if name in ran and not self.disturbances.was_killed(
+                node, sent_at, ended_at
+            ):
+                self.violations.append(
+                    f'{name} ran and {node.name} did not answer it'
+                )
+
     async def _read_results(self, node, name):
         """Checks a submission's results; returns their number, or ``None``."""
         age = asyncio.get_running_loop().time() - self._accepted_at[name]
