Start one process a node when the soak's faults overlap

Cause: two faults that started the same node at once started two processes, of which one was forgotten; and a stop could wait for the process that had been started after the one it ended.

Change: a node starts under a lock; stops and kills wait for the process that they end; at most 16 reads at a time check the outcome, with the same bounds.

--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -26,6 +26,7 @@
             f'[store]\naddress = "{store_address}"\n'
         )
         self._process = None
+        self._starting = asyncio.Lock()
         self.starts = 0
 
     @property
@@ -40,6 +41,12 @@
                 await asyncio.sleep(0.05)
 
     async def run_process(self):
+        """Starts the process unless it runs; faults that overlap may ask."""
+        async with self._starting:
+            if not self.running:
+                await self._run_process()
+
+    async def _run_process(self):
         self.starts += 1
         with self.log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -61,15 +68,18 @@
 
     async def kill(self):
         """Kills the process with SIGKILL."""
+        # Another process may have been started when this one has ended.
+        process = self._process
         if self.send_signal(signal.SIGKILL):
-            await self._process.wait()
+            await process.wait()
 
     async def stop(self):
         """Stops the process gracefully with SIGTERM."""
+        process = self._process
         if self.send_signal(signal.SIGTERM):
             # A process paused by SIGSTOP has to continue to handle SIGTERM.
             self.send_signal(signal.SIGCONT)
-            await self._process.wait()
+            await process.wait()
 
     def send_signal(self, number):
         """Returns whether the process was running to get the signal."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -70,7 +70,7 @@
         with self._disturbances.disturb([node], kills=True):
             await node.kill()
             await asyncio.sleep(duration)
-            await node.launch()
+            await node.run_process()
 
     async def _terminate(self, duration):
         node = self._rng.choice(self._soak_run.nodes)
@@ -79,7 +79,7 @@
     async def _restart(self, node):
         with self._disturbances.disturb([node], halts=True):
             await node.stop()
-            await node.launch()
+            await node.run_process()
 
     async def _pause(self, duration):
         node = self._rng.choice(self._soak_run.nodes)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -30,6 +30,9 @@
 """Duration of a call, so that faults occur while it runs."""
 PROPAGATION_TIME_S = 1.0
 """Time within which every node knows a submission."""
+MAX_READS = 16
+"""Reads at the same time after the faults.  The callers, the log and the
+engines share one event loop, which hundreds of reads would keep busy."""
 RECOVERY_TIME_S = 20.0
 """Time after the last fault within which accepted submissions finish."""
 
@@ -50,14 +53,6 @@
     return Scale() if seed % LARGE_EVERY else LARGE
 
 
-class Node(processes.NodeProcess):
-    """A node that can be started again after it has ended."""
-
-    async def launch(self):
-        if not self.running:
-            await self.run_process()
-
-
 class SoakRun:
     """One run with one seed.
 
@@ -110,7 +105,9 @@
             link = proxy.Proxy(self._store.address)
             await link.start()
             self.links.append(link)
-            node = Node(self._folder, f'n{number}', link.address)
+            node = processes.NodeProcess(
+                self._folder, f'n{number}', link.address
+            )
             self.nodes.append(node)
         for number, member in enumerate(self.engines):
             link = proxy.Proxy(member.address)
@@ -140,7 +137,7 @@
         callers = asyncio.ensure_future(self._run_callers())
         await self.faults.run(seconds)
         callers.cancel()
-        await asyncio.gather(*(node.launch() for node in self.nodes))
+        await asyncio.gather(*(node.run_process() for node in self.nodes))
         await self._check_submissions()
         self._check_executions()
         self.leaving.check(self.nodes, self.engines)
@@ -356,9 +353,15 @@
         missing = [
             (node, name) for node in self.nodes for name in self.accepted
         ]
+        limit = asyncio.Semaphore(MAX_READS)
+
+        async def read(node, name):
+            async with limit:
+                return await self._read_results(node, name)
+
         while missing and loop.time() < end:
             counts = await asyncio.gather(
-                *(self._read_results(node, name) for node, name in missing)
+                *(read(node, name) for node, name in missing)
             )
             missing = [
                 entry
