Stop in time without the log, also with leases

What callers saw: a node that got SIGTERM while it held the order lease and the log was away went on as ready and was killed in the end, with requests in progress.

Cause: the leases were released before the drain began, the order lease without a time limit, and an append in progress whose writer was abandoned was never answered, so that the release waited for ever.

Change: drain and resignations run side by side, that of the order lease is given up after 1 s and the lease dropped; an abandoned writer fails the append in progress with an unknown outcome.

--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -530,3 +530,20 @@
     assert (await reader.readline()).startswith(b'HTTP/1.1 503')
     assert deployment.engine.runs == []
     writer.close()
+
+
+async def test_a_node_that_holds_leases_stops_in_time_without_the_log(
+    deployment,
+):
+    """A node that waited for its resignation went on as ready until killed."""
+    served = await deployment.start_node(shutdown_timeout=3.0, drain_delay=0.5)
+    async with asyncio.timeout(10.0):
+        while not (served.lease.held and served.holder.count_held() == 4):
+            await asyncio.sleep(0.05)
+    deployment.log.down = True
+    await asyncio.sleep(0.3)
+    async with asyncio.timeout(3.0):
+        stopping = asyncio.ensure_future(served.stop())
+        await asyncio.sleep(0.1)
+        assert not served.ready
+        await stopping
--- a/tests/log/test_writers.py
+++ b/tests/log/test_writers.py
@@ -180,3 +180,23 @@
     for number in range(5):
         await writer.write((bytes([number]),))
     assert memory.appends - before == 5
+
+
+async def test_a_write_in_progress_fails_when_its_writer_is_abandoned(
+    memory, partition
+):
+    # Guards against a node that waits for ever to release a lease.
+    memory.down = True
+    writer = writers.FencedWriter(
+        memory, partition, base.Epoch(1), 1, CALL_SIZE
+    )
+    running = asyncio.ensure_future(writer.run())
+    writing = asyncio.ensure_future(writer.write((b'a',)))
+    while not memory.appends:
+        await asyncio.sleep(0.01)
+    writer.abandon(base.Fault(base.FaultKind.FENCED, 'claimed by another'))
+    running.cancel()
+    async with asyncio.timeout(1.0):
+        found = await writing
+    # The append may still take effect.
+    assert not found.error.had_no_effect
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,9 +5,15 @@
 from tests.soak import soak_run
 
 FAULT_SECONDS = 6.0
+SEEDS = [
+    1,
+    2,
+    3,  # requests reached engines that had said that they leave
+    16,  # reward calls reached such an engine
+]
 
 
-@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('seed', SEEDS)
 async def test_promises_hold_under_faults(tmp_path, seed):
     soak, violations = await soak_run.run_seed(tmp_path, seed, FAULT_SECONDS)
     assert not violations, (violations, soak.faults.injected)
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -231,13 +231,14 @@
         interrupted in time for the node to end within ``shutdown_timeout``.
         """
         node = self._settings.node
-        await self.lease.resign()
-        await self.holder.resign()
-        await self.request_tracker.drain(
-            node.drain_delay,
-            node.shutdown_timeout - node.drain_delay - 2 * _EXIT_MARGIN_S,
-            lambda: None,
-        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.lease.resign())
+            group.create_task(self.holder.resign())
+            await self.request_tracker.drain(
+                node.drain_delay,
+                node.shutdown_timeout - node.drain_delay - 2 * _EXIT_MARGIN_S,
+                lambda: None,
+            )
         await self.request_tracker.wait_idle(_EXIT_MARGIN_S)
         await self.close()
 
--- a/waxwingport/log/writers.py
+++ b/waxwingport/log/writers.py
@@ -63,6 +63,8 @@
         self._call_size = call_size
         self._sequence = sequence
         self._queue: collections.deque[_Pending] = collections.deque()
+        self._in_flight: Sequence[_Pending] = ()
+        """The batch whose append is not answered yet."""
         self._wake = asyncio.Event()
         self._fault: base.Fault | None = None
         self._answer_timeout = _MIN_ANSWER_TIMEOUT_S
@@ -93,17 +95,25 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
-                batch = self._pop_batch()
+                batch = self._in_flight = self._pop_batch()
                 match await self._append(batch):
                     case Result(tag='ok', ok=done):
                         _confirm(batch, done.offset)
                     case Result(error=fault):
+                        self._in_flight = ()
                         self._queue.extendleft(reversed(batch))
                         return fault
 
     def abandon(self, fault: base.Fault) -> None:
-        """Fails all pending calls of ``write`` and all later ones."""
+        """Fails all pending calls of ``write`` and all later ones.
+
+        An append that is not answered yet may still take effect, so that its
+        calls fail with ``UNKNOWN``.
+        """
         self._fault = fault
+        unknown = base.Fault(base.FaultKind.UNKNOWN, fault.detail)
+        for pending in self._in_flight:
+            _resolve(pending, Error(unknown))
         for pending in self._queue:
             _resolve(pending, Error(fault))
         self._queue.clear()
--- a/waxwingport/rollout/lease.py
+++ b/waxwingport/rollout/lease.py
@@ -33,6 +33,8 @@
 _MAX_ORDER_TRANSIT_S = 1.0
 """Time that an order of the last holder may still take to arrive: the timeout
 of an order."""
+_RESIGN_TIMEOUT_S = 1.0
+"""Bounds the release of the lease before the node stops."""
 _MAX_APPEND_BYTES = 65_536
 """Bound of one append; an intent takes some dozen bytes."""
 
@@ -135,8 +137,20 @@
             group.create_task(self._lease.run())
 
     async def resign(self) -> None:
-        """Releases the lease for another node; called before a stop."""
-        await self._lease.resign()
+        """Releases the lease for another node; called before a stop.
+
+        Logs a warning if that takes too long; another node then claims the
+        lease when it expires.
+        """
+        try:
+            async with asyncio.timeout(_RESIGN_TIMEOUT_S):
+                await self._lease.resign()
+        except TimeoutError:
+            _LOG.warning(
+                'resignation-timeout',
+                extra={'partition': str(_PARTITION), 'held': self.held},
+            )
+            self._lease.drop('not released in time')
 
     def handle_record(self, record: bytes) -> None:
         """Applies the next record; logs and skips an undecodable one."""
