Bound the timeout of repeated reads of the log

What callers would have met: after some minutes without the log every node ends by itself at about the same time.

Cause: doubled the time for an answer with each failed read, without an upper bound; after 1,025 failures, one each 0.2 s, the float overflows and the exception ends the follower's task and with it the node.

Change: the first two reads in a row get 0.7 s, further ones 1.5 s, as any other call to the log.

--- a/tests/log/test_late_changes.py
+++ b/tests/log/test_late_changes.py
@@ -191,3 +191,21 @@
     await asyncio.sleep(APPLY_TIME_S)
     assert b'2' in changes.times
     assert len(lagging_log.reads) <= 4
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('answers', [True, False])
+async def test_a_long_outage_of_the_log_does_not_end_the_follower(
+    timed_log, follow, answers
+):
+    # Guards against a timeout that grows until it is no number any more.
+    changes = await follow()
+    if answers:
+        timed_log.down = True
+    else:
+        timed_log.unanswered_reads = 10_000
+    await asyncio.sleep(1800.0)
+    timed_log.down = False
+    timed_log.unanswered_reads = 0
+    await asyncio.sleep(FAULT_TIME_S)
+    assert await measure_change(timed_log, changes) < APPLY_TIME_S
--- a/waxwingport/log/reads.py
+++ b/waxwingport/log/reads.py
@@ -17,9 +17,11 @@
 usual 4 ms needs less than half of it.  With the wait it is less than the 2 s
 in which a change has to take effect, as a dead connection shows itself only
 by the missing answer."""
-_TIMEOUT_GROWTH = 2.0
-"""Factor of that time from the second unanswered read on, as a slow log can't
-be told from a dead connection."""
+_PROMPT_READS = 2
+"""Reads in a row that get only that time."""
+_SLOW_ANSWER_TIMEOUT_S = 1.5
+"""Time for an answer to further ones, as a slow log can't be told from a dead
+connection: as long as for any other call to the log."""
 _RETRY_INTERVAL_S = 0.2
 """Least time between the starts of two calls of which the first failed."""
 
@@ -62,8 +64,8 @@
     async def _read_in_time(
         self, offset: ids.Offset, wait: float
     ) -> Result[base.Page, base.Fault]:
-        repetitions = max(0, self._failures - 1)
-        timeout = _ANSWER_TIMEOUT_S * _TIMEOUT_GROWTH**repetitions
+        prompt = self._failures < _PROMPT_READS
+        timeout = _ANSWER_TIMEOUT_S if prompt else _SLOW_ANSWER_TIMEOUT_S
         try:
             async with asyncio.timeout(wait + timeout):
                 return await self._log.read(self._partition, offset, wait)
