Bound the doublings of the backoff of orders to engines

Cause: the delay after a failed order was computed as a power of two of all failures in a row and cut afterwards; beyond 1,023 of them, 17 hours at the upper bound, the number overflows and ends the controller's task.

Evidence: the new test failed with an OverflowError before.

--- a/tests/weights/test_controller.py
+++ b/tests/weights/test_controller.py
@@ -286,3 +286,11 @@
     assert registry.publish(first).ok is True
     assert registry.publish(first).ok is False
     assert registry.publish(other).is_error()
+
+
+def test_an_engine_whose_orders_fail_for_days_does_not_end_the_controller():
+    # Guards against a delay that grows until it is no number any more.
+    backoff = controller._Backoff()
+    for _ in range(5000):
+        backoff.record_failure(0.0)
+    assert 0.0 < backoff.retry_at <= 60.0
--- a/waxwingport/weights/controller.py
+++ b/waxwingport/weights/controller.py
@@ -42,6 +42,8 @@
 _MIN_BACKOFF_S = 1.0
 """Wait after a failed order; doubles with each failure in a row."""
 _MAX_BACKOFF_S = 60.0
+_MAX_DOUBLINGS = 6
+"""Doublings with which the wait reaches its upper bound."""
 _STATE_DELAY_S = 1.0
 """Time after an order for which a state read before it may still arrive.
 
@@ -58,7 +60,8 @@
         self.retry_at = 0.0
 
     def record_failure(self, now: float) -> None:
-        delay = min(_MIN_BACKOFF_S * 2**self.failures, _MAX_BACKOFF_S)
+        doublings = min(self.failures, _MAX_DOUBLINGS)
+        delay = min(_MIN_BACKOFF_S * 2**doublings, _MAX_BACKOFF_S)
         self.failures += 1
         self.retry_at = now + delay
 
