Report a node that never heard from the log as not up to date

Cause: the gauge of the time since the log confirmed the configuration was 0 until the first answer, so that the alarm on it stayed silent just there.

Change: it is infinite until then, as the age of the configuration is.

Evidence: the new test failed before.

--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from tests.gateway import test_node
 
 deployment = test_node.deployment
@@ -24,3 +26,15 @@
     assert 0.0 <= refused.unconfirmed_s < 5.0
     text = served._render_metrics()[0].decode()
     assert 'waxwingport_configuration_unconfirmed_seconds' in text
+
+
+async def test_a_node_that_heard_nothing_does_not_count_as_up_to_date(
+    deployment,
+):
+    # Guards against an alarm that is silent until the first answer.
+    deployment.log.down = True
+    with pytest.raises(TimeoutError):
+        await deployment.start_node()
+    (served,) = deployment.nodes
+    lines = served._render_metrics()[0].decode().splitlines()
+    assert 'waxwingport_configuration_unconfirmed_seconds inf' in lines
--- a/waxwingport/gateway/configured.py
+++ b/waxwingport/gateway/configured.py
@@ -57,11 +57,10 @@
 
         Returns ``None`` if it has told nothing yet.
         """
-        source = self._log_dependency
-        if source is None or source.answered_at is None:
+        if self._log_dependency is None or self.current is None:
             return None
         now = asyncio.get_running_loop().time()
-        return round(now - source.answered_at, 3)
+        return round(now - self._log_dependency.answered_at, 3)
 
     def add_listener(
         self, listener: Callable[[routes.Configuration], None]
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -330,7 +330,7 @@
             (
                 'configuration_unconfirmed_seconds',
                 'Seconds since the log last told what the newest one is.',
-                self.configuration.compute_unconfirmed_time() or 0.0,
+                now - self._operator_follower.dependency.answered_at,
             ),
         ):
             self.metrics.set(f'waxwingport_{name}', help_text, value)
--- a/waxwingport/log/dependency.py
+++ b/waxwingport/log/dependency.py
@@ -14,14 +14,14 @@
     ``lost_at`` is the loop time of the first failure since the last success,
     ``None`` if the last call succeeded.  ``recovered_at`` is the loop time of
     the last success that followed a failure, ``None`` if there was none.
-    ``answered_at`` is the loop time of the last success, ``None`` before it.
+    ``answered_at`` is the loop time of the last success.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.lost_at: float | None = None
         self.recovered_at: float | None = None
-        self.answered_at: float | None = None
+        self.answered_at = float('-inf')
         self._failures = 0
 
     @property
