--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -11,7 +11,7 @@
 """Time after an answer with the news of a leaving engine from which on the
 node that forwarded it sends no request there."""
 FAULT_WINDOW_S = 3.0
-"""Time after a fault from which on a node keeps times again."""
+"""Time after a fault from which on a node has to meet the times above."""
 
 
 def read_clock():
--- a/waxwingport/fleet/registry.py
+++ b/waxwingport/fleet/registry.py
@@ -1,6 +1,7 @@
 """Registry of the targets with an entry in the log."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -41,8 +42,10 @@
         self._decode = decode
         self._targets: dict[model.InstanceId, model.Target] = {}
         self._listeners: list[Callable[[], None]] = []
-        self._leaving: set[model.Target] = set()
-        """Registered targets that said that they leave."""
+        self._leaving: collections.defaultdict[
+            ids.ServiceName, set[model.Target]
+        ] = collections.defaultdict(set)
+        """Registered targets that said that they leave, by service."""
         self._left: dict[model.InstanceId, int] = {}
         """Start of the last run of each target that said so.  Its entry may
         expire and come back while the target is still there."""
@@ -87,7 +90,7 @@
 
     def count_leaving(self, service: ids.ServiceName) -> int:
         """Returns how many targets of a service said that they leave."""
-        return sum(target.entry.service == service for target in self._leaving)
+        return len(self._leaving.get(service, ()))
 
     def record_leaving(self, target: model.Target) -> bool:
         """Records that a target's answer said that it leaves.
@@ -227,12 +230,13 @@
     def _mark_leaving(self, target: model.Target) -> None:
         target.leaving = True
         if self._targets.get(target.entry.instance) is target:
-            self._leaving.add(target)
+            self._leaving[target.entry.service].add(target)
 
     def _forget(self, target: model.Target) -> None:
         """Withdraws what was to be sent to a target that is not registered."""
         target.leaving = True
-        self._leaving.discard(target)
+        for leaving in self._leaving.values():
+            leaving.discard(target)
 
     def _notify(self) -> None:
         for listener in self._listeners:
