--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -26,6 +26,8 @@
         """Number of the engine's start."""
         self.leaving = False
         """Whether all answers say that the engine leaves."""
+        self.limit = None
+        """Value of ``Server-Limit`` in all answers, if any."""
         self.arrivals = []
         """Loop time, start and request id of each request but reports."""
         self.accepted = 0
@@ -99,6 +101,8 @@
         self.set_header('Engine-Start', self.engine.start_name)
         if self.engine.leaving:
             self.set_header('Server-Leaving', '1')
+        if self.engine.limit is not None:
+            self.set_header('Server-Limit', self.engine.limit)
 
 
 class _Report(_Handler):
