Log the limits that targets name in their answers

No decision changes.

departures becomes conditions, as it reads both conditions that targets name; the health signal of a request that was not sent is called WITHHELD.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -9,8 +9,8 @@
 from waxwingport.fleet import registry
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
+from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
-from waxwingport.gateway import departures
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport.gateway import server
@@ -49,7 +49,7 @@
         sender = attempts.Sender(
             self.http,
             dialect_,
-            departures.Departures(
+            conditions.TargetConditions(
                 self.targets, self.http, dialect_, self.metrics
             ),
         )
--- a/waxwingport/fleet/health.py
+++ b/waxwingport/fleet/health.py
@@ -35,12 +35,12 @@
     """The target returned an error response."""
     FULL = 'full'
     """The target rejected the request for lack of capacity."""
-    LEAVING = 'leaving'
-    """It accepts no new work; the request was not sent."""
     MOVED = 'moved'
     """Another instance uses the target's address."""
     UNREACHABLE = 'unreachable'
     """No connection could be opened."""
+    WITHHELD = 'withheld'
+    """The target takes no new work now; the request was not sent."""
 
 
 def record_failure(
@@ -48,7 +48,7 @@
 ) -> None:
     """Sets until when the target is avoided, depending on ``signal``."""
     match signal:
-        case HealthSignal.LEAVING:
+        case HealthSignal.WITHHELD:
             return
         case HealthSignal.FULL:
             avoidance = _FULL_AVOIDANCE_S
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from waxwingport.fleet import limits
 from waxwingport.fleet import pace as event_pace
 from waxwingport import ids
 
@@ -122,6 +123,8 @@
     leaving: bool = False
     """Whether nothing new may be sent to it until it starts anew: an answer
     said that it leaves, or it is no longer registered."""
+    limit: limits.RateLimit | None = None
+    """Limit that its last answer named, ``None`` if it named none."""
 
     @property
     def stage(self) -> Stage:
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -7,7 +7,7 @@
 
 from waxwingport.fleet import health
 from waxwingport.fleet import model as fleet
-from waxwingport.gateway import departures
+from waxwingport.gateway import conditions
 from waxwingport.gateway import dialect
 from waxwingport.http import client
 
@@ -53,11 +53,11 @@
         self,
         http: client.HttpClient,
         dialect_: dialect.Dialect,
-        departures_: departures.Departures,
+        conditions_: conditions.TargetConditions,
     ) -> None:
         self.http = http
         self.dialect = dialect_
-        self._departures = departures_
+        self._conditions = conditions_
 
     async def send(
         self,
@@ -97,7 +97,7 @@
         request is about to be sent.
         """
         return self.dialect.make_request(
-            call, expected, fresh, self._departures.make_peer(target)
+            call, expected, fresh, self._conditions.make_peer(target)
         )
 
     def _classify(
@@ -153,7 +153,7 @@
 def classify_fault(fault: client.TransportFault) -> NotRun | Lost:
     """Returns ``Lost`` if the request was sent, else ``NotRun``."""
     if fault.kind is client.TransportFaultKind.WITHDRAWN:
-        return NotRun(health.HealthSignal.LEAVING, fault.detail)
+        return NotRun(health.HealthSignal.WITHHELD, fault.detail)
     if not fault.sent:
         return NotRun(health.HealthSignal.UNREACHABLE, fault.detail)
     return Lost(health.HealthSignal.BROKEN, fault.detail)
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -164,6 +164,7 @@
                 'route': route.name,
                 'instance': target.entry.instance,
                 'candidates': len(candidates),
+                'limit': target.limit.rate if target.limit else None,
                 'leaving': self._pool.count_leaving(state.service),
                 'load': round(target.compute_load(loop.time()), 2),
                 'load_age_s': target.compute_load_age(loop.time()),
@@ -212,7 +213,7 @@
                 )
                 detail = f'target returned status {outcome.status}'
             case attempts.NotRun(signal=signal, detail=detail):
-                if signal is health.HealthSignal.LEAVING:
+                if signal is health.HealthSignal.WITHHELD:
                     # Nothing was sent, so another target may be tried.
                     state.sends -= 1
             case attempts.Lost(detail=detail):
--- a/waxwingport/gateway/dialect.py
+++ b/waxwingport/gateway/dialect.py
@@ -162,6 +162,16 @@
     def is_leaving(self, headers: httputil.HTTPHeaders) -> bool:
         """Returns whether a target's answer says that the target leaves."""
 
+    @abc.abstractmethod
+    def read_limit(
+        self, headers: httputil.HTTPHeaders
+    ) -> Result[float | None, str]:
+        """Returns the requests a second that a target takes from all nodes.
+
+        Returns ``None`` if its answer names no limit; fails with what is
+        wrong with the one that it names.
+        """
+
     @abc.abstractmethod
     def read_event_version(self, event: bytes) -> ids.WeightVersion | None:
         """Returns the version of the weights that an event announces.
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -14,8 +14,8 @@
 from waxwingport.fleet import registry
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
+from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
-from waxwingport.gateway import departures
 from waxwingport.gateway import pools
 from waxwingport.gateway import server
 from waxwingport.gateway import settings
@@ -96,7 +96,7 @@
             ),
         )
         self.targets.set_log_dependency(self._target_follower.dependency)
-        self._departures = departures.Departures(
+        self._conditions = conditions.TargetConditions(
             self.targets, self._http, self._dialect, self.metrics
         )
         self._operator_follower = followers.KeyedFollower(
@@ -110,7 +110,7 @@
         settings_ = self._settings
         store_settings = settings_.store
         rng = random.Random()
-        sender = attempts.Sender(self._http, self._dialect, self._departures)
+        sender = attempts.Sender(self._http, self._dialect, self._conditions)
         self.submission_view = view.SubmissionView(
             self._log, settings_.submissions, self._wall_clock
         )
@@ -172,7 +172,7 @@
         self.lease.add_load_listener(self._expect_load)
         self.controller = controller.RolloutController(
             node.name,
-            orders.PlatformEngineControl(self._http, self._departures),
+            orders.PlatformEngineControl(self._http, self._conditions),
             self.targets,
             self._versions,
             self.lease,
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -104,7 +104,7 @@
                     return Ok(None)
                 case attempts.NotRun(signal=signal) as outcome:
                     attempts.record_outcome(target, outcome)
-                    if signal is health.HealthSignal.LEAVING:
+                    if signal is health.HealthSignal.WITHHELD:
                         # Nothing was sent, so another target may be tried.
                         stream.sends -= 1
                 case attempts.Lost(detail=detail) as outcome:
@@ -152,6 +152,7 @@
                 'request': stream.call.request_id,
                 'route': stream.route.name,
                 'instance': target.entry.instance,
+                'limit': target.limit.rate if target.limit else None,
                 'leaving': self._pool.count_leaving(stream.service),
                 'attempt': stream.sends,
                 'after_event': stream.last_event,
--- a/waxwingport/measure/gatewaylogs.py
+++ b/waxwingport/measure/gatewaylogs.py
@@ -15,8 +15,8 @@
 from waxwingport.fleet import registry
 from waxwingport.gateway import attempts
 from waxwingport.gateway import calls
+from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
-from waxwingport.gateway import departures
 from waxwingport.gateway import dialect
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
@@ -258,7 +258,7 @@
         sender = attempts.Sender(
             self._http,
             self._dialect,
-            departures.Departures(
+            conditions.TargetConditions(
                 target_registry, self._http, self._dialect, metrics.Metrics()
             ),
         )
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Sequence
+import math
 import re
 from urllib import parse
 
@@ -32,6 +33,7 @@
 _SIGNATURE_HEADER = 'response-signature'
 _LEAVING_HEADER = 'Server-Leaving'
 _LEAVING_VALUE = '1'
+_LIMIT_HEADER = 'Server-Limit'
 _LOAD_HEADER = 'server-load'
 _VERSION_HEADER = 'weight-versions'
 _WAIT_HEADER = 'wait-ms'
@@ -248,13 +250,29 @@
                 if version.isdecimal()
                 else None
             ),
-            retry_after=_read_seconds(fields.get('retry-after')),
+            retry_after=_read_decimal(fields.get('retry-after')),
         )
 
     def is_leaving(self, headers: httputil.HTTPHeaders) -> bool:
         """Returns whether a target's answer says that the target leaves."""
         return headers.get(_LEAVING_HEADER, '').strip() == _LEAVING_VALUE
 
+    def read_limit(
+        self, headers: httputil.HTTPHeaders
+    ) -> Result[float | None, str]:
+        """Returns the requests a second that a target takes from all nodes.
+
+        Returns ``None`` if its answer names no limit; fails if that is not a
+        decimal number.
+        """
+        text = headers.get(_LIMIT_HEADER)
+        if text is None:
+            return Ok(None)
+        rate = _read_decimal(text)
+        if rate is None or not math.isfinite(rate) or rate < 0.0:
+            return Error(f'{_LIMIT_HEADER}: {text!r} is not a decimal number')
+        return Ok(rate)
+
     def read_event_version(self, event: bytes) -> ids.WeightVersion | None:
         """Returns the weights' version that an event announces, if any."""
         found = _EVENT_VERSION.match(event)
@@ -302,7 +320,7 @@
         return msgspec.json.encode(answer)
 
 
-def _read_seconds(text: str | None) -> float | None:
+def _read_decimal(text: str | None) -> float | None:
     try:
         return float(text) if text is not None else None
     except ValueError:
--- a/waxwingport/platform/orders.py
+++ b/waxwingport/platform/orders.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from waxwingport.fleet import model as fleet
-from waxwingport.gateway import departures
+from waxwingport.gateway import conditions
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.rollout import base
@@ -55,10 +55,10 @@
     def __init__(
         self,
         http: client.HttpClient,
-        departures_: departures.Departures,
+        conditions_: conditions.TargetConditions,
     ) -> None:
         self._http = http
-        self._departures = departures_
+        self._conditions = conditions_
 
     async def read_report(
         self, target: fleet.Target
@@ -68,7 +68,7 @@
             'GET',
             '/report',
             _make_instance_header(target),
-            peer=self._departures.make_peer(target),
+            peer=self._conditions.make_peer(target),
         )
         match await self._http.fetch(
             target.entry.address, request, _TIMEOUT_S
@@ -121,7 +121,7 @@
                 *_make_instance_header(target),
             ),
             body,
-            peer=self._departures.make_peer(target),
+            peer=self._conditions.make_peer(target),
         )
         match await self._http.fetch(
             target.entry.address, request, _TIMEOUT_S
--- a/waxwingport/submissions/selection.py
+++ b/waxwingport/submissions/selection.py
@@ -234,6 +234,7 @@
                 'instance': target.entry.instance,
                 'fitting': choice.eligible_count,
                 'ready': choice.ready_count,
+                'limit': target.limit.rate if target.limit else None,
                 'leaving': self._targets.count_leaving(target.entry.service),
                 'load': round(target.compute_load(now), 2),
                 'load_age_s': target.compute_load_age(now),
