Share the limits of targets among all nodes

In the own test two engines that name 2 a second got 95 and 66 of 17 allowed.

Cause: nothing read Server-Limit, and what one node hears in an answer does not bound what all nodes send together.

Change: nodes with requests for a limited target claim a share by a record that all of them read; all compute the same order from it and take turns in it, one request each. One gate in the HTTP client lets no request pass that has no turn.

--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -62,3 +62,110 @@
         busiest = count_busiest(engine, started_at + SETTLING_S)
         assert busiest <= ALLOWED
     assert set(statuses) <= ({200, 503} if all_limited else {200})
+
+
+async def learn_limit(deployment, served):
+    """Makes the node hear of the limit of the first engine."""
+    async with asyncio.timeout(5.0):
+        while served.targets.find('i1').limit is None:
+            await deployment.call(served, 'POST', '/score/a', name='first')
+
+
+async def test_items_and_scores_of_a_submission_exceed_the_limit(deployment):
+    # Guards against requests that reach an engine by another way than calls.
+    deployment.engine.limit = str(LIMIT)
+    deployment.add_engine('i2')
+    nodes = [await deployment.start_node() for _ in range(2)]
+    await learn_limit(deployment, nodes[0])
+    since = asyncio.get_running_loop().time()
+    for number in range(3):
+        name = f's{number}'
+        assert (
+            await deployment.submit(nodes[number % 2], 16, name)
+        ).status == 202
+    for number in range(3):
+        await deployment.read_all(nodes[0], 16, f's{number}')
+    assert count_busiest(deployment.engine, since) <= ALLOWED
+
+
+async def test_submissions_finish_while_all_engines_are_limited(deployment):
+    deployment.engine.limit = '20'
+    served = await deployment.start_node()
+    await learn_limit(deployment, served)
+    assert (await deployment.submit(served)).status == 202
+    assert len(await deployment.read_all(served)) == 4
+
+
+async def test_an_order_reaches_a_limited_engine_at_once(deployment):
+    # Guards against weights that wait for the turn of the node that orders.
+    deployment.engine.limit = '0'
+    served = await deployment.start_node()
+    await learn_limit(deployment, served)
+    deployment.publish(2)
+    assert (await deployment.submit(served, minimum=2)).status == 202
+    async with asyncio.timeout(10.0):
+        while not deployment.engine.orders:
+            await asyncio.sleep(0.02)
+
+
+async def test_a_call_without_a_turn_before_its_deadline_is_refused_at_once(
+    deployment,
+):
+    deployment.engine.limit = '0.2'
+    served = await deployment.start_node()
+    await learn_limit(deployment, served)
+    await deployment.call(served, 'POST', '/score/a', name='second')
+    started_at = asyncio.get_running_loop().time()
+    answers = await asyncio.gather(
+        *(
+            deployment.call(served, 'POST', '/score/a', name=f'q{number}')
+            for number in range(5)
+        )
+    )
+    elapsed = asyncio.get_running_loop().time() - started_at
+    assert {answer.status for answer in answers} == {503}
+    assert elapsed < 1.0
+    for answer in answers:
+        fields = dict(answer.headers)
+        assert float(fields['Retry-After']) > 0.5
+    assert not {f'q{n}' for n in range(5)} & {
+        name for name, _ in deployment.engine.runs
+    }
+
+
+async def test_an_answer_without_the_header_ends_the_limit(deployment):
+    deployment.engine.limit = str(LIMIT)
+    served = await deployment.start_node()
+    await learn_limit(deployment, served)
+    deployment.engine.limit = None
+    statuses = await call_often(deployment, [served], 2.0, 0.05)
+    assert served.targets.find('i1').limit is None
+    assert statuses.count(200) > 15
+
+
+@pytest.mark.parametrize('text', ['', 'many', '-1', 'nan', 'inf', '1,5'])
+async def test_an_unreadable_limit_leaves_the_one_in_force(
+    deployment, caplog, text
+):
+    deployment.engine.limit = '30'
+    served = await deployment.start_node()
+    await learn_limit(deployment, served)
+    deployment.engine.limit = text
+    async with asyncio.timeout(5.0):
+        while 'target-limit-unreadable' not in caplog.text:
+            await deployment.call(served, 'POST', '/score/a', name='q1')
+    assert served.targets.find('i1').limit.rate == 30.0
+
+
+async def test_an_engine_that_starts_anew_has_no_limit(deployment):
+    deployment.engine.limit = '0'
+    served = await deployment.start_node()
+    await learn_limit(deployment, served)
+    deployment.engine.limit = None
+    deployment.engine.born += 1
+    deployment.write_entry()
+    async with asyncio.timeout(5.0):
+        while served.targets.find('i1').limit is not None:
+            await asyncio.sleep(0.01)
+    answer = await deployment.call(served, 'POST', '/score/a', name='q1')
+    assert answer.status == 200
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -1,6 +1,7 @@
 """Registered targets and the state that this node keeps of each."""
 
 import enum
+import math
 from typing import NewType
 
 import msgspec
@@ -189,6 +190,14 @@
             return None
         return round(now - self.load.received_at, 3)
 
+    def count_turns(self, now: float) -> float:
+        """Returns how many requests it takes from this node now."""
+        return math.inf if self.limit is None else self.limit.count_turns(now)
+
+    def compute_turn_wait(self, now: float) -> float:
+        """Returns the seconds until it takes a request from this node."""
+        return 0.0 if self.limit is None else self.limit.compute_wait(now)
+
     def compute_load(self, now: float) -> float:
         """Returns the expected requests of all nodes at the target."""
         return self.running + estimate_other_load(self.load, now)
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -115,6 +115,8 @@
                 delay = hedging.compute_hedge_delay(state.route, times)
                 hedge_at = now + delay
             elif not state.running:
+                if await self._wait_for_turn(state, times):
+                    continue
                 return self._conclude_unanswered(state)
             elif due:
                 # No further attempt is possible until a running one ends.
@@ -132,22 +134,42 @@
                 if answer is not None:
                     return Ok(answer)
 
-    def _start_attempt(self, state: _CallState) -> bool:
-        """Sends the call to one more target and returns ``True``.
+    async def _wait_for_turn(
+        self, state: _CallState, times: hedging.ResponseTimes
+    ) -> bool:
+        """Waits until an attempt is possible; ``False`` if none will be.
 
-        Returns ``False`` if the route allows no further attempt now or no
-        untried target accepts requests.
+        The answer still has to arrive before the deadline.
         """
+        if not self._may_attempt(state):
+            return False
+        return await self._pool.wait_for_turn(
+            state.service,
+            state.tried,
+            state.route.priority,
+            state.deadline - times.mean,
+        )
+
+    def _may_attempt(self, state: _CallState) -> bool:
+        """Returns whether the route allows a further attempt now."""
         route = state.route
         idempotent = route.kind is routes.RouteKind.IDEMPOTENT
         if state.runs + len(state.running) >= route.max_attempts:
             return False
         if state.sends >= route.max_attempts + _EXTRA_SENDS:
             return False
-        if state.running and not idempotent:
-            return False
-        if state.runs and not idempotent:
+        return idempotent or not (state.running or state.runs)
+
+    def _start_attempt(self, state: _CallState) -> bool:
+        """Sends the call to one more target and returns ``True``.
+
+        Returns ``False`` if the route allows no further attempt now or no
+        untried target accepts requests.
+        """
+        if not self._may_attempt(state):
             return False
+        route = state.route
+        idempotent = route.kind is routes.RouteKind.IDEMPOTENT
         loop = asyncio.get_running_loop()
         candidates = self._pool.find_untried(state.service, state.tried)
         target = self._pool.choose(candidates)
--- a/waxwingport/gateway/conditions.py
+++ b/waxwingport/gateway/conditions.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import logging
 
 from expression import Ok
@@ -44,15 +45,30 @@
         self._http = http
         self._dialect = dialect_
         self._metrics = counters
+        self._limit_listeners: list[Callable[[fleet.Target], None]] = []
+
+    def add_limit_listener(
+        self, listener: Callable[[fleet.Target], None]
+    ) -> None:
+        """Calls ``listener`` with each target that begins to name a limit."""
+        self._limit_listeners.append(listener)
 
     def make_peer(self, target: fleet.Target) -> client.Peer:
-        """Returns the peer of a request to ``target``.
+        """Returns the peer of a request of work to ``target``.
 
         It withdraws the request if the target no longer accepts work when the
-        request is about to be sent.
+        request is about to be sent, or if the target has a limit and no turn
+        was reserved for the request.
         """
         return _TargetPeer(self, target)
 
+    def make_control_peer(self, target: fleet.Target) -> client.Peer:
+        """Returns the peer of a report or an order.
+
+        It does not wait for a turn of this node, but uses one up.
+        """
+        return _ControlPeer(self, target)
+
     def read_head(
         self,
         target: fleet.Target,
@@ -102,6 +118,8 @@
             target.limit.hear(rate, now)
             return
         target.limit = limits.RateLimit(rate, now)
+        for listener in self._limit_listeners:
+            listener(target)
         self._metrics.count(
             'waxwingport_targets_limited_total',
             'Targets whose answers began to name a limit.',
@@ -154,7 +172,7 @@
         )
 
 
-class _TargetPeer(client.Peer):
+class _Peer(client.Peer):
     __slots__ = ('_conditions', '_target')
 
     def __init__(
@@ -168,3 +186,21 @@
 
     def record_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         self._conditions.read_head(self._target, status, headers)
+
+
+class _TargetPeer(_Peer):
+    __slots__ = ()
+
+    def admit(self) -> bool:
+        limit = self._target.limit
+        now = asyncio.get_running_loop().time()
+        return limit is None or limit.redeem(now)
+
+
+class _ControlPeer(_Peer):
+    __slots__ = ()
+
+    def admit(self) -> bool:
+        if self._target.limit is not None:
+            self._target.limit.charge(asyncio.get_running_loop().time())
+        return True
--- a/waxwingport/gateway/hedging.py
+++ b/waxwingport/gateway/hedging.py
@@ -4,10 +4,12 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import random
 
 import msgspec
 
+from waxwingport.fleet import limits
 from waxwingport.fleet import model as fleet
 from waxwingport.gateway import routes
 from waxwingport import ids
@@ -16,6 +18,7 @@
     'ResponseTimes',
     'compute_hedge_delay',
     'compute_retry_after',
+    'compute_turn_wait',
     'estimate_wait',
     'is_infeasible',
     'pick_service',
@@ -80,11 +83,12 @@
     """Returns the seconds until a target starts one more call.
 
     This is the number of queued calls per slot, times the mean response time
-    and the target's slowness.
+    and the target's slowness, or the time until this node may send one.
     """
     slots = target.entry.slots
     ahead = max(0.0, target.compute_load(now) + 1 - slots)
-    return ahead / slots * times.mean * target.slowness
+    queued = ahead / slots * times.mean * target.slowness
+    return max(queued, target.compute_turn_wait(now))
 
 
 def is_infeasible(
@@ -102,24 +106,45 @@
     return bool(waits) and min(waits) + times.mean > remaining
 
 
+def compute_turn_wait(
+    targets: Iterable[fleet.Target], ahead: int, now: float
+) -> float | None:
+    """Returns the seconds until a call may be sent, behind ``ahead`` others.
+
+    ``None`` without targets; 0 if one of them has no limit.
+
+    Load pattern: all targets of a service name a limit, and callers ask for
+    more than that.
+    """
+    targets = list(targets)
+    if any(target.limit is None for target in targets):
+        return 0.0
+    known = [
+        limit for target in targets if (limit := target.limit) is not None
+    ]
+    return limits.compute_nth_wait(known, ahead, now)
+
+
 def compute_retry_after(
-    targets: Iterable[fleet.Target],
+    targets: Sequence[fleet.Target],
     times: ResponseTimes,
     now: float,
     rng: random.Random,
+    waiting: int = 0,
 ) -> float:
     """Returns the seconds after which a refused call should be retried.
 
-    This is the earliest time at which a target has a free slot and is no
-    longer avoided.  Jitter keeps callers that were refused together from
-    returning together.
+    This is the earliest time at which a target has a free slot, is no longer
+    avoided and takes a call besides the ``waiting`` ones.  Jitter keeps
+    callers that were refused together from returning together.
     """
     low, high = _RETRY_AFTER_RANGE_S
     waits = [
         max(target.avoided_until - now, estimate_wait(target, times, now))
         for target in targets
     ]
-    wait = min(high, max(low, min(waits, default=high)))
+    turn_wait = compute_turn_wait(targets, waiting, now) or 0.0
+    wait = min(high, max(low, turn_wait, min(waits, default=high)))
     return wait * (1.0 + rng.uniform(0.0, _RETRY_AFTER_JITTER))
 
 
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -19,6 +19,7 @@
 from waxwingport.gateway import pools
 from waxwingport.gateway import server
 from waxwingport.gateway import settings
+from waxwingport.gateway import sharing
 from waxwingport.gateway import streams
 from waxwingport.http import client
 from waxwingport import ids
@@ -99,6 +100,13 @@
         self._conditions = conditions.TargetConditions(
             self.targets, self._http, self._dialect, self.metrics
         )
+        self.limit_sharing = sharing.LimitSharing(
+            self._log,
+            self._settings.node.name,
+            self.targets,
+            self._wall_clock,
+        )
+        self._conditions.add_limit_listener(self.limit_sharing.add)
         self._operator_follower = followers.KeyedFollower(
             self._log, operators.OPERATOR_TOPIC, self.configuration
         )
@@ -221,6 +229,7 @@
             self.holder.run(),
             self.lease.run(),
             self.controller.run(),
+            self.limit_sharing.run(),
         ):
             self.background.spawn(coroutine)
 
@@ -240,6 +249,7 @@
                 lambda: None,
             )
         await self.request_tracker.wait_idle(_EXIT_MARGIN_S)
+        await self.limit_sharing.resign()
         await self.close()
 
     async def close(self) -> None:
--- a/waxwingport/gateway/pools.py
+++ b/waxwingport/gateway/pools.py
@@ -2,8 +2,11 @@
 
 import asyncio
 from collections.abc import Collection
+import itertools
 import random
 
+import sortedcontainers
+
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import hedging
@@ -13,6 +16,13 @@
 
 __all__ = ['TargetPool']
 
+_RECHECK_INTERVAL_S = 0.1
+"""Longest time after which a waiting request looks at the targets again, as
+they may end their limits or leave."""
+
+_MIN_WAIT_S = 0.001
+"""Shortest wait for a turn that is due, as clocks are rounded."""
+
 
 class TargetPool:
     """Chooses among the registered targets, nearby ones preferred."""
@@ -26,6 +36,9 @@
         self._targets = targets
         self._local_data_centre = local_data_centre
         self._rng = rng
+        self._tickets = itertools.count()
+        self._waiting: dict[ids.ServiceName, sortedcontainers.SortedList] = {}
+        """Priority and number of each request that waits for a turn."""
 
     def pick_service(self, route: routes.Route) -> ids.ServiceName:
         """Returns a random service of the route, by its weights."""
@@ -52,11 +65,61 @@
         ]
 
     def choose(self, candidates: list[fleet.Target]) -> fleet.Target | None:
-        """Returns the best candidate, or ``None`` if there is none."""
+        """Returns the best candidate that takes a request now.
+
+        A turn is reserved at a target with a limit.  Returns ``None`` if
+        there is no such candidate.
+        """
         now = asyncio.get_running_loop().time()
-        return choice.choose(
-            candidates, self._local_data_centre, now, self._rng
+        free = []
+        for target in candidates:
+            if target.limit is not None:
+                target.limit.want(now)
+            if target.limit is None or target.limit.count_turns(now):
+                free.append(target)
+        target = choice.choose(free, self._local_data_centre, now, self._rng)
+        if target is not None and target.limit is not None:
+            target.limit.reserve(now)
+        return target
+
+    async def wait_for_turn(
+        self,
+        service: ids.ServiceName,
+        tried_instances: Collection[fleet.InstanceId],
+        priority: int,
+        deadline: float,
+    ) -> bool:
+        """Waits until a target that was not tried yet takes a request.
+
+        Returns ``False`` at once if none will before the loop time
+        ``deadline``.  Of the requests that wait for the targets of a service
+        the most urgent goes first; 0 is the most urgent ``priority``.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = self._waiting.setdefault(
+            service, sortedcontainers.SortedList()
         )
+        ticket = priority, next(self._tickets)
+        waiting.add(ticket)
+        try:
+            while True:
+                candidates = self.find_untried(service, tried_instances)
+                wait = hedging.compute_turn_wait(
+                    candidates, waiting.index(ticket), loop.time()
+                )
+                if wait is None or loop.time() + wait >= deadline:
+                    return False
+                if wait <= 0.0 and any(
+                    target.count_turns(loop.time()) for target in candidates
+                ):
+                    return True
+                await asyncio.sleep(
+                    max(_MIN_WAIT_S, min(wait, _RECHECK_INTERVAL_S))
+                )
+        finally:
+            waiting.remove(ticket)
+            if not waiting:
+                del self._waiting[service]
 
     def compute_retry_after(
         self, service: ids.ServiceName, times: hedging.ResponseTimes
@@ -64,5 +127,9 @@
         """Returns the seconds after which a refused caller may retry."""
         now = asyncio.get_running_loop().time()
         return hedging.compute_retry_after(
-            self.find_ready(service), times, now, self._rng
+            self.find_ready(service),
+            times,
+            now,
+            self._rng,
+            len(self._waiting.get(service, ())),
         )
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -98,6 +98,8 @@
         while True:
             target = self._choose_target(stream)
             if target is None:
+                if await self._wait_for_turn(stream):
+                    continue
                 return Error(self._make_failure(stream, lost_detail))
             match await self._attempt(stream, target, write_head, write_body):
                 case None:
@@ -112,15 +114,28 @@
                     stream.runs += 1
                     lost_detail = detail
 
-    def _choose_target(self, stream: _Stream) -> fleet.Target | None:
+    async def _wait_for_turn(self, stream: _Stream) -> bool:
+        """Waits until an attempt is possible; ``False`` if none will be."""
+        return self._may_attempt(stream) and await self._pool.wait_for_turn(
+            stream.service,
+            stream.tried_instances,
+            stream.route.priority,
+            stream.deadline,
+        )
+
+    def _may_attempt(self, stream: _Stream) -> bool:
+        """Returns whether the route allows a further attempt now."""
         route = stream.route
         now = asyncio.get_running_loop().time()
         if now >= stream.deadline or stream.runs >= route.max_attempts:
-            return None
+            return False
         if stream.runs and not route.resumable:
-            return None
+            return False
         # Rejected attempts are not runs and are limited here.
-        if stream.sends >= 2 * route.max_attempts + 1:
+        return stream.sends < 2 * route.max_attempts + 1
+
+    def _choose_target(self, stream: _Stream) -> fleet.Target | None:
+        if not self._may_attempt(stream):
             return None
         return self._pool.choose(
             self._pool.find_untried(stream.service, stream.tried_instances)
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -120,7 +120,7 @@
         ``address`` is ``ip:port``; ``timeout`` in seconds covers the whole
         exchange, the body included.
         """
-        if not _accepts_requests(request):
+        if not (_accepts_requests(request) and _admits(request)):
             return Error(_make_withdrawal(address))
         deadline = asyncio.get_running_loop().time() + timeout
         stream = None if request.fresh else self._pop_idle(address)
@@ -305,10 +305,14 @@
     return request.peer is None or request.peer.accepts_requests()
 
 
+def _admits(request: Request) -> bool:
+    return request.peer is None or request.peer.admit()
+
+
 def _make_withdrawal(address: str) -> TransportFault:
     return TransportFault(
         TransportFaultKind.WITHDRAWN,
-        f'{address}: no longer accepts requests',
+        f'{address}: accepts no requests',
         sent=False,
     )
 
--- a/waxwingport/http/messages.py
+++ b/waxwingport/http/messages.py
@@ -47,7 +47,7 @@
     TIMEOUT = 'timeout'
     """The deadline of the request passed."""
     WITHDRAWN = 'withdrawn'
-    """The peer no longer accepted requests when this one was to be sent."""
+    """The peer accepted no request when this one was to be sent."""
 
 
 class TransportFault(msgspec.Struct, frozen=True):
@@ -64,6 +64,14 @@
 class Peer(abc.ABC):
     """The server of a request, as the client has to treat it."""
 
+    @abc.abstractmethod
+    def admit(self) -> bool:
+        """Called once for each request, before a connection is opened.
+
+        Returns whether the request may be sent, as far as the number of
+        requests decides.
+        """
+
     @abc.abstractmethod
     def accepts_requests(self) -> bool:
         """Returns whether a request may be sent.
--- a/waxwingport/log/base.py
+++ b/waxwingport/log/base.py
@@ -176,6 +176,13 @@
         Starts behind the key ``after`` if it is given.
         """
 
+    @abc.abstractmethod
+    def make_keyed(self, keyed: KeyedRecord) -> bytes:
+        """Returns the record that writes or removes a key of a keyed topic.
+
+        Raises ``ValueError`` if the key is too long.
+        """
+
     @abc.abstractmethod
     def parse_keyed(self, record: bytes) -> Result[KeyedRecord, Fault]:
         """Returns the key and value of one record of a keyed topic.
--- a/waxwingport/platform/orders.py
+++ b/waxwingport/platform/orders.py
@@ -68,7 +68,7 @@
             'GET',
             '/report',
             _make_instance_header(target),
-            peer=self._conditions.make_peer(target),
+            peer=self._conditions.make_control_peer(target),
         )
         match await self._http.fetch(
             target.entry.address, request, _TIMEOUT_S
@@ -121,7 +121,7 @@
                 *_make_instance_header(target),
             ),
             body,
-            peer=self._conditions.make_peer(target),
+            peer=self._conditions.make_control_peer(target),
         )
         match await self._http.fetch(
             target.entry.address, request, _TIMEOUT_S
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -163,6 +163,14 @@
         answer = await self._call(request, self._settings.timeout)
         return answer.bind(_check_status).bind(_read_newest)
 
+    def make_keyed(self, keyed: base.KeyedRecord) -> bytes:
+        """Returns the record that writes a key, or removes it.
+
+        Raises ``ValueError`` if the key has over 255 bytes.
+        """
+        key = keyed.key.encode()
+        return bytes([len(key)]) + key + (keyed.value or b'')
+
     def parse_keyed(
         self, record: bytes
     ) -> Result[base.KeyedRecord, base.Fault]:
--- a/waxwingport/scheduling/placement.py
+++ b/waxwingport/scheduling/placement.py
@@ -127,6 +127,8 @@
     def count_free_slots(self, target: fleet.Target, now: float) -> int:
         """Returns the estimated free slots, negative when overloaded.
 
+        At an engine with a limit there are no more than this node's turns.
+
         An engine that was added and has not answered yet has half of its
         slots, one that failed and has not answered since has one.
 
@@ -135,6 +137,7 @@
         again.
         """
         free = int(target.entry.slots - target.compute_load(now) + 0.5)
+        free = int(min(free, target.count_turns(now)))
         if target.proven:
             return free
         share = (
@@ -175,7 +178,12 @@
     def record_start(
         self, target: fleet.Target, model: str, now: float
     ) -> None:
-        """Records that a run for a model starts at an engine."""
+        """Records that a run for a model starts at an engine.
+
+        It uses up a turn at an engine with a limit.
+        """
+        if target.limit is not None:
+            target.limit.reserve(now)
         if self._settings.probes_models:
             target.probe_model(model, now)
 
--- a/waxwingport/standins/partitions.py
+++ b/waxwingport/standins/partitions.py
@@ -187,10 +187,17 @@
         self, topic: base.Topic, key: str, value: bytes = b''
     ) -> None:
         """Writes without a writer; an empty value removes the key."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
+        record = self.make_keyed(base.KeyedRecord(key, value))
         self._append(base.Partition(topic, 0), (record,), None, None)
 
+    def make_keyed(self, keyed: base.KeyedRecord) -> bytes:
+        """Returns the record that writes a key, or removes it.
+
+        Raises ``ValueError`` if the key has over 255 bytes.
+        """
+        key = keyed.key.encode()
+        return bytes([len(key)]) + key + (keyed.value or b'')
+
     def parse_keyed(
         self, record: bytes
     ) -> Result[base.KeyedRecord, base.Fault]:
--- a/waxwingport/submissions/selection.py
+++ b/waxwingport/submissions/selection.py
@@ -152,6 +152,9 @@
         if key not in pools:
             route = self._find_route(submission.host, job.item.path)
             ready = self._find_ready(route) if route else []
+            for target in ready:
+                if target.limit is not None:
+                    target.limit.want(now)
             pools[key] = _Pool(
                 placement.find_eligible(
                     ready, submission.model, submission.minimum_version, now
