Decode malformed messages of peers without an exception

One message could end more than itself: a number of 5,000 digits in the id of an event or in Server-Load raised in the task that runs an item, which was then never listed; one in Deadline-Ms closed the caller's connection without an answer; records packed in each other exceeded the recursion limit in the task that follows a partition, which ends the node. An entry whose address is no ip:port raised in the connect.

Cause: int() on any text of digits, which Python bounds to 4,300, and decoders that trust the depth and the address that a message names.

Change: waxwingport.numerals reads numbers; an entry needs an IPv4 address and a port; a record has at most a fragment around a compressed one.

--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -19,6 +19,7 @@
 from waxwingport.gateway import routes
 from waxwingport.http import client
 from waxwingport import ids
+from waxwingport import numerals
 from waxwingport import outcomes
 
 __all__ = ['BrokenStream', 'StreamForwarder']
@@ -275,6 +276,7 @@
 def _find_last_event(data: bytes, previous: int) -> int:
     last = previous
     for line in data.split(b'\n'):
-        if line.startswith(b'id:') and line[3:].strip().isdigit():
-            last = int(line[3:])
+        if line.startswith(b'id:'):
+            number = numerals.read_whole_number(line[3:])
+            last = last if number is None else number
     return last
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -3,7 +3,6 @@
 import base64
 import binascii
 from collections.abc import Sequence
-import math
 import re
 from urllib import parse
 
@@ -18,6 +17,7 @@
 from waxwingport.http import headers as http_headers
 from waxwingport.http import messages
 from waxwingport import ids
+from waxwingport import numerals
 from waxwingport.submissions import model
 
 __all__ = ['PlatformDialect']
@@ -112,11 +112,12 @@
         timeout = None
         if _DEADLINE_HEADER.lower() in fields:
             text = fields[_DEADLINE_HEADER.lower()]
-            if not text.strip().isdecimal():
+            milliseconds = numerals.read_whole_number(text)
+            if milliseconds is None:
                 return Error(
-                    f'{_DEADLINE_HEADER}: {text!r} is not a whole number'
+                    f'{_DEADLINE_HEADER}: {text[:40]!r} is not a whole number'
                 )
-            timeout = int(text) / 1000
+            timeout = milliseconds / 1000
         end_to_end = http_headers.keep_end_to_end(headers)
         return Ok(
             dialect.Call(
@@ -232,11 +233,11 @@
         """
         fields = {name.lower(): value for name, value in headers}
         load = [
-            int(part)
+            number
             for part in fields.get(_LOAD_HEADER, '').split(',')
-            if part.strip().isdecimal()
+            if (number := numerals.read_whole_number(part)) is not None
         ]
-        version = fields.get(_VERSION_HEADER, '')
+        version = numerals.read_whole_number(fields.get(_VERSION_HEADER, ''))
         return dialect.AnswerHead(
             request_id=fields.get(_REQUEST_ID_HEADER.lower()),
             not_run=status == _MOVED_STATUS
@@ -245,12 +246,8 @@
             signature=fields.get(_SIGNATURE_HEADER),
             active_requests=sum(load[:2]) if len(load) == 3 else None,
             slots=load[2] if len(load) == 3 else None,
-            version=(
-                ids.WeightVersion(int(version))
-                if version.isdecimal()
-                else None
-            ),
-            retry_after=_read_decimal(fields.get('retry-after')),
+            version=None if version is None else ids.WeightVersion(version),
+            retry_after=numerals.read_decimal(fields.get('retry-after')),
         )
 
     def is_leaving(self, headers: httputil.HTTPHeaders) -> bool:
@@ -268,15 +265,18 @@
         text = headers.get(_LIMIT_HEADER)
         if text is None:
             return Ok(None)
-        rate = _read_decimal(text)
-        if rate is None or not math.isfinite(rate) or rate < 0.0:
-            return Error(f'{_LIMIT_HEADER}: {text!r} is not a decimal number')
+        rate = numerals.read_decimal(text)
+        if rate is None or rate < 0.0:
+            return Error(
+                f'{_LIMIT_HEADER}: {text[:40]!r} is not a decimal number'
+            )
         return Ok(rate)
 
     def read_event_version(self, event: bytes) -> ids.WeightVersion | None:
         """Returns the weights' version that an event announces, if any."""
         found = _EVENT_VERSION.match(event)
-        return ids.WeightVersion(int(found[1])) if found else None
+        number = numerals.read_whole_number(found[1]) if found else None
+        return None if number is None else ids.WeightVersion(number)
 
     def make_response_headers(
         self, request_id: ids.RequestId | None, retry_after: float | None
@@ -320,13 +320,6 @@
         return msgspec.json.encode(answer)
 
 
-def _read_decimal(text: str | None) -> float | None:
-    try:
-        return float(text) if text is not None else None
-    except ValueError:
-        return None
-
-
 def _read_batch_operation(
     call: dialect.Call,
     submission_id: model.SubmissionId,
@@ -336,13 +329,13 @@
         return Ok(dialect.EndCall(submission_id))
     if call.method != 'GET':
         return Ok(None)
-    after = query.get('after', '0')
+    after = numerals.read_whole_number(query.get('after', '0'))
     fields = {name.lower(): value for name, value in call.headers}
-    wait = fields.get(_WAIT_HEADER, '0')
-    if not after.isdecimal() or not wait.isdecimal():
+    wait = numerals.read_whole_number(fields.get(_WAIT_HEADER, '0'))
+    if after is None or wait is None:
         return Error('after and wait-ms must be whole numbers')
-    seconds = min(int(wait) / 1000, _MAX_WAIT_S)
-    return Ok(dialect.BatchRead(submission_id, int(after), seconds))
+    seconds = min(wait / 1000, _MAX_WAIT_S)
+    return Ok(dialect.BatchRead(submission_id, after, seconds))
 
 
 def _read_submission(
@@ -378,9 +371,9 @@
 
 def _read_item(item: _Item) -> model.Item:
     hints = [
-        value
+        numerals.read_whole_number(value)
         for name, value in item.headers.items()
-        if name.lower() == _LENGTH_HINT_HEADER and value.isdecimal()
+        if name.lower() == _LENGTH_HINT_HEADER
     ]
     reward = item.scorer_url
     return model.Item(
@@ -389,7 +382,7 @@
         tuple(item.headers.items()),
         base64.b64decode(item.body, validate=True),
         item.tokens,
-        int(hints[0]) if hints else None,
+        hints[0] if hints else None,
         ids.GroupId(item.group),
         None
         if reward is None
--- a/waxwingport/platform/operators.py
+++ b/waxwingport/platform/operators.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import ipaddress
 import logging
 from typing import Any
 
@@ -14,6 +15,7 @@
 from waxwingport.gateway import routes
 from waxwingport import ids
 from waxwingport.log import base
+from waxwingport import numerals
 
 __all__ = [
     'OPERATOR_TOPIC',
@@ -42,6 +44,7 @@
     'draining': fleet.Stage.DRAINING,
     'ready': fleet.Stage.READY,
 }
+_MAX_PORT = 65535
 _DECODE_ERRORS = (msgspec.DecodeError, UnicodeError, ValueError, TypeError)
 
 
@@ -179,9 +182,8 @@
     stage = _STAGES.get(found.state)
     if stage is None:
         return Error(f'state {found.state!r} is unknown')
-    host, _, port = found.address.rpartition(':')
-    if not host or not port.isdecimal():
-        return Error(f'address {found.address!r} is not ip:port')
+    if not _is_address(found.address):
+        return Error(f'address {found.address[:40]!r} is not ip:port')
     return Ok(
         fleet.TargetEntry(
             fleet.InstanceId(key),
@@ -199,6 +201,16 @@
     )
 
 
+def _is_address(address: str) -> bool:
+    host, _, text = address.rpartition(':')
+    port = numerals.read_whole_number(text)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port is not None and 0 < port <= _MAX_PORT
+
+
 def _read_routes(entries: Iterable[_Route]) -> Iterator[routes.Route]:
     """Yields the routes of known kinds and logs the others."""
     for entry in entries:
--- a/waxwingport/submissions/events.py
+++ b/waxwingport/submissions/events.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from waxwingport import ids
+from waxwingport import numerals
 
 __all__ = ['Event', 'EventReader', 'VersionReader']
 
@@ -51,6 +52,6 @@
             value = value.removeprefix(b' ')
             if name == b'data':
                 data.append(value.decode(errors='replace'))
-            elif name == b'id' and value.strip().isdigit():
-                number = int(value)
+            elif name == b'id':
+                number = numerals.read_whole_number(value)
         return Event(number, '\n'.join(data), self._read_version(block))
--- a/waxwingport/submissions/records.py
+++ b/waxwingport/submissions/records.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 import math
+import types
 import uuid
 import zlib
 
@@ -146,16 +147,25 @@
         Fails with a reason if ``data`` can't be decoded or is a fragment that
         does not follow the one before it.
         """
+        return self._feed(data, _Fragment | _Compressed)
+
+    def _feed(
+        self, data: bytes, wrappers: types.UnionType | type | None
+    ) -> Result[Record | leases.LeaseRecord | None, str]:
+        """Decodes a record, which may be wrapped in one of ``wrappers``."""
         try:
             found = _DECODER.decode(data)
         except (msgspec.DecodeError, UnicodeError) as error:
             self.reset()
             return Error(f'record cannot be decoded: {error}')
-        if isinstance(found, _Compressed):
-            return self._decompress(found)
-        if not isinstance(found, _Fragment):
+        if not isinstance(found, _Fragment | _Compressed):
             self.reset()
             return Ok(found)
+        if wrappers is None or not isinstance(found, wrappers):
+            self.reset()
+            return Error('fragment or compressed record inside another one')
+        if isinstance(found, _Compressed):
+            return self._decompress(found)
         return self._join(found)
 
     def reset(self) -> None:
@@ -170,7 +180,7 @@
         except zlib.error as error:
             self.reset()
             return Error(f'record cannot be decompressed: {error}')
-        return self.feed(data)
+        return self._feed(data, None)
 
     def _join(
         self, fragment: _Fragment
@@ -187,7 +197,7 @@
             return Ok(None)
         data = b''.join(part.data for part in self._fragments)
         self.reset()
-        return self.feed(data)
+        return self._feed(data, _Compressed)
 
 
 def _follows(before: Sequence[_Fragment], fragment: _Fragment) -> bool:
