Judge callers' streams by their events

What callers saw: a slow but sound stream on a resumable route was cut after 1.5 s without a byte, at one target after the other until the attempts were used up; one that stalled and sent a comment or a byte now and then was kept until its deadline; an event without an end was kept in memory for as long.

Cause: any byte counted as progress, and the timeout held also where no other target could continue the stream.

Change: the time counts from the last complete event; it follows the route's target time, doubles with each run that was ended for it, and ends nothing while no other target can go on. An event has 1 MiB at most.

Evidence: five of the seven new tests failed on the code before (slow streams at one and at four targets, stalls with comments and with half an event, an event without an end); all pass now.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -1,13 +1,22 @@
 """Streams are forwarded as they arrive and resumed at another target."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from waxwingport.gateway import routes
+from waxwingport.gateway import streams
 from waxwingport.http import client
+from waxwingport.scheduling import timeouts
 
 EVENTS = 6
+TRICKLES = {
+    'comments': b': still here\n\n',
+    'half-event': b'd',
+    'endless-event': b'd' * 200,
+}
+"""What a stalled stream goes on to send, by the name of its end."""
 
 
 class StreamServer:
@@ -40,6 +49,10 @@
         head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
         fields = dict(line.split(': ', 1) for line in head.split('\r\n')[1:-2])
         await reader.readexactly(int(fields.get('content-length', 0)))
+        with contextlib.suppress(ConnectionError):
+            await self._send_events(reader, writer, fields)
+
+    async def _send_events(self, reader, writer, fields):
         start = int(fields.get('last-event-id', 0))
         self.starts.append(start)
         if self.end == 'full':
@@ -69,6 +82,11 @@
             writer.close()
         elif self.end == 'silent':
             await reader.read()
+        elif self.end in TRICKLES:
+            while not writer.is_closing():
+                self._write_chunk(writer, TRICKLES[self.end])
+                await writer.drain()
+                await asyncio.sleep(0.02)
         else:
             writer.close()
 
@@ -180,3 +198,83 @@
     async with asyncio.timeout(0.5):
         while harness.targets.find('i0').running:
             await asyncio.sleep(0.01)
+
+
+async def call_patiently(harness):
+    """Calls with more time than a slow stream takes."""
+    header_fields = (
+        ('Host', 'shop.example'),
+        ('Request-Id', 'q1'),
+        ('Deadline-Ms', '8000'),
+    )
+    request = client.Request('POST', '/a/b', header_fields)
+    return await harness.caller_http.fetch(harness.address, request, 10.0)
+
+
+@pytest.fixture
+def short_timeouts(monkeypatch):
+    """Makes the time without an event after which streams move on short."""
+    monkeypatch.setattr(timeouts, '_MIN_EVENT_TIMEOUT_S', 0.3)
+
+
+async def test_a_slow_but_sound_stream_is_cut(
+    harness, start_streams, short_timeouts
+):
+    # Guards against a timeout that ends what no other target continues.
+    configure(harness, resumable=True, target_time=0.0)
+    slow = StreamServer(pause=0.6)
+    await start_streams(slow)
+    response = (await call_patiently(harness)).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert slow.starts == [0]
+
+
+async def test_a_stream_is_cut_by_each_of_several_slow_targets(
+    harness, start_streams, short_timeouts
+):
+    # Guards against a stream that goes from one slow target to the next.
+    configure(harness, resumable=True, target_time=0.0, max_attempts=3)
+    servers = [StreamServer(pause=0.5) for _ in range(4)]
+    await start_streams(*servers)
+    response = (await call_patiently(harness)).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert sum(len(server.starts) for server in servers) <= 3
+
+
+@pytest.mark.parametrize('end', ['comments', 'half-event'])
+async def test_a_stalled_stream_with_a_byte_now_and_then_never_ends(
+    harness, start_streams, short_timeouts, end
+):
+    configure(harness, resumable=True, target_time=0.0)
+    stalled, whole = StreamServer(2, end), StreamServer()
+    await start_streams(stalled, whole)
+    harness.targets.find('i1').running = 3
+    response = (await call_patiently(harness)).ok
+    assert response.body.endswith(make_text(EVENTS + 1)[-12:])
+    assert (stalled.starts, whole.starts) == ([0], [2])
+
+
+async def test_a_stalled_stream_without_another_target_ends_at_its_deadline(
+    harness, start_streams, short_timeouts
+):
+    configure(harness, resumable=True, target_time=0.0)
+    harness.configure(
+        version=2, kind=routes.RouteKind.STREAMING, timeout=1.0, resumable=True
+    )
+    await start_streams(StreamServer(2, 'comments'))
+    started_at = asyncio.get_running_loop().time()
+    assert (await call_patiently(harness)).is_error()
+    assert asyncio.get_running_loop().time() - started_at < 3.0
+
+
+async def test_an_event_without_an_end_fills_the_memory(
+    harness, start_streams, monkeypatch
+):
+    monkeypatch.setattr(streams, '_MAX_EVENT_BYTES', 1000)
+    configure(harness, resumable=True)
+    endless, whole = StreamServer(2, 'endless-event'), StreamServer()
+    await start_streams(endless, whole)
+    harness.targets.find('i1').running = 3
+    response = (await call_patiently(harness)).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert (endless.starts, whole.starts) == ([0], [2])
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -21,15 +21,21 @@
 from waxwingport import ids
 from waxwingport import numerals
 from waxwingport import outcomes
+from waxwingport.scheduling import timeouts
 
 __all__ = ['BrokenStream', 'StreamForwarder']
 
-_SILENCE_TIMEOUT_S = 1.5
-"""Time without a byte after which a resumable stream is resumed at another
-target; callers close their connections after two seconds."""
+_MAX_EVENT_BYTES = 1024 * 1024
+"""Size from which on an event that has not ended counts as broken; complete
+ones have some hundred bytes."""
 _LEAST_URGENT_STREAM_PRIORITY = 4
 """Streams of less urgent routes are sent with this priority.  Callers wait for
 streams, so they take precedence over the items of all submissions."""
+_MAX_SENDS_PER_RUN = 2
+"""Sends for each run that the route allows, rejections included."""
+_RECHECK_INTERVAL_S = 0.05
+"""Time after which a stream that is silent for too long, and has no other
+target to go to, looks for one again."""
 _EVENT_END = b'\n\n'
 
 WriteHead = Callable[[int, tuple[tuple[str, str], ...]], Awaitable[None]]
@@ -60,6 +66,38 @@
     """Attempts that ran or may have run."""
     sends: int = 0
     """Attempts, also those that the target rejected without a run."""
+    silent_runs: int = 0
+    """Attempts that were ended because no event came in time."""
+
+    def record_events(self, data: bytes) -> bool:
+        """Records the events that are about to be written to the caller.
+
+        Returns whether there is a new one.
+        """
+        previous = self.last_event
+        self.last_event = _find_last_event(data, previous)
+        return self.last_event != previous
+
+
+class _CompleteEvents:
+    """Holds back the event at the end of a stream until it is complete.
+
+    Another engine may send it anew.
+    """
+
+    def __init__(self) -> None:
+        self._incomplete = b''
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the events that ``data`` completes."""
+        complete, _, self._incomplete = (self._incomplete + data).rpartition(
+            _EVENT_END
+        )
+        return complete + _EVENT_END if complete else b''
+
+    def is_overlong(self) -> bool:
+        """Returns whether an event is longer than any sound one."""
+        return len(self._incomplete) > _MAX_EVENT_BYTES
 
 
 class StreamForwarder:
@@ -133,7 +171,7 @@
         if stream.runs and not route.resumable:
             return False
         # Rejected attempts are not runs and are limited here.
-        return stream.sends < 2 * route.max_attempts + 1
+        return stream.sends <= _MAX_SENDS_PER_RUN * route.max_attempts
 
     def _choose_target(self, stream: _Stream) -> fleet.Target | None:
         if not self._may_attempt(stream):
@@ -213,9 +251,12 @@
                 f'target returned status {response.status}',
             )
         resumable = stream.route.resumable and response.status == 200
-        incomplete = b''
+        events = _CompleteEvents()
+        event_at = asyncio.get_running_loop().time()
         while True:
-            chunk = await self._read_chunk(response, resumable)
+            chunk = await self._read_chunk(
+                stream, response, event_at if resumable else None
+            )
             if isinstance(chunk, client.TransportFault):
                 return attempts.Lost(health.HealthSignal.BROKEN, chunk.detail)
             if not stream.head_sent:
@@ -226,30 +267,64 @@
                 health.record_success(target)
                 return None
             if resumable:
-                # Writes only complete events, since another engine may send
-                # what follows.
-                complete, _, incomplete = (incomplete + chunk).rpartition(
-                    _EVENT_END
-                )
-                chunk = complete + _EVENT_END if complete else b''
-                stream.last_event = _find_last_event(chunk, stream.last_event)
+                chunk = events.feed(chunk)
+                if events.is_overlong():
+                    return attempts.Lost(
+                        health.HealthSignal.BROKEN, 'an event does not end'
+                    )
+                if stream.record_events(chunk):
+                    event_at = asyncio.get_running_loop().time()
             if chunk:
                 await write_body(chunk)
 
     async def _read_chunk(
-        self, response: client.Response, resumable: bool
+        self,
+        stream: _Stream,
+        response: client.Response,
+        event_at: float | None,
     ) -> bytes | client.TransportFault | None:
-        if not resumable:
+        """Returns the next chunk unless the stream should go on elsewhere.
+
+        ``event_at`` is the loop time of its last complete event, ``None`` if
+        the stream may not resume.
+        """
+        if event_at is None:
             return await response.read_chunk()
-        try:
-            async with asyncio.timeout(_SILENCE_TIMEOUT_S):
-                return await response.read_chunk()
-        except TimeoutError:
-            return client.TransportFault(
-                client.TransportFaultKind.SILENT,
-                'no byte within the silence timeout',
-                True,
+        timeout = timeouts.compute_event_timeout(
+            stream.route.target_time, stream.silent_runs
+        )
+        loop = asyncio.get_running_loop()
+        due_at = event_at + timeout
+        while True:
+            # What has arrived already is read before the stream moves on.
+            overdue = loop.time() > due_at + _RECHECK_INTERVAL_S
+            if overdue and self._has_alternative(stream):
+                stream.silent_runs += 1
+                return client.TransportFault(
+                    client.TransportFaultKind.SILENT,
+                    f'no event for {timeout:.3g} s',
+                    True,
+                )
+            recheck_at = loop.time() + _RECHECK_INTERVAL_S
+            try:
+                async with asyncio.timeout_at(max(due_at, recheck_at)):
+                    return await response.read_chunk()
+            except TimeoutError:
+                continue
+
+    def _has_alternative(self, stream: _Stream) -> bool:
+        """Returns whether the stream could resume at another target now."""
+        if stream.runs + 1 >= stream.route.max_attempts:
+            return False
+        if stream.sends >= _MAX_SENDS_PER_RUN * stream.route.max_attempts:
+            return False
+        now = asyncio.get_running_loop().time()
+        return any(
+            target.count_turns(now)
+            for target in self._pool.find_untried(
+                stream.service, stream.tried_instances
             )
+        )
 
     def _make_failure(
         self, stream: _Stream, lost_detail: str | None
