Judge items' streams by their events

A comment in a stream counted as a broken event.

Change: the time counts from the last event and doubles with each silent run of an item after the second; runs that end so are counted as silent. An event has 1 MiB, a text 16 MiB at most; comments are skipped.

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -1,9 +1,11 @@
 """Stand-in for an engine and a scoring service of the platform."""
 
 import asyncio
+import contextlib
 
 import msgspec
 from tornado import httpserver
+from tornado import iostream
 from tornado import netutil
 from tornado import web
 
@@ -42,6 +44,11 @@
         """Ids of reward calls that always fail."""
         self.break_after = {}
         """Event after which the connection is closed once, by request id."""
+        self.early_head = False
+        """Whether the head of a text is sent before its first event."""
+        self.stall_after = {}
+        """Event after which ``stall_bytes`` follow once, by request id."""
+        self.stall_bytes = b'd'
         application = web.Application(
             [
                 (r'/report', _Report),
@@ -136,16 +143,29 @@
         self.engine.runs.append((name, start))
         self.set_header('Weight-Versions', str(self.engine.version))
         self.set_header('Content-Type', 'text/event-stream')
+        if self.engine.early_head:
+            await self.flush()
         for number in range(start + 1, self.engine.events + 1):
             await asyncio.sleep(self.engine.pause)
             self.write(f'id: {number}\ndata: {name}-{number}\n\n')
             await self.flush()
             self.engine.sent[name] = number
+            if self.engine.stall_after.get(name) == number:
+                del self.engine.stall_after[name]
+                await self._stall()
             if self.engine.break_after.get(name) == number:
                 del self.engine.break_after[name]
                 self.request.connection.stream.close()
                 raise web.Finish
 
+    async def _stall(self):
+        with contextlib.suppress(iostream.StreamClosedError):
+            while True:
+                self.write(self.engine.stall_bytes)
+                await self.flush()
+                await asyncio.sleep(0.02)
+        raise web.Finish
+
 
 class _Score(_Handler):
     async def post(self):
--- a/waxwingport/submissions/events.py
+++ b/waxwingport/submissions/events.py
@@ -35,14 +35,21 @@
         self._read_version = read_version
         self._incomplete = b''
 
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the event that is not complete yet."""
+        return len(self._incomplete)
+
     def feed(self, data: bytes) -> list[Event]:
-        """Returns the events that ``data`` completes.
+        """Returns the events that ``data`` completes, comments left out.
 
         An incomplete event at the end is completed by the next call.
         """
         whole = (self._incomplete + data).replace(b'\r\n', b'\n')
         *blocks, self._incomplete = whole.split(b'\n\n')
-        return [self._parse(block) for block in blocks if block.strip()]
+        return [
+            self._parse(block) for block in blocks if not _is_comment(block)
+        ]
 
     def _parse(self, block: bytes) -> Event:
         number = None
@@ -55,3 +62,11 @@
             elif name == b'id':
                 number = numerals.read_whole_number(value)
         return Event(number, '\n'.join(data), self._read_version(block))
+
+
+def _is_comment(block: bytes) -> bool:
+    """Returns whether a block has only comments and empty lines."""
+    return all(
+        not line.strip() or line.startswith(b':')
+        for line in block.split(b'\n')
+    )
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -41,6 +41,12 @@
 route.  Streams, for which callers wait, have lower numbers."""
 _LOWEST_PRIORITY = 9
 """The least urgent priority that an engine knows."""
+_MAX_EVENT_BYTES = 1024 * 1024
+"""Size from which on an event that has not ended counts as broken; complete
+ones have some hundred bytes."""
+_MAX_TEXT_BYTES = 16 * 1024 * 1024
+"""Longest text of an item: many times that of the longest generations, and a
+small part of a node's memory."""
 _UNPROCESSABLE = 422
 """Status with which an engine answers an item that it can never run."""
 
@@ -64,6 +70,8 @@
     """It did not start at the engine."""
     OUTDATED = 'outdated'
     """The engine's weights are older than the submission allows."""
+    SILENT = 'silent'
+    """No response or event came in time; it can resume elsewhere."""
 
 
 class Text(msgspec.Struct, eq=False):
@@ -112,6 +120,8 @@
     priority: int
     """Priority of the route; 0 is the most urgent, unlike the priorities of
     ``routing.Work``, of which the greatest is."""
+    silent_runs: int
+    """Earlier runs of the item that ended because nothing came in time."""
     should_move: Callable[[], bool]
     """Called after each piece of the stream; returns whether the run should
     be stopped, so that it can resume at a faster engine."""
@@ -159,6 +169,13 @@
             case attempts.Lost(detail=detail):
                 attempts.record_outcome(run.target, opened)
                 return Error((RunEnd.BROKEN, detail))
+            case None:
+                outcome = attempts.Lost(
+                    health.HealthSignal.BROKEN,
+                    'no response head within the timeout',
+                )
+                attempts.record_outcome(run.target, outcome)
+                return Error((RunEnd.SILENT, outcome.detail))
             case (response, head):
                 pass
         attempts.record_load_report(run.target, head, now)
@@ -174,7 +191,9 @@
         tuple[client.Response, dialect.AnswerHead]
         | attempts.NotRun
         | attempts.Lost
+        | None
     ):
+        """Sends the run; returns ``None`` if no response begins in time."""
         dialect_ = self._sender.dialect
         call = dialect_.make_item_call(run.item, run.submission.host)
         version = run.text.versions[-1] if _needs_same_version(run) else None
@@ -188,7 +207,7 @@
         try:
             now = asyncio.get_running_loop().time()
             async with asyncio.timeout(
-                timeouts.choose_head_timeout(run.target, now)
+                timeouts.choose_head_timeout(run.target, now, run.silent_runs)
             ):
                 return await attempts.open_attempt(
                     self._sender,
@@ -199,10 +218,7 @@
                     False,
                 )
         except TimeoutError:
-            return attempts.Lost(
-                health.HealthSignal.BROKEN,
-                'no response head within the timeout',
-            )
+            return None
 
     async def _read(
         self,
@@ -229,9 +245,13 @@
         recorder = _Recorder(
             run, head.version, self._sender.dialect.read_event_version
         )
+        loop = asyncio.get_running_loop()
+        event_at = loop.time()
         while True:
-            timeout = timeouts.compute_silence_timeout(run.target.pace.seconds)
-            piece = await _read_piece(response, timeout)
+            timeout = timeouts.compute_silence_timeout(
+                run.target.pace.seconds, run.silent_runs
+            )
+            piece = await _read_piece(response, event_at, timeout)
             if piece is None:
                 health.record_success(run.target)
                 return Ok(None)
@@ -240,10 +260,11 @@
                 health.record_failure(
                     run.target, health.HealthSignal.BROKEN, now
                 )
-                return Error((RunEnd.BROKEN, piece.detail))
+                return Error((_classify_end(piece), piece.detail))
             early_end = recorder.feed(piece)
             if early_end is not None:
                 return Error(early_end)
+            event_at = recorder.last_at or event_at
             if run.should_move():
                 return Error(
                     (RunEnd.TO_FASTER_ENGINE, 'another engine is faster')
@@ -262,7 +283,9 @@
         self._run = run
         self._version = version
         self._reader = events.EventReader(read_version)
-        self._last_at: float | None = None
+        self.last_at: float | None = None
+        """Loop time of the last event."""
+        self._text_bytes = sum(map(len, run.text.events))
 
     def feed(self, data: bytes) -> tuple[RunEnd, str] | None:
         """Appends a piece's events; returns why the run has to end, if so."""
@@ -281,7 +304,16 @@
                 return early_end
             run.text.add(event.data, self._version)
             run.target.proven = True
+            self._text_bytes += len(event.data)
         self._record_gaps(len(run.text.events) - count)
+        return self._check_size()
+
+    def _check_size(self) -> tuple[RunEnd, str] | None:
+        if self._reader.pending_bytes > _MAX_EVENT_BYTES:
+            return RunEnd.BROKEN, 'an event does not end'
+        if self._text_bytes > _MAX_TEXT_BYTES:
+            self._run.text.clear()
+            return RunEnd.FAILED, f'text exceeds {_MAX_TEXT_BYTES} bytes'
         return None
 
     def _record_gaps(self, event_count: int) -> None:
@@ -289,11 +321,11 @@
         if not event_count:
             return
         now = asyncio.get_running_loop().time()
-        if self._last_at is not None:
-            gap = (now - self._last_at) / event_count
+        if self.last_at is not None:
+            gap = (now - self.last_at) / event_count
             for _ in range(event_count):
                 self._run.target.pace.record(gap)
-        self._last_at = now
+        self.last_at = now
 
 
 def _needs_same_version(run: ItemRun) -> bool:
@@ -302,17 +334,19 @@
 
 
 async def _read_piece(
-    response: client.Response, timeout: float
+    response: client.Response, event_at: float, timeout: float
 ) -> bytes | client.TransportFault | None:
     """Returns the next piece of a stream, ``None`` at its end.
 
-    If the timeout passes late because this process was busy, the piece may
-    have arrived unread, so that it gets a little more time.
+    The stream is silent ``timeout`` seconds after its last event, at the loop
+    time ``event_at``, whatever else it sent.  If the timeout passes late
+    because this process was busy, the piece may have arrived unread, so that
+    it gets a little more time.
     """
     loop = asyncio.get_running_loop()
-    due_at = loop.time() + timeout
+    due_at = event_at + timeout
     try:
-        async with asyncio.timeout(timeout):
+        async with asyncio.timeout_at(due_at):
             return await response.read_chunk()
     except TimeoutError:
         if loop.time() - due_at >= _LATE_TIMEOUT_S:
@@ -330,6 +364,11 @@
         return _make_silence(timeout)
 
 
+def _classify_end(fault: client.TransportFault) -> RunEnd:
+    silent = fault.kind is client.TransportFaultKind.SILENT
+    return RunEnd.SILENT if silent else RunEnd.BROKEN
+
+
 def _make_silence(timeout: float) -> client.TransportFault:
     return client.TransportFault(
         client.TransportFaultKind.SILENT,
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -35,6 +35,7 @@
     generation.RunEnd.BROKEN: 0.02,
     generation.RunEnd.FAILED: 0.1,
     generation.RunEnd.OUTDATED: 0.2,
+    generation.RunEnd.SILENT: 0.02,
 }
 """Delay before an item is run again, by how its last run ended.  After
 ``OUTDATED`` the engine needs time to load weights, or the registry to show the
@@ -332,6 +333,7 @@
                 slot.target,
                 route.single_version,
                 route.priority,
+                job.silent_runs,
                 functools.partial(
                     self._selector.should_move,
                     submission_run,
@@ -392,6 +394,8 @@
             return
         now = asyncio.get_running_loop().time()
         job.not_before = now + _RETRY_DELAYS_S.get(end, 0.0)
+        if end is generation.RunEnd.SILENT:
+            job.silent_runs += 1
         if end is generation.RunEnd.FAILED:
             job.failures += 1
         if job.failures >= route.max_attempts:
--- a/waxwingport/submissions/runs.py
+++ b/waxwingport/submissions/runs.py
@@ -25,6 +25,8 @@
     text: generation.Text
     failures: int = 0
     """Runs that the engine answered as failed."""
+    silent_runs: int = 0
+    """Runs that ended because no response or event came in time."""
     stored_events: int = 0
     """Events of the text that are stored in the log as a draft."""
     not_before: float = 0.0
