Run an item again after an unexpected error

An exception in the task of an item ended the task with the only reference to the item: it was never listed, and the log had no line on it but asyncio's. The item is logged as item-task-failed now and runs again after 1 s.

--- a/tests/gateway/test_slow_items.py
+++ b/tests/gateway/test_slow_items.py
@@ -64,3 +64,22 @@
     assert (await deployment.submit(served, 1)).status == 202
     (result,) = await deployment.read_all(served, 1)
     assert result['state'] == 'errored'
+
+
+async def test_an_unexpected_error_leaves_an_item_unlisted(
+    deployment, monkeypatch, caplog
+):
+    # Guards against a task that ends with the only reference to its item.
+    read = generation.ItemGenerator.run
+    failures = [RuntimeError('unexpected')]
+
+    async def fail_once(self, run):
+        if failures:
+            raise failures.pop()
+        return await read(self, run)
+
+    monkeypatch.setattr(generation.ItemGenerator, 'run', fail_once)
+    served = await deployment.start_node()
+    assert (await deployment.submit(served)).status == 202
+    assert len(await deployment.read_all(served)) == 4
+    assert 'item-task-failed' in caplog.text
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -40,6 +40,9 @@
 """Delay before an item is run again, by how its last run ended.  After
 ``OUTDATED`` the engine needs time to load weights, or the registry to show the
 engine's version."""
+_ERROR_DELAY_S = 1.0
+"""Delay before an item is run again after an unexpected error, which may occur
+at each run."""
 _RESTORE_TIMEOUT_S = 1.0
 """Bounds the read of drafts.  An item whose draft is not read starts anew;
 most drafts can be generated anew in a few times this bound."""
@@ -304,10 +307,36 @@
     ) -> asyncio.Task[None]:
         submission_run.waiting.pop(job.item.item_id, None)
         submission_run.started[job.item.item_id] = job
-        task = self._track(submission_run, coroutine)
+        task = self._track(
+            submission_run, self._run_guarded(submission_run, job, coroutine)
+        )
         task.add_done_callback(lambda _: self._wake.set())
         return task
 
+    async def _run_guarded(
+        self,
+        submission_run: runs.SubmissionRun,
+        job: runs.Job,
+        work: Coroutine[None, None, None],
+    ) -> None:
+        """Runs work on a job; after an unexpected error the job runs again."""
+        try:
+            await work
+        except Exception:
+            submission = submission_run.entry.submission
+            _LOG.critical(
+                'item-task-failed',
+                extra={
+                    'submission': submission.submission_id,
+                    'item': job.item.item_id,
+                },
+                exc_info=True,
+            )
+            now = asyncio.get_running_loop().time()
+            job.not_before = now + _ERROR_DELAY_S
+            job.start_over()
+            submission_run.waiting[job.item.item_id] = job
+
     def _track(
         self,
         submission_run: runs.SubmissionRun,
