Bound the bytes of answers that do not end

A whole answer was read into memory up to 256 MiB, each of several at once, on nodes of 200 MB; the rest of a refusal was discarded for half a second without a bound in bytes. Heads were bounded already (64 KiB, a few interim answers, the deadline of the exchange), and so was a trickle of single bytes.

Change: an answer that is read as a whole has 32 MiB at most, all of them together 64 MiB, the discarded rest of one 64 KiB.

--- a/tests/gateway/raw_server.py
+++ b/tests/gateway/raw_server.py
@@ -13,6 +13,10 @@
     ANSWERS = 'answers'
     BREAKS_OFF = 'breaks-off'
     CLOSES_AFTER_HEAD = 'closes-after-head'
+    ENDLESS_BODY = 'endless-body'
+    ENDLESS_HEAD = 'endless-head'
+    ENDLESS_INTERIM = 'endless-interim'
+    ENDLESS_REFUSAL = 'endless-refusal'
     EXTRA_ANSWER = 'extra-answer'
     FAILS = 'fails'
     FULL = 'full'
@@ -21,6 +25,8 @@
     OTHER_ID = 'other-id'
     RESETS = 'resets'
     SILENT = 'silent'
+    TRICKLES_BODY = 'trickles-body'
+    TRICKLES_HEAD = 'trickles-head'
     UNFRAMED = 'unframed'
     UNFRAMED_RESET = 'unframed-reset'
 
@@ -41,6 +47,7 @@
         self.disconnects = 0
         self.leaving = False
         self.open_connections = 0
+        self.endless_bytes = 0
         self._writers = set()
 
     async def start(self):
@@ -78,6 +85,15 @@
             self.runs.append((name, body))
         return await self._answer(behaviour, name, reader, writer)
 
+    async def _send_without_end(self, behaviour, name, writer):
+        start, piece, pause = ENDLESS[behaviour]
+        writer.write(start.replace(b'NAME', name.encode()))
+        while not writer.is_closing():
+            writer.write(piece)
+            self.endless_bytes += len(piece)
+            await writer.drain()
+            await asyncio.sleep(pause)
+
     async def _answer(self, behaviour, name, reader, writer):
         if behaviour in ANSWERS:
             answer = ANSWERS[behaviour](name)
@@ -86,6 +102,8 @@
                     b'\r\n', b'\r\nServer-Leaving: 1\r\n', 1
                 )
             writer.write(answer)
+        if behaviour in ENDLESS:
+            await self._send_without_end(behaviour, name, writer)
         if behaviour in (Behaviour.BREAKS_OFF, Behaviour.SILENT):
             # A client that leaves may reset the connection.
             with contextlib.suppress(ConnectionResetError):
@@ -137,6 +155,36 @@
         200, name, b'pa', framed=False
     ),
 }
+ENDLESS_START = (
+    b'HTTP/1.1 %s X\r\nRequest-Id: NAME\r\nResponse-Signature: s\r\n%s'
+)
+ENDLESS = {
+    Behaviour.ENDLESS_BODY: (
+        ENDLESS_START % (b'200', b'\r\n'),
+        b'x' * 65536,
+        0.0,
+    ),
+    Behaviour.ENDLESS_HEAD: (
+        ENDLESS_START % (b'200', b''),
+        b'X-More: ' + b'x' * 1000 + b'\r\n',
+        0.0,
+    ),
+    Behaviour.ENDLESS_INTERIM: (b'', b'HTTP/1.1 102 X\r\n\r\n', 0.001),
+    Behaviour.ENDLESS_REFUSAL: (
+        ENDLESS_START
+        % (b'503', b'Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n'),
+        b'2000\r\n' + b'x' * 8192 + b'\r\n',
+        0.001,
+    ),
+    Behaviour.TRICKLES_BODY: (
+        ENDLESS_START % (b'200', b'Content-Length: 999999\r\n\r\n'),
+        b'x',
+        0.02,
+    ),
+    Behaviour.TRICKLES_HEAD: (ENDLESS_START % (b'200', b'X-'), b'x', 0.02),
+}
+"""Start of the answer, the bytes that then come again and again, and the
+seconds between them."""
 KEEPS_CONNECTION = frozenset(
     {
         Behaviour.ANSWERS,
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -111,6 +111,8 @@
             str, collections.deque[tuple[float, iostream.IOStream]]
         ] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._whole_bytes = 0
+        """Bytes of the responses that are being read as a whole."""
 
     async def open(
         self, address: str, request: Request, timeout: float
@@ -157,7 +159,7 @@
             case Result(error=fault):
                 return Error(fault)
         try:
-            return await _read_whole(response)
+            return await self._read_whole(response)
         finally:
             response.close()
 
@@ -280,6 +282,35 @@
         connection.write_headers(start, headers, request.body or None)
         connection.finish()
 
+    async def _read_whole(
+        self, response: Response
+    ) -> Result[WholeResponse, TransportFault]:
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async for chunk in response.iterate_chunks():
+                match chunk:
+                    case Result(tag='ok', ok=data):
+                        parts.append(data)
+                        size += len(data)
+                        self._whole_bytes += len(data)
+                    case Result(error=fault):
+                        return Error(fault)
+                if not self._has_room(size):
+                    return Error(_make_oversize(size))
+        finally:
+            self._whole_bytes -= size
+        headers = tuple(response.headers.get_all())
+        return Ok(WholeResponse(response.status, headers, b''.join(parts)))
+
+    def _has_room(self, size: int) -> bool:
+        """Returns whether a response of ``size`` bytes may go on."""
+        settings = self._settings
+        return (
+            size <= settings.max_whole_size
+            and self._whole_bytes <= settings.whole_memory
+        )
+
     def _pop_idle(self, address: str) -> iostream.IOStream | None:
         idle = self._idle.get(address)
         earliest = (
@@ -317,6 +348,14 @@
     )
 
 
+def _make_oversize(size: int) -> TransportFault:
+    return TransportFault(
+        TransportFaultKind.BROKEN,
+        f'response exceeds the memory for it after {size} bytes',
+        sent=True,
+    )
+
+
 def _is_reusable(stream: iostream.IOStream) -> bool:
     """Returns whether an idle connection is open and has nothing to read.
 
@@ -333,17 +372,3 @@
     except OSError:
         return False
     return False
-
-
-async def _read_whole(
-    response: Response,
-) -> Result[WholeResponse, TransportFault]:
-    parts: list[bytes] = []
-    async for chunk in response.iterate_chunks():
-        match chunk:
-            case Result(tag='ok', ok=data):
-                parts.append(data)
-            case Result(error=fault):
-                return Error(fault)
-    headers = tuple(response.headers.get_all())
-    return Ok(WholeResponse(response.status, headers, b''.join(parts)))
--- a/waxwingport/http/exchange.py
+++ b/waxwingport/http/exchange.py
@@ -15,6 +15,9 @@
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 """Value of ``SO_LINGER`` with which a close discards unsent bytes."""
+_MAX_DISCARDED_BYTES = 64 * 1024
+"""Bytes of a response that is not read until a new connection costs less than
+to receive more of it."""
 _SUSPECT_SILENCE_S = 0.5
 """Time without a byte after which a failed exchange casts doubt on the idle
 connections to the same address; targets usually answer in a tenth of it."""
@@ -53,6 +56,7 @@
         self.fault: messages.TransportFault | None = None
         self.done = False
         self._discarding = False
+        self._discarded_bytes = 0
         self._arm_timer()
 
     def headers_received(
@@ -79,6 +83,12 @@
         """
         self._record_progress()
         if self._discarding:
+            self._discarded_bytes += len(chunk)
+            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+                self.fail(
+                    messages.TransportFaultKind.BROKEN,
+                    'the rest of the response does not end',
+                )
             return None
         self._chunks.append(chunk)
         self._buffered_bytes += len(chunk)
--- a/waxwingport/http/messages.py
+++ b/waxwingport/http/messages.py
@@ -33,6 +33,11 @@
     buffer_size: int = 1 * _MIB
     """Maximum number of bytes of a response buffered for a slow reader."""
     max_body_size: int = 256 * _MIB
+    """Bytes of a body that is read piece by piece."""
+    max_whole_size: int = 32 * _MIB
+    """Bytes of a response that is read as a whole."""
+    whole_memory: int = 64 * _MIB
+    """Bytes of all such responses that are being received."""
 
 
 class TransportFaultKind(enum.Enum):
