Detect answers of the store that belong to an earlier call

Answers of the store name no request. One that the store sent a second time, late, confirmed the next append on that connection, which may not have been stored, or passed records on a second time under later offsets. Bytes that arrive after a connection was taken from the pool were not noticed either; targets' answers are told apart by their request id.

Change: the pool's check is repeated right before the request is written; an append is confirmed only by an offset after the last one that was acknowledged, a page only if its records fit before its end. An answer that fails this counts as no answer.

A second answer of another partition with a fitting offset is not told apart.

--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -233,10 +233,12 @@
                 max_body_size=self._settings.max_body_size,
             ),
         )
-        if stream.closed():
+        # A late second answer may have arrived since the connection was taken
+        # from the pool.
+        if not _is_reusable(stream):
             exchange.fail(
                 TransportFaultKind.CONNECT,
-                f'{address}: closed before the request',
+                f'{address}: closed, or bytes before the request',
                 sent=False,
             )
             return
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -63,6 +63,11 @@
     end: ids.Offset
 
 
+class _Acknowledged(msgspec.Struct, frozen=True):
+    writer: base.Writer | None
+    end: ids.Offset
+
+
 class _AppendRefusal(msgspec.Struct, frozen=True):
     why: str = ''
 
@@ -98,6 +103,10 @@
         self._metrics = counters
         self._http = http
         self._settings = settings
+        self._acknowledged: dict[
+            tuple[base.Partition, str | None], _Acknowledged
+        ] = {}
+        """The last acknowledged append, by partition and writer's name."""
 
     async def append(
         self,
@@ -126,8 +135,33 @@
             (_CONTENT_TYPE,),
             body,
         )
+        key = partition, writer.name if writer is not None else None
+        earliest = self._find_earliest(key, writer)
         answer = await self._call(request, self._settings.timeout)
-        return answer.bind(_read_append)
+        found = answer.bind(_read_append).bind(
+            lambda result: _check_append(result, earliest)
+        )
+        if found.is_ok():
+            self._acknowledged[key] = _Acknowledged(writer, found.ok.end)
+        return found
+
+    def _find_earliest(
+        self,
+        key: tuple[base.Partition, str | None],
+        writer: base.Writer | None,
+    ) -> ids.Offset:
+        """Returns the least offset that a new append can get.
+
+        A writer's repeat of an acknowledged append gets the first answer.
+        """
+        last = self._acknowledged.get(key)
+        if last is None:
+            return ids.Offset(0)
+        if writer is not None and last.writer is not None:
+            number = last.writer.epoch, last.writer.sequence
+            if (writer.epoch, writer.sequence) <= number:
+                return ids.Offset(0)
+        return last.end
 
     async def read(
         self,
@@ -149,7 +183,9 @@
             query['wait-ms'] = str(round(wait * 1000))
         request = client.Request('GET', f'/log-read?{parse.urlencode(query)}')
         answer = await self._call(request, self._settings.timeout + wait)
-        return answer.bind(_read_page)
+        return answer.bind(_read_page).bind(
+            lambda page: _check_page(page, offset)
+        )
 
     async def read_newest(
         self, topic: base.Topic, after: str | None = None
@@ -225,6 +261,30 @@
     )
 
 
+def _check_append(
+    result: base.AppendResult, earliest: ids.Offset
+) -> Result[base.AppendResult, base.Fault]:
+    """Fails if the answer is that of an earlier append.
+
+    The store's answers do not name what they answer, and one may come twice.
+    ``earliest`` is the end of the last append that was acknowledged before.
+    """
+    if result.offset >= earliest:
+        return Ok(result)
+    detail = f'answer of an earlier append, at {result.offset}'
+    return Error(base.Fault(base.FaultKind.UNKNOWN, detail))
+
+
+def _check_page(
+    page: base.Page, offset: ids.Offset
+) -> Result[base.Page, base.Fault]:
+    """Fails if the records can't be those from ``offset`` on."""
+    if offset + len(page.records) <= page.end:
+        return Ok(page)
+    detail = f'page of another read, which ends at {page.end}'
+    return Error(base.Fault(base.FaultKind.UNKNOWN, detail))
+
+
 def _read_refusal(
     refusal: _AppendRefusal,
 ) -> Result[base.AppendResult, base.Fault]:
