Extend a late timeout of an item once

A timeout that fires late, as in a busy process, gives an event that may have arrived unread 0.15 s more, and since the time counts from the last event each further byte gave another 0.15 s.

The time is extended once for each event now. The new test failed before.

--- a/tests/gateway/test_slow_items.py
+++ b/tests/gateway/test_slow_items.py
@@ -83,3 +83,15 @@
     assert (await deployment.submit(served)).status == 202
     assert len(await deployment.read_all(served)) == 4
     assert 'item-task-failed' in caplog.text
+
+
+async def test_a_stalled_item_goes_on_at_a_busy_node(
+    deployment, short_timeouts, monkeypatch
+):
+    # Guards against a late timeout that is extended with each byte.
+    monkeypatch.setattr(generation, '_LATE_TIMEOUT_S', 0.0)
+    deployment.engine.stall_after = {'s1-0': 3}
+    served = await deployment.start_node()
+    assert (await deployment.submit(served, 1)).status == 202
+    (result,) = await deployment.read_all(served, 1)
+    assert result['output'].count('\n') == standin_engine.EVENTS - 1
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -245,13 +245,12 @@
         recorder = _Recorder(
             run, head.version, self._sender.dialect.read_event_version
         )
-        loop = asyncio.get_running_loop()
-        event_at = loop.time()
+        reader = _TimedReader(response)
         while True:
             timeout = timeouts.compute_silence_timeout(
                 run.target.pace.seconds, run.silent_runs
             )
-            piece = await _read_piece(response, event_at, timeout)
+            piece = await reader.read(timeout)
             if piece is None:
                 health.record_success(run.target)
                 return Ok(None)
@@ -264,13 +263,54 @@
             early_end = recorder.feed(piece)
             if early_end is not None:
                 return Error(early_end)
-            event_at = recorder.last_at or event_at
+            if recorder.last_at is not None:
+                reader.record_event(recorder.last_at)
             if run.should_move():
                 return Error(
                     (RunEnd.TO_FASTER_ENGINE, 'another engine is faster')
                 )
 
 
+class _TimedReader:
+    """Reads the pieces of a stream until no event has come in time.
+
+    Other bytes do not extend the time.
+    """
+
+    def __init__(self, response: client.Response) -> None:
+        self._response = response
+        self._event_at = asyncio.get_running_loop().time()
+        self._extended_until: float | None = None
+        """Loop time until which pieces may come after a late timeout."""
+
+    def record_event(self, at: float) -> None:
+        """Records the loop time of the last event."""
+        if at > self._event_at:
+            self._event_at = at
+            self._extended_until = None
+
+    async def read(
+        self, timeout: float
+    ) -> bytes | client.TransportFault | None:
+        """Returns the next piece, ``None`` at the end of the stream.
+
+        The stream is silent ``timeout`` seconds after its last event.  If
+        that is noticed late because this process was busy, the event may have
+        arrived unread, so that it gets a little more time, once.
+        """
+        loop = asyncio.get_running_loop()
+        due_at = self._event_at + timeout
+        while True:
+            try:
+                async with asyncio.timeout_at(self._extended_until or due_at):
+                    return await self._response.read_chunk()
+            except TimeoutError:
+                late = loop.time() - due_at >= _LATE_TIMEOUT_S
+                if not late or self._extended_until is not None:
+                    return _make_silence(timeout)
+                self._extended_until = loop.time() + _EXTRA_TIME_S
+
+
 class _Recorder:
     """Appends the events of one run to its text."""
 
@@ -333,37 +373,6 @@
     return run.single_version and bool(run.text.versions)
 
 
-async def _read_piece(
-    response: client.Response, event_at: float, timeout: float
-) -> bytes | client.TransportFault | None:
-    """Returns the next piece of a stream, ``None`` at its end.
-
-    The stream is silent ``timeout`` seconds after its last event, at the loop
-    time ``event_at``, whatever else it sent.  If the timeout passes late
-    because this process was busy, the piece may have arrived unread, so that
-    it gets a little more time.
-    """
-    loop = asyncio.get_running_loop()
-    due_at = event_at + timeout
-    try:
-        async with asyncio.timeout_at(due_at):
-            return await response.read_chunk()
-    except TimeoutError:
-        if loop.time() - due_at >= _LATE_TIMEOUT_S:
-            return await _read_late_piece(response, timeout)
-        return _make_silence(timeout)
-
-
-async def _read_late_piece(
-    response: client.Response, timeout: float
-) -> bytes | client.TransportFault | None:
-    try:
-        async with asyncio.timeout(_EXTRA_TIME_S):
-            return await response.read_chunk()
-    except TimeoutError:
-        return _make_silence(timeout)
-
-
 def _classify_end(fault: client.TransportFault) -> RunEnd:
     silent = fault.kind is client.TransportFaultKind.SILENT
     return RunEnd.SILENT if silent else RunEnd.BROKEN
