--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -288,3 +288,37 @@
     await asyncio.sleep(80.0)
     page = await make_sharers.log.read_newest(TOPIC)
     assert [record.key for record in page.ok.records] == ['n0', 'n1']
+
+
+async def test_a_limit_that_begins_as_another_one_ends_is_shared(make_sharers):
+    # Guards against a wake-up that is lost while the follower is stopped.
+    (node,) = make_sharers(1)
+    await asyncio.sleep(5.0)
+    node.target.limit = None
+    for _ in range(200):
+        await asyncio.sleep(0.005)
+        if not node.sharing._shared and node.sharing._claimed:
+            break
+    while node.sharing._claimed:
+        await asyncio.sleep(0)
+    node.limit()
+    started_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(10.0)
+    sent = collect([node], started_at)
+    assert len(sent) == pytest.approx(10.0 * RATE, abs=3)
+
+
+async def test_claims_are_not_repeated_in_haste_without_the_log(make_sharers):
+    make_sharers.log.down = True
+    make_sharers(1)
+    await asyncio.sleep(10.0)
+    assert make_sharers.log.appends <= 21
+
+
+async def test_a_node_that_resigned_claims_nothing_more(make_sharers):
+    (node,) = make_sharers(1)
+    await asyncio.sleep(5.0)
+    await node.sharing.resign()
+    await asyncio.sleep(5.0)
+    page = await make_sharers.log.read_newest(TOPIC)
+    assert page.ok.records == ()
--- a/waxwingport/gateway/sharing.py
+++ b/waxwingport/gateway/sharing.py
@@ -38,6 +38,8 @@
 """Time between two updates of the places and the shared clock."""
 _CLAIM_INTERVAL_S = 2.0
 """Time after which a claim is repeated."""
+_RETRY_INTERVAL_S = 0.5
+"""Least time between two tries to write a claim, while the log refuses it."""
 _CLAIM_LIFETIME_S = 6.0
 """Time after which a claim that was not repeated has no effect: two of its
 repetitions may get lost."""
@@ -96,6 +98,9 @@
         self._claimed: frozenset[fleet.InstanceId] = frozenset()
         """Targets in this node's last record."""
         self._claimed_at = float('-inf')
+        self._retry_at = float('-inf')
+        """Loop time before which a claim that failed is not repeated."""
+        self._resigned = False
         self._limited = asyncio.Event()
         """Set while a target has a limit or this node has a claim."""
         self._log_dependency: dependency.Dependency | None = None
@@ -123,11 +128,14 @@
                     await asyncio.sleep(_UPDATE_INTERVAL_S)
             finally:
                 await tasks.cancel_all([following])
-            self._claims.clear()
-            self._limited.clear()
+            # Another target may have named a limit meanwhile.
+            if not self._shared:
+                self._claims.clear()
+                self._limited.clear()
 
     async def resign(self) -> None:
         """Releases this node's shares for the others; called at a stop."""
+        self._resigned = True
         if not self._claimed:
             return
         try:
@@ -276,10 +284,14 @@
             and self._may_claim(shared)
         )
         due = now - self._claimed_at >= _CLAIM_INTERVAL_S
+        if self._resigned or now < self._retry_at:
+            return
         if wanted != self._claimed or (wanted and due):
             if await self._write(self._node, wanted):
                 self._claimed = wanted
                 self._claimed_at = now
+            else:
+                self._retry_at = now + _RETRY_INTERVAL_S
         elif wanted:
             await self._remove_expired(now)
 
