Soak with limits, stalls and garbage records

Engines name limits for six seconds and more, stall with a byte now and then, and records are written that no process of the system has written. Checked is from what callers and engines see: the sum over all nodes that had passed a limit on, and met no fault since, in any 4 s; and that no process ends without being told to.

--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -28,6 +28,9 @@
         self._process = None
         self._starting = asyncio.Lock()
         self.starts = 0
+        self._told_to_end = False
+        self.own_ends = []
+        """Exit codes of processes that ended without being told to."""
 
     @property
     def running(self):
@@ -44,10 +47,20 @@
         """Starts the process unless it runs; faults that overlap may ask."""
         async with self._starting:
             if not self.running:
+                self.record_own_end()
                 await self._run_process()
 
+    def record_own_end(self):
+        """Records the exit code if the process has ended by itself."""
+        process = self._process
+        if process is None or self.running or self._told_to_end:
+            return
+        self.own_ends.append(process.returncode)
+        self._told_to_end = True
+
     async def _run_process(self):
         self.starts += 1
+        self._told_to_end = False
         with self.log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -70,12 +83,16 @@
         """Kills the process with SIGKILL."""
         # Another process may have been started when this one has ended.
         process = self._process
+        self.record_own_end()
+        self._told_to_end = True
         if self.send_signal(signal.SIGKILL):
             await process.wait()
 
     async def stop(self):
         """Stops the process gracefully with SIGTERM."""
         process = self._process
+        self.record_own_end()
+        self._told_to_end = True
         if self.send_signal(signal.SIGTERM):
             # A process paused by SIGSTOP has to continue to handle SIGTERM.
             self.send_signal(signal.SIGCONT)
--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -48,6 +48,8 @@
         """Whether the head of a text is sent before its first event."""
         self.stall_after = {}
         """Event after which ``stall_bytes`` follow once, by request id."""
+        self.stalling = False
+        """Whether every text stalls after its third event."""
         self.stall_bytes = b'd'
         application = web.Application(
             [
@@ -153,6 +155,8 @@
             if self.engine.stall_after.get(name) == number:
                 del self.engine.stall_after[name]
                 await self._stall()
+            if self.engine.stalling and number == 3:
+                await self._stall()
             if self.engine.break_after.get(name) == number:
                 del self.engine.break_after[name]
                 self.request.connection.stream.close()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,13 @@
 DRAIN_TIME_S = 2.0
 """Time after an answer with the news of a leaving engine from which on the
 node that forwarded it sends no request there."""
+LIMIT_WINDOW_S = 4.0
+"""Time over which the requests to a limited engine are counted."""
+LIMIT_SETTLING_S = 3.0
+"""Time after an engine first named its limit from which on it is kept."""
+TOLD_TIME_S = 0.5
+"""Time after an answer with the limit from which on the node that forwarded
+it is counted."""
 FAULT_WINDOW_S = 3.0
 """Time after a fault from which on a node has to meet the times above."""
 
@@ -28,6 +35,7 @@
     def __init__(self):
         self._running = collections.Counter()
         self._last = {}
+        self._spans = collections.defaultdict(list)
         self._halts = collections.defaultdict(list)
         self._kills = collections.defaultdict(list)
 
@@ -42,6 +50,7 @@
         finally:
             for node in nodes:
                 self._running[node.name] -= 1
+                self._spans[node.name].append((started_at, read_clock()))
                 self._last[node.name] = read_clock()
                 if halts or kills:
                     self._halts[node.name].append((started_at, read_clock()))
@@ -53,6 +62,12 @@
         running = self._running[node.name]
         return not running and self._last.get(node.name, -math.inf) < since
 
+    def was_disturbed(self, node, first, last):
+        """Returns whether any fault of the node overlaps two times."""
+        return self._running[node.name] > 0 or _overlaps(
+            self._spans[node.name], first, last
+        )
+
     def was_halted(self, node, first, last):
         """Returns whether the process was halted between two times."""
         return _overlaps(self._halts[node.name], first, last)
@@ -168,3 +183,91 @@
             sent_at > told_at + DRAIN_TIME_S
             and not self._disturbances.was_halted(node, told_at, arrived_at)
         )
+
+
+class LimitCheck:
+    """Checks that nodes together keep to the limits that engines name.
+
+    Counts the requests that an engine saw from nodes that had forwarded its
+    limit and met no fault since.
+    """
+
+    def __init__(self, disturbances, violations):
+        self._disturbances = disturbances
+        self._violations = violations
+        self.spans = []
+        """Start of an engine, its limit, first and last time with it."""
+        self._sent = {}
+        self._told_at = collections.defaultdict(list)
+
+    def begin(self, engine, rate):
+        """Makes an engine name a limit; returns a function that ends it."""
+        engine.limit = str(rate)
+        start_name = engine.start_name
+        began_at = read_clock()
+
+        def end():
+            if engine.start_name == start_name:
+                engine.limit = None
+            self.spans.append((start_name, rate, began_at, read_clock()))
+
+        return end
+
+    def record_sent(self, node, name):
+        """Records that a caller sends a request to a node."""
+        self._sent[name] = node
+
+    def record_answer(self, node, headers):
+        """Records the headers of an answer that a node forwarded."""
+        fields = dict(headers)
+        if 'Server-Limit' in fields:
+            key = node.name, fields['Engine-Start']
+            self._told_at[key].append(read_clock())
+
+    def check(self, nodes, engines):
+        """Checks all requests that the engines saw."""
+        for start_name, rate, began_at, ended_at in self.spans:
+            arrivals = sorted(
+                at
+                for engine in engines
+                for at, at_start, name in engine.arrivals
+                if at_start == start_name
+                and began_at + LIMIT_SETTLING_S <= at <= ended_at
+                and self._counts(nodes, start_name, name, began_at, at)
+            )
+            busiest = max(
+                (
+                    sum(
+                        first <= at < first + LIMIT_WINDOW_S for at in arrivals
+                    )
+                    for first in arrivals
+                ),
+                default=0,
+            )
+            if busiest > 1.5 * LIMIT_WINDOW_S * rate + 5:
+                self._violations.append(
+                    f'{start_name} names {rate} a second and got {busiest} '
+                    f'requests in {LIMIT_WINDOW_S:g} s'
+                )
+
+    def _counts(self, nodes, start_name, name, began_at, arrived_at):
+        """Returns whether the nodes that may have sent it had to wait.
+
+        Any node may have sent an item, a reward call or an order.
+        """
+        senders = [self._sent[name]] if name in self._sent else nodes
+        return all(
+            self._is_bound(node, start_name, began_at, arrived_at)
+            for node in senders
+        )
+
+    def _is_bound(self, node, start_name, began_at, arrived_at):
+        told = [
+            at
+            for at in self._told_at[node.name, start_name]
+            if at >= began_at and at + TOLD_TIME_S <= arrived_at
+        ]
+        return any(
+            not self._disturbances.was_disturbed(node, at, arrived_at)
+            for at in told
+        )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,9 @@
 MAX_DURATION_S = 2.5
 """Longest duration of one fault."""
 MIN_DURATION_S = 0.3
+LIMIT_DURATION_S = 6.0
+"""Least time for which an engine names a limit: it is kept from 3 s on, and
+counted over 4 s."""
 MAX_FAILED_APPENDS = 6
 MAX_SERIES = 8
 """Most changes or signals of one series."""
@@ -23,9 +26,12 @@
     ``injected`` lists each fault's name and duration in seconds.
     """
 
-    def __init__(self, soak_run, rng, max_gap):
+    def __init__(self, soak_run, rng, engine_rng, max_gap):
         self._soak_run = soak_run
         self._rng = rng
+        self._engine_rng = engine_rng
+        """Draws the faults of engines and records, so that the others stay
+        those that a seed has always drawn."""
         self._max_gap = max_gap
         self._disturbances = soak_run.disturbances
         self.injected = []
@@ -35,12 +41,45 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._harm_engines(end))
             while loop.time() < end:
                 await asyncio.sleep(
                     self._rng.uniform(0.1, 1.0) * self._max_gap
                 )
                 group.create_task(self._inject_one())
 
+    async def _harm_engines(self, end):
+        rng = self._engine_rng
+        async with asyncio.TaskGroup() as group:
+            while asyncio.get_running_loop().time() < end:
+                fault = rng.choice(
+                    [self._limit, self._stall, self._write_garbage]
+                )
+                duration = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+                self.injected.append(
+                    (fault.__name__.strip('_'), round(duration, 2))
+                )
+                group.create_task(fault(duration))
+                await asyncio.sleep(rng.uniform(0.5, 2.0) * self._max_gap)
+
+    async def _limit(self, duration):
+        engine = self._engine_rng.choice(self._soak_run.engines)
+        if engine.limit is not None:
+            return
+        rate = round(self._engine_rng.uniform(1.0, 5.0), 1)
+        end_limit = self._soak_run.limits.begin(engine, rate)
+        await asyncio.sleep(LIMIT_DURATION_S + duration)
+        end_limit()
+
+    async def _stall(self, duration):
+        engine = self._engine_rng.choice(self._soak_run.engines)
+        engine.stalling = True
+        await asyncio.sleep(duration)
+        engine.stalling = False
+
+    async def _write_garbage(self, duration):
+        self._soak_run.write_garbage(self._engine_rng)
+
     async def _inject_one(self):
         fault = self._rng.choice(
             [
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -20,6 +20,7 @@
 
 OPERATOR = base.Topic('keyed.op')
 TARGETS = base.Topic('keyed.servers')
+LIMITS = base.Topic('keyed.limits')
 HOST = 'shop.example'
 ITEMS = 3
 LARGE_EVERY = 5
@@ -84,7 +85,10 @@
             self.disturbances, self.violations
         )
         self.leaving = checks.LeavingCheck(self.disturbances, self.violations)
-        self.faults = faults.Faults(self, self._rng, self._scale.max_gap)
+        self.limits = checks.LimitCheck(self.disturbances, self.violations)
+        self.faults = faults.Faults(
+            self, self._rng, random.Random(-seed), self._scale.max_gap
+        )
         self.accepted = {}
         """Ids of the items of each accepted submission."""
         self._accepted_at = {}
@@ -141,7 +145,9 @@
         await self._check_submissions()
         self._check_executions()
         self.leaving.check(self.nodes, self.engines)
+        self.limits.check(self.nodes, self.engines)
         self._check_unanswered()
+        self._check_own_ends()
         return self.violations
 
     def find_cut_off(self, number):
@@ -174,8 +180,21 @@
             engine.name += 'x'
         engine.born += 1
         engine.leaving = False
+        engine.limit = None
         self._register(number)
 
+    def write_garbage(self, rng):
+        """Writes records that no process of the system has written."""
+        topic, key = rng.choice(
+            [
+                (TARGETS, 'garbage'),
+                (OPERATOR, 'version/m'),
+                (LIMITS, 'garbage'),
+            ]
+        )
+        value = rng.choice([b'\xff\x00', b'{}', b'[1e999]', b'9' * 5000])
+        self.log.write_keyed(topic, key, value)
+
     def _register(self, number, state='ready'):
         engine = self.engines[number]
         entry = msgspec.json.decode(engine.make_entry('llm', state))
@@ -243,6 +262,7 @@
         if response.is_error():
             return 0, b''
         self.leaving.record_answer(node, response.ok.headers)
+        self.limits.record_answer(node, response.ok.headers)
         return response.ok.status, response.ok.body
 
     async def _submit(self, name):
@@ -289,6 +309,7 @@
     async def _call_once(self, name):
         node = self._rng.choice(self.nodes)
         self.leaving.record_sent(node, name)
+        self.limits.record_sent(node, name)
         status, _ = await self._call(node, 'POST', '/once/x', name)
         self.calls[status] += 1
         if status in REFUSAL_STATUSES:
@@ -306,6 +327,7 @@
         sent_at = checks.read_clock()
         start = node.starts
         self.leaving.record_sent(node, name)
+        self.limits.record_sent(node, name)
         status, _ = await self._call(
             node, 'POST', f'/probe/{number}/x', name, fresh=False
         )
@@ -328,6 +350,15 @@
                     f'{name} ran and {node.name} did not answer it'
                 )
 
+    def _check_own_ends(self):
+        """Checks that no process has ended without being told to."""
+        for node in self.nodes:
+            node.record_own_end()
+            self.violations += [
+                f'{node.name} ended by itself with code {code}'
+                for code in node.own_ends
+            ]
+
     async def _read_results(self, node, name):
         """Checks a submission's results; returns their number, or ``None``."""
         age = asyncio.get_running_loop().time() - self._accepted_at[name]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
     2,
     3,  # requests reached engines that had said that they leave
     16,  # reward calls reached such an engine
+    403,  # items were kept at an engine that sent a byte now and then
     237,  # a node that held leases did not stop while the log was away
 ]
 
