--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -29,6 +29,8 @@
         self._starting = asyncio.Lock()
         self.starts = 0
         self._told_to_end = False
+        self._log_size = 0
+        """Size of the log when the process was started."""
         self.own_ends = []
         """Exit codes of processes that ended without being told to."""
 
@@ -55,13 +57,17 @@
         process = self._process
         if process is None or self.running or self._told_to_end:
             return
-        self.own_ends.append(process.returncode)
         self._told_to_end = True
+        # Python ends at a SIGHUP before it runs the first line of a program.
+        early = self.log.stat().st_size == self._log_size
+        if not (early and process.returncode == -signal.SIGHUP):
+            self.own_ends.append(process.returncode)
 
     async def _run_process(self):
         self.starts += 1
         self._told_to_end = False
         with self.log.open('ab') as log:
+            self._log_size = log.tell()
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import pathlib
 import signal
 
 import pytest
@@ -118,3 +119,25 @@
     writer.write(encoded[60:])
     assert await read_answer(reader) == (200, False)
     writer.close()
+
+
+async def test_a_starting_process_ends_at_a_sighup(deployment, tmp_path):
+    # Guards against a signal that comes during the imports.
+    node = processes.NodeProcess(tmp_path, 'n1', deployment.store.address)
+    await node.run_process()
+    folder = pathlib.Path('/proc', str(node._process.pid))
+    async with asyncio.timeout(10.0):
+        while 'msgspec' not in (folder / 'maps').read_text():
+            await asyncio.sleep(0.001)
+    assert survives(folder, signal.SIGHUP)
+    await node.kill()
+
+
+def survives(folder, number):
+    """Returns whether a process ignores or handles a signal."""
+    masks = [
+        int(line.split()[1], 16)
+        for line in (folder / 'status').read_text().splitlines()
+        if line.startswith(('SigIgn', 'SigCgt'))
+    ]
+    return any(mask >> (number - 1) & 1 for mask in masks)
