Check orders of two holders in the soak

Weights are published every eighth round of calls; orders that reach an engine from two holders have to be a turn time apart, with rising fences, unless a fault of the sender ended just before.

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -34,6 +34,8 @@
         """Loop time, start and request id of each request but reports."""
         self.accepted = 0
         self.orders = []
+        self.order_arrivals = []
+        """Loop time, start of the engine, holder and fence of each order."""
         self.runs = []
         """Request ids with the event after which to resume the text."""
         self.sent = {}
@@ -126,6 +128,14 @@
     def post(self):
         order = msgspec.json.decode(self.request.body)
         self.engine.orders.append(order)
+        self.engine.order_arrivals.append(
+            (
+                asyncio.get_running_loop().time(),
+                self.engine.start_name,
+                order['holder'],
+                order['fencing-token'],
+            )
+        )
         if order['precondition'] != self.engine.accepted:
             self.set_status(409)
             return
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,6 +27,7 @@
                 f'{soak.configuration.version} versions, '
                 f'{len(soak.leaving.told_at)} told of leaving engines, '
                 f'{len(soak.limits.spans)} limits, '
+                f'{soak.count_orders()} orders, '
                 f'{len(soak.faults.injected)} faults, {len(violations)} wrong',
                 flush=True,
             )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,10 @@
 DRAIN_TIME_S = 2.0
 """Time after an answer with the news of a leaving engine from which on the
 node that forwarded it sends no request there."""
+TURN_TIME_S = 3.0
+"""Least time between the orders of two holders to one engine."""
+THAW_TIME_S = 0.3
+"""Time after a fault of its sender in which an order does not count."""
 LIMIT_WINDOW_S = 4.0
 """Time over which the requests to a limited engine are counted."""
 LIMIT_SETTLING_S = 3.0
@@ -271,3 +275,22 @@
             not self._disturbances.was_disturbed(node, at, arrived_at)
             for at in told
         )
+
+
+def check_orders(disturbances, nodes, engines):
+    """Returns the orders that two holders sent to an engine out of turn."""
+    by_name = {node.name: node for node in nodes}
+    found = []
+    for engine in engines:
+        last = {}
+        for at, start_name, holder, fence in engine.order_arrivals:
+            node = by_name[holder]
+            if disturbances.was_disturbed(node, at - THAW_TIME_S, at):
+                continue
+            before = last.get(start_name)
+            last[start_name] = at, holder, fence
+            if before is None or before[1] == holder:
+                continue
+            if at - before[0] < TURN_TIME_S or fence <= before[2]:
+                found.append(f'orders {before} and {last[start_name]}')
+    return found
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -26,6 +26,8 @@
 LARGE_EVERY = 5
 """Every so many seeds one runs at a larger scale."""
 REFUSAL_STATUSES = (429, 503)
+ROUNDS_PER_VERSION = 8
+"""Rounds of calls, of 0.2 s each, after which new weights are published."""
 EVENT_INTERVAL_S = 0.05
 CALL_DURATION_S = 0.2
 """Duration of a call, so that faults occur while it runs."""
@@ -148,8 +150,15 @@
         self.limits.check(self.nodes, self.engines)
         self._check_unanswered()
         self._check_own_ends()
+        self.violations += checks.check_orders(
+            self.disturbances, self.nodes, self.engines
+        )
         return self.violations
 
+    def count_orders(self):
+        """Returns how many orders reached the engines."""
+        return sum(len(engine.order_arrivals) for engine in self.engines)
+
     def find_cut_off(self, number):
         """Returns the nodes that a fault of a link cuts off from the log."""
         return self.nodes[number : number + 1]
@@ -195,6 +204,10 @@
         value = rng.choice([b'\xff\x00', b'{}', b'[1e999]', b'9' * 5000])
         self.log.write_keyed(topic, key, value)
 
+    def _publish_weights(self, version):
+        value = msgspec.json.encode({'model': 'm', 'version': version})
+        self.log.write_keyed(OPERATOR, 'version/m', value)
+
     def _register(self, number, state='ready'):
         engine = self.engines[number]
         entry = msgspec.json.decode(engine.make_entry('llm', state))
@@ -246,6 +259,8 @@
                 for name in list(self.accepted):
                     node = self._rng.choice(self.nodes)
                     group.create_task(self._read_results(node, name))
+                if number % ROUNDS_PER_VERSION == 0:
+                    self._publish_weights(number // ROUNDS_PER_VERSION + 2)
                 await asyncio.sleep(self._rng.uniform(0.1, 0.3))
 
     async def _call(
