--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -65,7 +65,6 @@
 
     async def _run_process(self):
         self.starts += 1
-        self._told_to_end = False
         with self.log.open('ab') as log:
             self._log_size = log.tell()
             self._process = await asyncio.create_subprocess_exec(
@@ -76,6 +75,8 @@
                 str(self._settings),
                 stdout=log,
             )
+        # Until now the process was the last one, which has ended.
+        self._told_to_end = False
 
     async def is_ready(self, http):
         response = await self.fetch_status(http, '/readiness')
