Leave requests at a stop the time that they had to finish

Found when the diff was read again: the wait for a quiet node took another 0.5 s from the requests in progress, which were interrupted 6.5 s after SIGTERM on the users' platform instead of 7.0 s, before the last sixth of the time that they have there. The wait and the release of shares now fit into the margin that was there before.

--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -141,3 +141,17 @@
         if line.startswith(('SigIgn', 'SigCgt'))
     ]
     return any(mask >> (number - 1) & 1 for mask in masks)
+
+
+async def test_a_request_is_interrupted_before_the_exit_margins(deployment):
+    # Guards against margins at a stop that come out of the time to finish.
+    served = await deployment.start_node(shutdown_timeout=3.0, drain_delay=0.1)
+    deployment.engine.score_pause = 1.7
+    call = asyncio.ensure_future(
+        deployment.call(served, 'POST', '/score/a', name='q1')
+    )
+    async with asyncio.timeout(5.0):
+        while not deployment.engine.runs:
+            await asyncio.sleep(0.01)
+    await served.stop()
+    assert (await call).status == 200
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -48,8 +48,8 @@
 _METRICS_PATH = '/metrics'
 _EXIT_MARGIN_S = 0.5
 """Time between the end of the last requests and the platform's SIGKILL.
-Interrupted requests have the same time to end, and so have callers that go on
-to connect to the node."""
+Interrupted requests have the same time to end, together with the refusal of
+callers that go on to connect to the node."""
 _QUIET_TIME_S = 0.1
 """Time without a new request after which the node closes.  Callers that it has
 refused go to other nodes; each of them may have been about to connect."""
@@ -248,12 +248,15 @@
             group.create_task(self.holder.resign())
             await self.request_tracker.drain(
                 node.drain_delay,
-                node.shutdown_timeout - node.drain_delay - 3 * _EXIT_MARGIN_S,
+                node.shutdown_timeout - node.drain_delay - 2 * _EXIT_MARGIN_S,
                 lambda: None,
             )
-        await self.request_tracker.wait_quiet(_QUIET_TIME_S, _EXIT_MARGIN_S)
-        await self.request_tracker.wait_idle(_EXIT_MARGIN_S)
-        await self.limit_sharing.resign()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.limit_sharing.resign())
+            await self.request_tracker.wait_quiet(
+                _QUIET_TIME_S, _EXIT_MARGIN_S / 2
+            )
+            await self.request_tracker.wait_idle(_EXIT_MARGIN_S / 2)
         await self.close()
 
     async def close(self) -> None:
