--- a/waxwingport/gateway/sharing.py
+++ b/waxwingport/gateway/sharing.py
@@ -53,7 +53,7 @@
 """Bounds the release of the shares before the node stops."""
 _UNPLACED_TIME_S = 1.0
 """Time without a place after which a node takes a small share by itself; a
-claim usually takes a twentieth of it."""
+claim usually takes an eighth of it."""
 _DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
 
 _LOG = logging.getLogger(__name__)
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -296,7 +296,7 @@
         loop = asyncio.get_running_loop()
         due_at = event_at + timeout
         while True:
-            # What has arrived already is read before the stream moves on.
+            # A busy process may be late to read an event that has arrived.
             overdue = loop.time() > due_at + _RECHECK_INTERVAL_S
             if overdue and self._has_alternative(stream):
                 stream.silent_runs += 1
