Claim a block of ports for each process of a test run

A process now takes the first block whose first port it can bind, and keeps that port bound until it ends.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -1,38 +1,47 @@
 """TCP ports for servers whose port must be known before they start."""
 
+import functools
 import itertools
-import os
 import socket
 
 FIRST_PORT = 20000
 """Below the ephemeral ports, which the system assigns by itself."""
-PORTS_PER_BLOCK = 1000
-STANDALONE_BLOCKS = range(6, 12)
-"""Blocks for processes that are not workers of a test run."""
+END_PORT = 32000
+PORTS_PER_BLOCK = 500
 
-_offsets = itertools.count()
+_offsets = itertools.count(1)
 
 
-def find_block():
-    """Returns the number of this process's block of ports.
+@functools.cache
+def claim_block():
+    """Returns the first port of a block that no other process uses.
 
-    With one block for all, two soak tests at the same time would use the same
-    ports and send requests to each other's nodes.
+    The process keeps it bound until it ends, which claims the block for it.
     """
-    worker = os.environ.get('PYTEST_XDIST_WORKER')
-    if worker is not None:
-        return int(worker.removeprefix('gw'))
-    return STANDALONE_BLOCKS[os.getpid() % len(STANDALONE_BLOCKS)]
+    for first in range(FIRST_PORT, END_PORT, PORTS_PER_BLOCK):
+        claim = socket.socket()
+        try:
+            claim.bind(('127.0.0.1', first))
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        return first
+    raise RuntimeError('other processes use all blocks of ports')
+
+
+_claims = []
+"""Sockets that are bound to the first ports of this process's blocks."""
 
 
 def find_port():
-    """Returns a free port that no other worker of this test run gets."""
-    first = FIRST_PORT + find_block() * PORTS_PER_BLOCK
+    """Returns a free port that no other process gets."""
+    first = claim_block()
     while True:
-        port = first + next(_offsets) % PORTS_PER_BLOCK
+        offset = next(_offsets) % PORTS_PER_BLOCK
         with socket.socket() as probe:
             try:
-                probe.bind(('127.0.0.1', port))
+                probe.bind(('127.0.0.1', first + offset))
             except OSError:
                 continue
-        return port
+        return first + offset
