--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -11,6 +11,8 @@
 
 EVENTS = 6
 """Number of events of each text."""
+CRASH_DELAY_S = 0.03
+"""Time from the start of a run that crashes its engine to the crash."""
 
 
 class StandinEngine:
@@ -53,6 +55,16 @@
         self.stalling = False
         """Whether every text stalls after its third event."""
         self.stall_bytes = b'd'
+        self.crashing_bodies = set()
+        """Bodies that crash the engine when it begins to run them."""
+        self.down_time = 2.0
+        """Seconds from a crash to the next start."""
+        self.on_restart = lambda: None
+        """Called after a restart that follows a crash."""
+        self.crashes = []
+        """Loop time of each crash and the body that caused it, if one did."""
+        self.up = True
+        self._restarts = set()
         application = web.Application(
             [
                 (r'/report', _Report),
@@ -61,13 +73,41 @@
                 (r'/score/.*', _Score),
                 (r'/once/.*', _Score),
                 (r'/probe/.*', _Score),
+                (r'/stream/.*', _Generate),
             ],
             engine=self,
         )
-        self._server = httpserver.HTTPServer(application)
-        sockets = netutil.bind_sockets(0, '127.0.0.1')
+        self._application = application
+        self._port = 0
+        self._listen()
+        self.address = f'127.0.0.1:{self._port}'
+
+    def _listen(self):
+        self._server = httpserver.HTTPServer(self._application)
+        sockets = netutil.bind_sockets(self._port, '127.0.0.1')
         self._server.add_sockets(sockets)
-        self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+        self._port = sockets[0].getsockname()[1]
+
+    async def crash(self, body=None):
+        """Ends all connections; the engine starts anew after a while."""
+        if not self.up:
+            return
+        self.up = False
+        self.crashes.append((asyncio.get_running_loop().time(), body))
+        self._server.stop()
+        restart = asyncio.ensure_future(self._restart())
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+        await self._server.close_all_connections()
+
+    async def _restart(self):
+        await asyncio.sleep(self.down_time)
+        self._listen()
+        self.up = True
+        self.born += 1
+        self.leaving = False
+        self.limit = None
+        self.on_restart()
 
     @property
     def start_name(self):
@@ -90,6 +130,8 @@
         )
 
     async def stop(self):
+        for restart in self._restarts:
+            restart.cancel()
         self._server.stop()
         await self._server.close_all_connections()
 
@@ -115,6 +157,13 @@
         if self.engine.limit is not None:
             self.set_header('Server-Limit', self.engine.limit)
 
+    async def crash_if_told(self):
+        body = self.request.body
+        if body in self.engine.crashing_bodies:
+            await asyncio.sleep(CRASH_DELAY_S)
+            await self.engine.crash(body)
+            raise web.Finish
+
 
 class _Report(_Handler):
     def get(self):
@@ -153,6 +202,7 @@
             self.set_status(421)
             return
         self.engine.runs.append((name, start))
+        await self.crash_if_told()
         self.set_header('Weight-Versions', str(self.engine.version))
         self.set_header('Content-Type', 'text/event-stream')
         if self.engine.early_head:
@@ -185,6 +235,7 @@
     async def post(self):
         name = self.request.headers['Request-Id']
         self.engine.runs.append((name, 0))
+        await self.crash_if_told()
         await asyncio.sleep(self.engine.score_pause)
         if name in self.engine.failing_scores:
             self.set_status(500)
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -22,6 +22,13 @@
 ROUTES = [
     {'name': 'r1', 'path-prefix': '/gen/', 'kind': 'rollout'},
     {'name': 'r2', 'path-prefix': '/score/', 'kind': 'idempotent'},
+    {'name': 'r3', 'path-prefix': '/once/', 'kind': 'non_idempotent'},
+    {
+        'name': 'r4',
+        'path-prefix': '/stream/',
+        'kind': 'streaming',
+        'resumable': True,
+    },
 ]
 
 
@@ -38,13 +45,20 @@
         self.write_entry()
         self.configure()
 
+    @property
+    def engines(self):
+        return [self.engine, *self.others]
+
     def write_entry(self):
-        entry = self.engine.make_entry('llm')
-        self.log.write_keyed(TARGETS, 'i1', entry)
+        self.register(self.engine)
+
+    def register(self, engine):
+        entry = engine.make_entry('llm')
+        self.log.write_keyed(TARGETS, engine.name, entry)
 
     def add_engine(self, name):
         found = standin_engine.StandinEngine(name)
-        self.log.write_keyed(TARGETS, name, found.make_entry('llm'))
+        self.register(found)
         self.others.append(found)
         return found
 
