Log by which digest a request is recognised, and its company at a target

Calls, streams, refusals and failed attempts now have the digest of method, host, path, credentials and body (no body is logged), and a failed attempt the number of the node's other requests at the target. The three hypotheses of the postmortem can be told apart by these: the same digest at several nodes (1), its attempts side by side (2), the company at each lost connection (3).

--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -88,3 +88,26 @@
     assert len(find_crashes(deployment)) >= 3
     assert len(find_late_retries(deployment, 'bad')) <= ALLOWED_RETRIES
     assert count_status(others, 200) >= 0.9 * len(others)
+
+
+def log_digests(caplog, event):
+    return [
+        record.digest for record in caplog.records if record.message == event
+    ]
+
+
+async def test_a_request_that_comes_again_is_not_recognised(
+    deployment, caplog
+):
+    caplog.set_level('INFO')
+    served = await deployment.start_node()
+    for name, path, body in (
+        ('a', '/score/x', b'same'),
+        ('b', '/score/x', b'same'),
+        ('c', '/score/x', b'other'),
+        ('d', '/score/y', b'same'),
+    ):
+        await deployment.call(served, 'POST', path, body, name)
+    first, second, *others = log_digests(caplog, 'call-routed')
+    assert first == second
+    assert len({first, *others}) == 3
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -183,6 +183,7 @@
             'call-routed',
             extra={
                 'request': state.call.request_id,
+                'digest': state.call.digest,
                 'route': route.name,
                 'instance': target.entry.instance,
                 'candidates': len(candidates),
@@ -245,7 +246,9 @@
             'attempt-failed',
             extra={
                 'request': state.call.request_id,
+                'digest': state.call.digest,
                 'instance': target.entry.instance,
+                'company': target.running,
                 'ran': not isinstance(outcome, attempts.NotRun),
                 'reason': detail,
             },
--- a/waxwingport/gateway/dialect.py
+++ b/waxwingport/gateway/dialect.py
@@ -45,6 +45,9 @@
     body: bytes
     timeout: float | None
     """Seconds that the caller waits from now on, or ``None`` if not stated."""
+    digest: ids.RequestDigest | None = None
+    """Recognises the request when it comes again; ``None`` for items and their
+    reward calls, which come once."""
 
 
 class Expectations(msgspec.Struct, frozen=True):
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -390,6 +390,7 @@
                 'ran': refusal.ran.value,
                 'retry_after_s': refusal.retry_after,
                 'path': call.path if call else None,
+                'digest': call.digest if call else None,
                 'configuration': (
                     configuration.version if configuration else None
                 ),
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -204,6 +204,7 @@
             'stream-routed',
             extra={
                 'request': stream.call.request_id,
+                'digest': stream.call.digest,
                 'route': stream.route.name,
                 'instance': target.entry.instance,
                 'limit': target.limit.rate if target.limit else None,
--- a/waxwingport/ids.py
+++ b/waxwingport/ids.py
@@ -19,6 +19,7 @@
     'Offset',
     'PoolName',
     'RecordId',
+    'RequestDigest',
     'RequestId',
     'Revision',
     'SampleNumber',
@@ -46,6 +47,8 @@
 PoolName = NewType('PoolName', str)
 RecordId = NewType('RecordId', str)
 """Chosen by the writer, so that the log recognises a repeated append."""
+RequestDigest = NewType('RequestDigest', str)
+"""Equal for requests that differ in nothing but their id and timeout."""
 RequestId = NewType('RequestId', str)
 Revision = NewType('Revision', int)
 """Offset of the last configuration record applied; -1 before the first."""
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -13,6 +13,7 @@
 from tornado import httputil
 
 from waxwingport.gateway import dialect
+from waxwingport.gateway import digests
 from waxwingport.gateway import routes
 from waxwingport.http import headers as http_headers
 from waxwingport.http import messages
@@ -60,6 +61,8 @@
 documentation."""
 _MOVED_STATUS = 421
 _REFUSAL_STATUSES = frozenset({400, 429, 503})
+_CALLER_HEADER = 'authorization'
+"""The only header by which callers of the same request may differ."""
 
 
 class _Reward(msgspec.Struct, frozen=True):
@@ -119,12 +122,14 @@
                 )
             timeout = milliseconds / 1000
         end_to_end = http_headers.keep_end_to_end(headers)
+        host = routes.normalize_host(fields.get('host', ''))
+        caller = fields.get(_CALLER_HEADER, '')
         return Ok(
             dialect.Call(
                 ids.RequestId(fields.get(_REQUEST_ID_HEADER.lower(), '')),
                 method,
                 path,
-                routes.normalize_host(fields.get('host', '')),
+                host,
                 tuple(
                     field
                     for field in end_to_end
@@ -132,6 +137,13 @@
                 ),
                 body,
                 timeout,
+                digests.compute_digest(
+                    *(
+                        text.encode(errors='surrogatepass')
+                        for text in (method, host, path, caller)
+                    ),
+                    body,
+                ),
             )
         )
 
