Stop a request that crashes targets at all nodes

Cause: `max-attempts` bounds the engines of one attempt of a caller. A request that comes again starts at 0, at any node, and a lost connection counts against the engine alone. Class: a bound over all attempts and nodes that each attempt keeps by itself.

Now a node checks, when the connection of a request closes before its answer, whether its target refuses connections. If so it reports the crash with the digests of the requests that it ended, in its record on the topic `keyed.crashes`. All nodes read all records and decide by the same rule (`scheduling/attribution.py`): the likely cause of a crash is the request that was at most crashes; one that explains three, or up to five where targets end for other reasons, is stopped, first for two minutes. An answer clears a request. A request that was at a crash is sent to one target at a time, and to two that crash at most. The gate is where the HTTP client already asks whether a target leaves, so that no way to an engine is without it; items and their reward calls are owed and never stopped.

The caller gets 503 with the time for which the request is stopped: it has not run, and one that was stopped wrongly learns when it is served again. A 4xx would tell a caller that was stopped wrongly to give up for good.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -11,6 +11,7 @@
 from waxwingport.gateway import calls
 from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
+from waxwingport.gateway import crashes
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport.gateway import server
@@ -52,6 +53,14 @@
             conditions.TargetConditions(
                 self.targets, self.http, dialect_, self.metrics
             ),
+            crashes.CrashWatch(
+                self.log,
+                ids.NodeName('n1'),
+                self.targets,
+                self.http,
+                clocks.SystemWallClock(),
+                self.metrics,
+            ),
         )
         pool = pools.TargetPool(
             self.targets, ids.DataCentre('here'), random.Random(1)
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -23,6 +23,7 @@
 LINE_PATTERN = re.compile(r'^\S+ (\S+) (\S+) ?(.*)$')
 IDS = {
     'dependency',
+    'digest',
     'instance',
     'item',
     'model',
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -1,6 +1,7 @@
 """One request sent to one target."""
 
 import asyncio
+import functools
 
 from expression import Result
 import msgspec
@@ -8,8 +9,10 @@
 from waxwingport.fleet import health
 from waxwingport.fleet import model as fleet
 from waxwingport.gateway import conditions
+from waxwingport.gateway import crashes
 from waxwingport.gateway import dialect
 from waxwingport.http import client
+from waxwingport import outcomes
 
 __all__ = ['Answered', 'Lost', 'NotRun', 'Outcome', 'Sender', 'open_attempt']
 
@@ -41,6 +44,10 @@
 
     signal: health.HealthSignal
     detail: str
+    closed: bool = False
+    """Whether the connection was closed, unlike after a time without bytes."""
+    crashed: bool = False
+    """Whether the target has crashed."""
 
 
 Outcome = Answered | NotRun | Lost
@@ -54,9 +61,11 @@
         http: client.HttpClient,
         dialect_: dialect.Dialect,
         conditions_: conditions.TargetConditions,
+        crash_watch: crashes.CrashWatch,
     ) -> None:
         self.http = http
         self.dialect = dialect_
+        self.crash_watch = crash_watch
         self._conditions = conditions_
 
     async def send(
@@ -81,8 +90,20 @@
         finally:
             target.running -= 1
         outcome = self._classify(call, fetched)
+        if isinstance(outcome, Answered):
+            self.crash_watch.record_answer(call.digest)
         record_outcome(target, outcome)
-        return outcome
+        return await self.examine(call, target, outcome)
+
+    async def examine(
+        self, call: dialect.Call, target: fleet.Target, outcome: Outcome
+    ) -> Outcome:
+        """Returns the outcome, with whether the target has crashed."""
+        if not isinstance(outcome, Lost) or not outcome.closed:
+            return outcome
+        if not await self.crash_watch.examine(target, call.digest):
+            return outcome
+        return msgspec.structs.replace(outcome, crashed=True)
 
     def make_request(
         self,
@@ -96,9 +117,11 @@
         It is withdrawn if the target accepts no work any more when the
         request is about to be sent.
         """
-        return self.dialect.make_request(
-            call, expected, fresh, self._conditions.make_peer(target)
+        peer = self._conditions.make_peer(
+            target,
+            functools.partial(self.crash_watch.is_stopped, call.digest),
         )
+        return self.dialect.make_request(call, expected, fresh, peer)
 
     def _classify(
         self,
@@ -136,7 +159,7 @@
         case Result(tag='ok', ok=response):
             pass
         case Result(error=fault):
-            return classify_fault(fault)
+            return await sender.examine(call, target, classify_fault(fault))
     header_fields = tuple(response.headers.get_all())
     head = sender.dialect.read_answer(response.status, header_fields)
     refusal = check_head(call, head)
@@ -150,13 +173,29 @@
     return refusal
 
 
+def make_stop(
+    crash_watch: crashes.CrashWatch, call: dialect.Call
+) -> outcomes.Refusal:
+    """Returns the refusal of a request that crashes targets.
+
+    It has not run.  A request that was stopped wrongly is served again after
+    ``retry_after``.
+    """
+    return outcomes.Refusal(
+        outcomes.Reason.CRASHES_TARGETS,
+        'targets crashed when they ran this request',
+        retry_after=crash_watch.compute_stop(call.digest),
+    )
+
+
 def classify_fault(fault: client.TransportFault) -> NotRun | Lost:
     """Returns ``Lost`` if the request was sent, else ``NotRun``."""
     if fault.kind is client.TransportFaultKind.WITHDRAWN:
         return NotRun(health.HealthSignal.WITHHELD, fault.detail)
     if not fault.sent:
         return NotRun(health.HealthSignal.UNREACHABLE, fault.detail)
-    return Lost(health.HealthSignal.BROKEN, fault.detail)
+    closed = fault.kind is client.TransportFaultKind.BROKEN
+    return Lost(health.HealthSignal.BROKEN, fault.detail, closed)
 
 
 def check_head(
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -27,6 +27,10 @@
 _EXTRA_SENDS = 2
 """Sends beyond a route's ``max_attempts`` after rejections without a run."""
 
+_MAX_CRASHES = 2
+"""Targets that may crash under one call; the caller's next try is the third,
+after which all nodes know whether the call is the cause."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -45,6 +49,8 @@
     """Attempts that ran or may have run."""
     sends: int = 0
     """Attempts, also those that the target rejected without a run."""
+    crashes: int = 0
+    """Targets that crashed under the call."""
     failures: int = 0
     """Number of 5xx responses."""
     failure: attempts.Answered | None = None
@@ -62,6 +68,7 @@
         pool: pools.TargetPool,
     ) -> None:
         self._sender = sender
+        self._crash_watch = sender.crash_watch
         self._pool = pool
         self._times: dict[str, hedging.ResponseTimes] = {}
 
@@ -84,6 +91,8 @@
             set(),
             {},
         )
+        if self._crash_watch.is_stopped(call.digest):
+            return self._refuse_stopped(state)
         try:
             return await self._run_attempts(state)
         finally:
@@ -158,8 +167,22 @@
             return False
         if state.sends >= route.max_attempts + _EXTRA_SENDS:
             return False
+        if not self._may_crash_another(state):
+            return False
         return idempotent or not (state.running or state.runs)
 
+    def _may_crash_another(self, state: _CallState) -> bool:
+        """Returns whether a further target may be put at risk by the call.
+
+        A call that was at a crash is sent to one target at a time.
+        """
+        digest = state.call.digest
+        if state.crashes >= _MAX_CRASHES:
+            return False
+        if self._crash_watch.is_stopped(digest):
+            return False
+        return not state.running or not self._crash_watch.is_suspect(digest)
+
     def _start_attempt(self, state: _CallState) -> bool:
         """Sends the call to one more target and returns ``True``.
 
@@ -239,8 +262,9 @@
                 if signal is health.HealthSignal.WITHHELD:
                     # Nothing was sent, so another target may be tried.
                     state.sends -= 1
-            case attempts.Lost(detail=detail):
+            case attempts.Lost(detail=detail, crashed=crashed):
                 state.runs += 1
+                state.crashes += crashed
                 state.lost_detail = detail
         _LOG.info(
             'attempt-failed',
@@ -268,10 +292,17 @@
                     outcomes.Ran.UNKNOWN,
                 )
             )
+        if self._crash_watch.is_stopped(state.call.digest):
+            return self._refuse_stopped(state)
         return self._refuse(
             state, outcomes.Reason.NO_TARGET, 'no target accepted the call'
         )
 
+    def _refuse_stopped(
+        self, state: _CallState
+    ) -> Result[attempts.Answered, outcomes.Refusal]:
+        return Error(attempts.make_stop(self._crash_watch, state.call))
+
     def _time_out(
         self, state: _CallState
     ) -> Result[attempts.Answered, outcomes.Refusal]:
--- a/waxwingport/gateway/conditions.py
+++ b/waxwingport/gateway/conditions.py
@@ -53,14 +53,17 @@
         """Calls ``listener`` with each target that begins to name a limit."""
         self._limit_listeners.append(listener)
 
-    def make_peer(self, target: fleet.Target) -> client.Peer:
+    def make_peer(
+        self, target: fleet.Target, is_stopped: Callable[[], bool]
+    ) -> client.Peer:
         """Returns the peer of a request of work to ``target``.
 
-        It withdraws the request if the target no longer accepts work when the
-        request is about to be sent, or if the target has a limit and no turn
-        was reserved for the request.
+        It withdraws the request if the target no longer accepts work or
+        ``is_stopped`` returns that the request may reach no target when it is
+        about to be sent, or if the target has a limit and no turn was reserved
+        for the request.
         """
-        return _TargetPeer(self, target)
+        return _TargetPeer(self, target, is_stopped)
 
     def make_control_peer(self, target: fleet.Target) -> client.Peer:
         """Returns the peer of a report or an order.
@@ -189,7 +192,19 @@
 
 
 class _TargetPeer(_Peer):
-    __slots__ = ()
+    __slots__ = ('_is_stopped',)
+
+    def __init__(
+        self,
+        conditions: TargetConditions,
+        target: fleet.Target,
+        is_stopped: Callable[[], bool],
+    ) -> None:
+        super().__init__(conditions, target)
+        self._is_stopped = is_stopped
+
+    def accepts_requests(self) -> bool:
+        return super().accepts_requests() and not self._is_stopped()
 
     def admit(self) -> bool:
         limit = self._target.limit
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -16,6 +16,7 @@
 from waxwingport.gateway import calls
 from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
+from waxwingport.gateway import crashes
 from waxwingport.gateway import pools
 from waxwingport.gateway import server
 from waxwingport.gateway import settings
@@ -110,6 +111,14 @@
             self._wall_clock,
         )
         self._conditions.add_limit_listener(self.limit_sharing.add)
+        self.crash_watch = crashes.CrashWatch(
+            self._log,
+            self._settings.node.name,
+            self.targets,
+            self._http,
+            self._wall_clock,
+            self.metrics,
+        )
         self._operator_follower = followers.KeyedFollower(
             self._log, operators.OPERATOR_TOPIC, self.configuration
         )
@@ -121,7 +130,9 @@
         settings_ = self._settings
         store_settings = settings_.store
         rng = random.Random()
-        sender = attempts.Sender(self._http, self._dialect, self._conditions)
+        sender = attempts.Sender(
+            self._http, self._dialect, self._conditions, self.crash_watch
+        )
         self.submission_view = view.SubmissionView(
             self._log, settings_.submissions, self._wall_clock
         )
@@ -233,6 +244,7 @@
             self.lease.run(),
             self.controller.run(),
             self.limit_sharing.run(),
+            self.crash_watch.run(),
         ):
             self.background.spawn(coroutine)
 
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -28,6 +28,7 @@
 
 _STATUSES = {
     outcomes.Reason.BAD_REQUEST: 400,
+    outcomes.Reason.CRASHES_TARGETS: 503,
     outcomes.Reason.DEADLINE: 503,
     outcomes.Reason.LOG_UNAVAILABLE: 503,
     outcomes.Reason.NOT_FOUND: 404,
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -36,6 +36,8 @@
 _RECHECK_INTERVAL_S = 0.05
 """Time after which a stream that is silent for too long, and has no other
 target to go to, looks for one again."""
+_MAX_CRASHES = 2
+"""Targets that may crash under one stream, as under one call."""
 _EVENT_END = b'\n\n'
 
 WriteHead = Callable[[int, tuple[tuple[str, str], ...]], Awaitable[None]]
@@ -66,6 +68,8 @@
     """Attempts that ran or may have run."""
     sends: int = 0
     """Attempts, also those that the target rejected without a run."""
+    crashes: int = 0
+    """Targets that crashed under the stream before it had an event there."""
     silent_runs: int = 0
     """Attempts that were ended because no event came in time."""
 
@@ -109,6 +113,7 @@
         pool: pools.TargetPool,
     ) -> None:
         self._sender = sender
+        self._crash_watch = sender.crash_watch
         self._pool = pool
 
     async def run(
@@ -144,15 +149,35 @@
                 case None:
                     return Ok(None)
                 case attempts.NotRun(signal=signal) as outcome:
-                    attempts.record_outcome(target, outcome)
+                    self._record_failure(stream, target, outcome)
                     if signal is health.HealthSignal.WITHHELD:
                         # Nothing was sent, so another target may be tried.
                         stream.sends -= 1
-                case attempts.Lost(detail=detail) as outcome:
-                    attempts.record_outcome(target, outcome)
+                case attempts.Lost(detail=detail, crashed=crashed) as outcome:
+                    self._record_failure(stream, target, outcome)
                     stream.runs += 1
+                    stream.crashes += crashed
                     lost_detail = detail
 
+    def _record_failure(
+        self,
+        stream: _Stream,
+        target: fleet.Target,
+        outcome: attempts.NotRun | attempts.Lost,
+    ) -> None:
+        attempts.record_outcome(target, outcome)
+        _LOG.info(
+            'attempt-failed',
+            extra={
+                'request': stream.call.request_id,
+                'digest': stream.call.digest,
+                'instance': target.entry.instance,
+                'company': target.running,
+                'ran': not isinstance(outcome, attempts.NotRun),
+                'reason': outcome.detail,
+            },
+        )
+
     async def _wait_for_turn(self, stream: _Stream) -> bool:
         """Waits until an attempt is possible; ``False`` if none will be."""
         return self._may_attempt(stream) and await self._pool.wait_for_turn(
@@ -170,6 +195,10 @@
             return False
         if stream.runs and not route.resumable:
             return False
+        if stream.crashes >= _MAX_CRASHES or self._crash_watch.is_stopped(
+            stream.call.digest
+        ):
+            return False
         # Rejected attempts are not runs and are limited here.
         return stream.sends <= _MAX_SENDS_PER_RUN * route.max_attempts
 
@@ -229,15 +258,33 @@
             response, head = opened
             now = asyncio.get_running_loop().time()
             attempts.record_load_report(target, head, now)
+            event_before = stream.last_event
             try:
-                return await self._forward(
+                outcome = await self._forward(
                     stream, target, response, write_head, write_body
                 )
             finally:
                 response.close()
+            return await self._judge_end(stream, target, outcome, event_before)
         finally:
             target.running -= 1
 
+    async def _judge_end(
+        self,
+        stream: _Stream,
+        target: fleet.Target,
+        outcome: attempts.Lost | None,
+        event_before: int,
+    ) -> attempts.Lost | None:
+        """Records how an attempt ended; returns why it is lost, if so.
+
+        A target that has made an event did not crash by the request.
+        """
+        if outcome is None or stream.last_event != event_before:
+            self._crash_watch.record_answer(stream.call.digest)
+            return outcome
+        return await self._sender.examine(stream.call, target, outcome)
+
     async def _forward(
         self,
         stream: _Stream,
@@ -259,7 +306,10 @@
                 stream, response, event_at if resumable else None
             )
             if isinstance(chunk, client.TransportFault):
-                return attempts.Lost(health.HealthSignal.BROKEN, chunk.detail)
+                closed = chunk.kind is client.TransportFaultKind.BROKEN
+                return attempts.Lost(
+                    health.HealthSignal.BROKEN, chunk.detail, closed
+                )
             if not stream.head_sent:
                 stream.head_sent = True
                 header_fields = tuple(response.headers.get_all())
@@ -340,6 +390,8 @@
                 lost_detail,
                 outcomes.Ran.UNKNOWN,
             )
+        if self._crash_watch.is_stopped(stream.call.digest):
+            return attempts.make_stop(self._crash_watch, stream.call)
         return outcomes.Refusal(
             outcomes.Reason.NO_TARGET,
             'no target accepted the request',
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -163,6 +163,22 @@
         finally:
             response.close()
 
+    async def is_refused(self, address: str) -> bool:
+        """Returns whether nothing listens at ``ip:port``.
+
+        Opens a connection and closes it.  Waits without a bound for a peer
+        that does not answer.
+        """
+        host, _, port = address.rpartition(':')
+        try:
+            stream = await self._connector.connect(host, int(port))
+        except iostream.StreamClosedError as error:
+            return isinstance(error.real_error, ConnectionError)
+        except OSError as error:
+            return isinstance(error, ConnectionError)
+        stream.close()
+        return False
+
     def close_idle(self, address: str) -> None:
         """Closes the idle connections to ``address``."""
         for _, stream in self._idle.pop(address, ()):
--- a/waxwingport/measure/gatewaylogs.py
+++ b/waxwingport/measure/gatewaylogs.py
@@ -17,6 +17,7 @@
 from waxwingport.gateway import calls
 from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
+from waxwingport.gateway import crashes
 from waxwingport.gateway import dialect
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
@@ -261,6 +262,14 @@
             conditions.TargetConditions(
                 target_registry, self._http, self._dialect, metrics.Metrics()
             ),
+            crashes.CrashWatch(
+                memory_log,
+                ids.NodeName('n1'),
+                target_registry,
+                self._http,
+                wall_clock,
+                metrics.Metrics(),
+            ),
         )
         pool = pools.TargetPool(
             target_registry, _DATA_CENTRE, random.Random(0)
--- a/waxwingport/outcomes.py
+++ b/waxwingport/outcomes.py
@@ -27,6 +27,7 @@
 
     BAD_REQUEST = 'bad-request'
     CONFLICT = 'conflict'
+    CRASHES_TARGETS = 'crashes-targets'
     DEADLINE = 'deadline-cannot-be-met'
     FORBIDDEN = 'forbidden'
     INTERRUPTED = 'interrupted'
