Replay which requests are stopped after crashes, under five rules

An answer within 10 s before a crash counts for the request now.

A test with generated crashes found that a request without any blame counted as stopped until the time of its last crash, where that lies ahead (a clock that was set back); mended.

--- /dev/null
+++ b/tests/experiment/test_crashes.py
@@ -0,0 +1,56 @@
+"""Replays calls at engines that crash: the cause is stopped, others are not.
+
+Load pattern: see the descriptions of the patterns.
+"""
+
+import pytest
+
+from waxwingport.experiment import crashes
+from waxwingport.experiment import patterns
+from waxwingport.experiment import policies
+from waxwingport.experiment import report
+
+SEEDS = range(10)
+ALLOWED_RETRIES = 3
+"""Late attempts of one request by the users' rule."""
+ACCEPTED_SHARE = 1 / 500
+"""Share of proper requests whose refusal the users accept."""
+
+
+def play(pattern, policy='current'):
+    read = patterns.read_pattern(pattern).ok
+    rule = policies.find_policy(policy).ok.blame_rule
+    return [crashes.replay(read, rule, seed) for seed in SEEDS]
+
+
+def add_up(pattern, policy='current'):
+    return report.summarise_crashes(play(pattern, policy))
+
+
+def test_a_replay_of_calls_can_be_repeated():
+    assert play('crashing-and-killed') == play('crashing-and-killed')
+
+
+@pytest.mark.parametrize(
+    'pattern', ['crashing-request', 'crashing-and-killed']
+)
+def test_a_request_that_crashes_engines_is_sent_for_ever(pattern):
+    for outcome in play(pattern):
+        assert outcome.crashes >= 3
+        assert outcome.late_sends <= ALLOWED_RETRIES
+    without = add_up(pattern, 'no-blame')
+    assert add_up(pattern).crashes < without.crashes / 10
+
+
+def test_company_of_one_cause_is_refused():
+    outcome = add_up('crashing-request')
+    assert outcome.refused == 0
+    assert outcome.served == outcome.others
+
+
+@pytest.mark.parametrize('pattern', ['killed-engines', 'crashing-and-killed'])
+def test_requests_at_killed_engines_are_refused(pattern):
+    current = add_up(pattern)
+    assert current.refused <= ACCEPTED_SHARE * current.others
+    assert current.refused < add_up(pattern, 'plain-count').refused / 100
+    assert current.refused < add_up(pattern, 'clearing-count').refused
--- a/tests/experiment/test_replay.py
+++ b/tests/experiment/test_replay.py
@@ -26,10 +26,24 @@
     return play
 
 
+def list_patterns(with_calls):
+    return [
+        name
+        for name in patterns.list_patterns()
+        if bool(patterns.read_pattern(name).ok.calls) is with_calls
+    ]
+
+
 @pytest.mark.parametrize('name', patterns.list_patterns())
-def test_every_pattern_is_played_to_its_end(name):
+def test_a_pattern_has_trainers_or_calls(name):
     pattern = patterns.read_pattern(name).ok
     assert pattern.name == name
+    assert bool(pattern.calls) is (pattern.trainers is None)
+
+
+@pytest.mark.parametrize('name', list_patterns(with_calls=False))
+def test_every_pattern_is_played_to_its_end(name):
+    pattern = patterns.read_pattern(name).ok
     outcome = replay.replay(pattern, policies.POLICIES[0], 1)
     trainers = pattern.trainers
     assert len(outcome.step_times) == trainers.count * trainers.steps
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -111,3 +111,90 @@
     first, second, *others = log_digests(caplog, 'call-routed')
     assert first == second
     assert len({first, *others}) == 3
+
+
+def find_refused(answers):
+    """Returns the answers that refuse a request as the cause of crashes."""
+    return [
+        answer
+        for answer in answers
+        if b'crashes-targets' in getattr(answer, 'body', b'')
+    ]
+
+
+async def test_requests_beside_the_one_that_crashes_engines_are_refused(
+    deployment,
+):
+    # One is sent often and long enough to be at nearly every crash.
+    nodes = await start_cluster(deployment)
+    for engine in deployment.engines:
+        engine.score_pause = 0.3
+    send = functools.partial(call_in_turn, deployment, nodes, '/score/x')
+    bad, often, new = await asyncio.gather(
+        send(lambda _: CRASHING_BODY, 0.3, 8.0, 'bad'),
+        send(lambda _: b'often', 0.1, 8.0, 'often'),
+        send(lambda n: b'body %d' % n, 0.1, 8.0, 'new'),
+    )
+    assert len(find_refused(bad)) >= len(bad) - 8
+    assert find_refused(often) == []
+    assert find_refused(new) == []
+    assert count_status(often, 200) >= 0.9 * len(often)
+    assert count_status(new, 200) >= 0.9 * len(new)
+
+
+@pytest.mark.parametrize('path', ['/score/x', '/once/x', '/stream/x'])
+async def test_engines_that_end_in_turn_get_a_request_refused(
+    deployment, path
+):
+    # A rolling kill, and every third time half of the engines at once.
+    nodes = await start_cluster(deployment)
+    for engine in deployment.engines:
+        engine.score_pause = 0.5
+        engine.pause = 0.1
+        engine.down_time = 0.5
+
+    async def end_engines():
+        for number in range(12):
+            first = number % len(deployment.engines)
+            count = 3 if number % 3 == 2 else 1
+            for engine in deployment.engines[first : first + count]:
+                await engine.crash()
+            await asyncio.sleep(0.6)
+
+    send = functools.partial(call_in_turn, deployment, nodes, path)
+    often, new, _ = await asyncio.gather(
+        send(lambda _: b'often', 0.05, 8.0, 'often'),
+        send(lambda n: b'body %d' % n, 0.05, 8.0, 'new'),
+        end_engines(),
+    )
+    assert sum(len(engine.crashes) for engine in deployment.engines) >= 12
+    assert find_refused([*often, *new]) == []
+
+
+async def test_items_under_which_engines_crash_are_given_up(deployment):
+    nodes = await start_cluster(deployment, nodes=2)
+    for engine in deployment.engines:
+        engine.pause = 0.2
+        engine.down_time = 0.5
+    assert (await deployment.submit(nodes[0], items=8)).status == 202
+    for number in range(8):
+        await asyncio.sleep(0.25)
+        await deployment.engines[number % 6].crash()
+    results = await deployment.read_all(nodes[1], 8)
+    assert {result['state'] for result in results} == {'completed'}
+
+
+async def test_a_call_that_crashes_engines_is_sent_to_two_at_once(deployment):
+    # A second attempt for slowness puts a second engine at risk.
+    (served, *_) = await start_cluster(deployment, nodes=1)
+    await deployment.call(served, 'POST', '/score/x', CRASHING_BODY, 'bad0')
+    count = len(find_crashes(deployment))
+    assert count == 2
+    await deployment.call(served, 'POST', '/score/x', CRASHING_BODY, 'bad1')
+    assert len(find_crashes(deployment)) == 3
+    answer = await deployment.call(
+        served, 'POST', '/score/x', CRASHING_BODY, 'bad2'
+    )
+    assert answer.status == 503
+    assert float(dict(answer.headers)['Retry-After']) > 60.0
+    assert len(find_crashes(deployment)) == 3
--- /dev/null
+++ b/tests/scheduling/test_attribution.py
@@ -0,0 +1,94 @@
+import hypothesis
+from hypothesis import strategies
+
+from waxwingport.scheduling import attribution
+
+NOW = 1.79e9
+
+
+def make_crashes(*candidates, gap=1.0):
+    """Returns crashes a second after each other, each of the given names."""
+    return {
+        attribution.TargetStart(f't{number}/1'): attribution.Crash(
+            NOW + gap * number, set(names.split())
+        )
+        for number, names in enumerate(candidates)
+    }
+
+
+def find_stopped(crashes, now=NOW + 10.0):
+    return {
+        name
+        for name, suspicion in attribution.find_suspicions(crashes).items()
+        if suspicion.compute_remaining(now) > 0.0
+    }
+
+
+def test_a_request_alone_at_three_crashes_is_sent_on():
+    assert find_stopped(make_crashes('bad', 'bad')) == set()
+    assert find_stopped(make_crashes('bad', 'bad', 'bad')) == {'bad'}
+
+
+def test_company_of_the_cause_is_stopped():
+    crashes = make_crashes('bad a b', 'bad a c', 'bad d', 'bad')
+    assert find_stopped(crashes) == {'bad'}
+
+
+def test_two_requests_that_are_always_together_are_both_stopped():
+    crashes = make_crashes('a b', 'a b', 'a b')
+    assert find_stopped(crashes) == set()
+    crashes = make_crashes('a b', 'a b', 'a b', 'a')
+    assert find_stopped(crashes) == {'a'}
+
+
+def test_two_causes_hide_each_other():
+    crashes = make_crashes('a', 'b', 'a b', 'a', 'b', 'a', 'b')
+    assert find_stopped(crashes) == {'a', 'b'}
+
+
+def test_chance_at_killed_targets_is_taken_for_the_cause():
+    # Where as many targets end without a likely cause, three are not enough.
+    crashes = make_crashes('x', 'y', 'z', 'bad', 'bad', 'bad')
+    assert find_stopped(crashes) == set()
+    crashes = make_crashes('x', 'y', 'z', 'bad', 'bad', 'bad', 'bad')
+    assert find_stopped(crashes) == {'bad'}
+
+
+def test_kills_hide_a_request_for_ever():
+    kills = [f'other{number}' for number in range(50)]
+    crashes = make_crashes(*kills, *(['bad'] * 5), gap=0.1)
+    assert find_stopped(crashes) == {'bad'}
+
+
+def test_kills_long_before_count_against_the_evidence():
+    crashes = make_crashes('x', 'y', 'z', 'bad', 'bad', 'bad', gap=20.0)
+    assert find_stopped(crashes, NOW + 110.0) == {'bad'}
+
+
+def test_a_stop_has_no_end_or_grows_without_bound():
+    times = []
+    for count in range(3, 9):
+        crashes = make_crashes(*(['bad'] * count))
+        suspicion = attribution.find_suspicions(crashes)['bad']
+        times.append(suspicion.stop_time)
+        end = suspicion.last_at + suspicion.stop_time
+        assert suspicion.compute_remaining(end - 1.0) > 0.0
+        assert suspicion.compute_remaining(end) == 0.0
+    assert times == sorted(times)
+    assert times[0] <= 120.0
+    assert times[-1] <= 3600.0
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.sets(strategies.sampled_from('abcdefgh'), max_size=5),
+        max_size=12,
+    )
+)
+def test_a_request_is_stopped_for_less_than_three_crashes(candidates):
+    crashes = make_crashes(*(' '.join(sorted(names)) for names in candidates))
+    suspicions = attribution.find_suspicions(crashes)
+    credited = sum(suspicion.credit for suspicion in suspicions.values())
+    assert credited <= len(crashes) + 1e-6
+    for name in find_stopped(crashes):
+        assert sum(name in names for names in candidates) >= 3
--- a/waxwingport/commands/experiments.py
+++ b/waxwingport/commands/experiments.py
@@ -8,6 +8,7 @@
 from expression import Result
 from rich import console
 
+from waxwingport.experiment import crashes
 from waxwingport.experiment import patterns
 from waxwingport.experiment import policies
 from waxwingport.experiment import replay
@@ -48,9 +49,20 @@
         if outcome.is_error():
             return Error(outcome.error)
     summaries: list[report.Summary] = []
+    crash_rows: list[tuple[str, str, crashes.CrashOutcome]] = []
     with output.status('') as status:
         for pattern in (outcome.ok for outcome in read):
             rows = []
+            if pattern.calls:
+                crash_rows += [
+                    (
+                        pattern.name,
+                        policy.name,
+                        _sum_crashes(pattern, policy, seeds),
+                    )
+                    for policy in (outcome.ok for outcome in found)
+                ]
+                continue
             for policy in (outcome.ok for outcome in found):
                 status.update(f'{pattern.name}: {policy.name}')
                 outcomes = [
@@ -67,9 +79,23 @@
                 if written.is_error():
                     return written
             summaries += rows
-    output.print(report.make_table(summaries))
+    if summaries:
+        output.print(report.make_table(summaries))
+    if crash_rows:
+        output.print(report.make_crash_table(crash_rows))
     return Ok(None)
 
 
+def _sum_crashes(
+    pattern: patterns.Pattern, policy: policies.Policy, seeds: int
+) -> crashes.CrashOutcome:
+    return report.summarise_crashes(
+        [
+            crashes.replay(pattern, policy.blame_rule, seed)
+            for seed in range(seeds)
+        ]
+    )
+
+
 def _raise(reason: str) -> patterns.Pattern:
     raise ValueError(reason)
--- /dev/null
+++ b/waxwingport/experiment/crashes.py
@@ -0,0 +1,241 @@
+"""Replay of calls at engines that crash, in virtual time.
+
+Some calls crash the engines that run them, others are only there.  The calls
+that a rule of blame stops reach no engine; the engines are a model.
+"""
+
+import collections
+from collections.abc import Callable
+import functools
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from waxwingport.experiment import blame
+from waxwingport.experiment import patterns
+from waxwingport import ids
+from waxwingport.scheduling import attribution
+
+__all__ = ['CrashOutcome', 'replay']
+
+_CRASH_DELAY_S = 0.05
+"""Time from the start of a run to the crash that it causes."""
+_MAX_ATTEMPTS = 3
+_MAX_CRASHES = 2
+"""Crashes after which a call is not sent to a further engine, as in a node."""
+_RETRIES = 5
+"""Further tries of a caller whose call failed."""
+_RETRY_DELAY_S = 0.2
+_SETTLING_S = 3.0
+"""Time after the third crash from which on a request should be stopped."""
+
+
+class CrashOutcome(msgspec.Struct, frozen=True):
+    """What a replay has shown."""
+
+    crashes: int
+    """Crashes that calls have caused."""
+    kills: int
+    """Engines that ended for other reasons."""
+    late_sends: int
+    """Calls that crash engines and reached one too late."""
+    refused: int
+    """Other calls that were stopped."""
+    served: int
+    """Other calls that were answered."""
+    others: int
+    """All other calls."""
+
+
+class _Engine(msgspec.Struct, eq=False):
+    name: str
+    starts: int = 0
+    up: bool = True
+    calls: list['_Call'] = []
+
+    @property
+    def start(self) -> attribution.TargetStart:
+        return attribution.TargetStart(f'{self.name}/{self.starts}')
+
+
+class _Call(msgspec.Struct, eq=False):
+    digest: ids.RequestDigest
+    settings: patterns.CallSettings
+    tried: set[str]
+    engine: _Engine | None = None
+    attempts: int = 0
+    crashes: int = 0
+    retries: int = 0
+
+
+def replay(
+    pattern: patterns.Pattern, rule: blame.BlameRule, seed: int
+) -> CrashOutcome:
+    """Plays a pattern with calls once; equal arguments, equal outcomes."""
+    return _Replay(pattern, rule, seed).run()
+
+
+class _Replay:
+    def __init__(
+        self, pattern: patterns.Pattern, rule: blame.BlameRule, seed: int
+    ) -> None:
+        self._pattern = pattern
+        self._rule = rule
+        self._rng = random.Random(seed)
+        self._now = 0.0
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._engines = [
+            _Engine(f'engine-{number}')
+            for number in range(pattern.engines.count)
+        ]
+        self._known: dict[attribution.TargetStart, attribution.Crash] = {}
+        self._crash_times: collections.defaultdict[
+            ids.RequestDigest, list[float]
+        ] = collections.defaultdict(list)
+        self._answered_at: dict[ids.RequestDigest, float] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    def run(self) -> CrashOutcome:
+        for settings in self._pattern.calls:
+            for number in range(round(settings.seconds / settings.gap)):
+                at = settings.at + settings.gap * (
+                    number + self._rng.uniform(-0.5, 0.5)
+                )
+                self._schedule(
+                    at, functools.partial(self._ask, settings, number)
+                )
+        for fault in self._pattern.faults:
+            self._schedule(fault.at, functools.partial(self._kill, fault))
+        while self._agenda:
+            self._now, _, action = heapq.heappop(self._agenda)
+            action()
+        return CrashOutcome(
+            self._counts['crashes'],
+            self._counts['kills'],
+            self._counts['late'],
+            self._counts['refused'],
+            self._counts['served'],
+            self._counts['others'],
+        )
+
+    def _schedule(self, at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._agenda, (at, next(self._numbers), action))
+
+    def _ask(self, settings: patterns.CallSettings, number: int) -> None:
+        name = settings.name if settings.same else f'{settings.name}-{number}'
+        if not settings.crashes:
+            self._counts['others'] += 1
+        self._send(_Call(ids.RequestDigest(name), settings, set()))
+
+    def _send(self, call: _Call) -> None:
+        """Sends a call to an engine that it has not tried, if it may."""
+        if call.digest in self._rule.find_stopped(self._known, self._now):
+            if not call.settings.crashes:
+                self._counts['refused'] += 1
+            return
+        ready = [
+            engine
+            for engine in self._engines
+            if engine.up and engine.name not in call.tried
+        ]
+        if (
+            not ready
+            or call.attempts >= _MAX_ATTEMPTS
+            or call.crashes >= _MAX_CRASHES
+        ):
+            self._retry(call)
+            return
+        engine = min(
+            ready, key=lambda found: (len(found.calls), self._rng.random())
+        )
+        call.attempts += 1
+        call.tried.add(engine.name)
+        call.engine = engine
+        engine.calls.append(call)
+        if call.settings.crashes:
+            if call.attempts == 1:
+                self._record_late(call)
+            self._schedule(
+                self._now + _CRASH_DELAY_S,
+                functools.partial(self._crash, call, engine),
+            )
+        else:
+            self._schedule(
+                self._now + call.settings.duration,
+                functools.partial(self._answer, call, engine),
+            )
+
+    def _retry(self, call: _Call) -> None:
+        """The caller sends a call again that has failed."""
+        if call.settings.crashes or call.retries >= _RETRIES:
+            return
+        again = _Call(call.digest, call.settings, set())
+        again.retries = call.retries + 1
+        self._schedule(
+            self._now + _RETRY_DELAY_S, functools.partial(self._send, again)
+        )
+
+    def _record_late(self, call: _Call) -> None:
+        times = self._crash_times[call.digest]
+        if len(times) >= 3 and self._now > times[2] + _SETTLING_S:
+            self._counts['late'] += 1
+
+    def _answer(self, call: _Call, engine: _Engine) -> None:
+        if call.engine is not engine:
+            return
+        engine.calls.remove(call)
+        call.engine = None
+        self._counts['served'] += 1
+        if not self._rule.clears:
+            return
+        self._answered_at[call.digest] = self._now
+        for start, crash in self._known.items():
+            if call.digest in crash.candidates:
+                self._known[start] = attribution.Crash(
+                    crash.at, set(crash.candidates) - {call.digest}
+                )
+
+    def _crash(self, call: _Call, engine: _Engine) -> None:
+        if call.engine is not engine:
+            return
+        self._counts['crashes'] += 1
+        self._crash_times[call.digest].append(self._now)
+        self._end(engine, self._pattern.engines.down_time)
+
+    def _kill(self, fault: patterns.Fault) -> None:
+        """Ends the first engines that run, as many as the fault says."""
+        ready = [engine for engine in self._engines if engine.up]
+        first = self._rng.randrange(max(1, len(ready)))
+        for engine in (ready[first:] + ready[:first])[: fault.engines]:
+            self._counts['kills'] += 1
+            self._end(engine, fault.seconds)
+
+    def _end(self, engine: _Engine, seconds: float) -> None:
+        lost, engine.calls = engine.calls, []
+        engine.up = False
+        self._known[engine.start] = attribution.Crash(
+            self._now,
+            {
+                call.digest
+                for call in lost
+                if not self._was_answered(call.digest)
+            },
+        )
+        self._schedule(
+            self._now + seconds, functools.partial(self._restart, engine)
+        )
+        for call in lost:
+            call.engine = None
+            call.crashes += 1
+            self._send(call)
+
+    def _was_answered(self, digest: ids.RequestDigest) -> bool:
+        at = self._answered_at.get(digest, float('-inf'))
+        return self._now - at <= attribution.ANSWER_VALIDITY_S
+
+    def _restart(self, engine: _Engine) -> None:
+        engine.starts += 1
+        engine.up = True
--- a/waxwingport/experiment/patterns.py
+++ b/waxwingport/experiment/patterns.py
@@ -11,6 +11,7 @@
 import msgspec
 
 __all__ = [
+    'CallSettings',
     'EngineSettings',
     'Fault',
     'FaultKind',
@@ -34,6 +35,8 @@
     """Share by which the gap is longer when all slots are taken."""
     prompt_time: float = 0.015
     """Seconds for which the start of a run delays the others there."""
+    down_time: float = 2.0
+    """Seconds from a crash that a call causes to the next start."""
 
 
 class TrainerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -56,11 +59,30 @@
     """Standard deviation of the logarithm of hint over length."""
 
 
+class CallSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Calls of one kind, beside each other or alone."""
+
+    name: str
+    gap: float
+    """Mean seconds between two calls."""
+    duration: float
+    """Seconds that a call takes."""
+    at: float = 0.0
+    seconds: float = 30.0
+    """Time over which they come."""
+    same: bool = True
+    """Whether all are the same request."""
+    crashes: bool = False
+    """Whether they crash the engines that run them."""
+
+
 class FaultKind(enum.Enum):
     """What happens to engines."""
 
     ADDED = 'added'
     """They are there only from then on, and serve nothing at first."""
+    CRASHED = 'crashed'
+    """They end, with all calls that they run, and start anew."""
     DARK = 'dark'
     """They answer nothing; open streams stay silent."""
     LOADING = 'loading'
@@ -87,7 +109,9 @@
     name: str
     description: str
     engines: EngineSettings
-    trainers: TrainerSettings
+    trainers: TrainerSettings | None = None
+    calls: tuple[CallSettings, ...] = ()
+    """A pattern has either trainers or calls."""
     faults: tuple[Fault, ...] = ()
 
 
--- a/waxwingport/experiment/policies.py
+++ b/waxwingport/experiment/policies.py
@@ -7,6 +7,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport.experiment import blame
 from waxwingport.scheduling import placement
 
 __all__ = ['POLICIES', 'Policy', 'find_policy']
@@ -27,6 +28,7 @@
     """Seconds without an event after which a stream is broken; by default
     derived from the engine's pace."""
     longest_first: bool = True
+    blame_rule: blame.BlameRule = blame.CurrentRule()
 
 
 _FULL_SHARE = 1.0
@@ -64,6 +66,26 @@
         placement.PlacementSettings(probes_models=False),
     ),
     Policy('any-order', 'items start in any order', longest_first=False),
+    Policy(
+        'no-blame',
+        'no request is stopped',
+        blame_rule=blame.NoRule(),
+    ),
+    Policy(
+        'plain-count',
+        'a request is stopped after three crashes',
+        blame_rule=blame.PlainCount(),
+    ),
+    Policy(
+        'clearing-count',
+        'a request is stopped after three crashes without an answer',
+        blame_rule=blame.ClearingCount(),
+    ),
+    Policy(
+        'by-company',
+        'the requests at a crash share it equally',
+        blame_rule=blame.ByCompany(),
+    ),
 )
 
 
--- a/waxwingport/experiment/replay.py
+++ b/waxwingport/experiment/replay.py
@@ -75,9 +75,8 @@
         self._numbers = itertools.count()
         self._engines = engines.make_engines(pattern.engines, policy)
         self._steps = workload.draw_steps(pattern, seed)
-        self._lengths = [
-            lengths.LengthEstimator() for _ in range(pattern.trainers.count)
-        ]
+        trainers = pattern.trainers.count if pattern.trainers else 0
+        self._lengths = [lengths.LengthEstimator() for _ in range(trainers)]
         self._waiting: list[engines.Item] = []
         self._ticking = False
         """Whether a dispatch is scheduled."""
--- a/waxwingport/experiment/report.py
+++ b/waxwingport/experiment/report.py
@@ -11,9 +11,17 @@
 import msgspec
 from rich import table
 
+from waxwingport.experiment import crashes
 from waxwingport.experiment import replay
 
-__all__ = ['Summary', 'make_table', 'summarise', 'write_plot']
+__all__ = [
+    'Summary',
+    'make_crash_table',
+    'make_table',
+    'summarise',
+    'summarise_crashes',
+    'write_plot',
+]
 
 _WORST_SHARE = 0.9
 """Quantile of the step times that is shown beside the mean."""
@@ -111,6 +119,40 @@
     return made
 
 
+def summarise_crashes(
+    outcomes: Sequence[crashes.CrashOutcome],
+) -> crashes.CrashOutcome:
+    """Returns the sums of several replays."""
+    return crashes.CrashOutcome(
+        *(
+            sum(getattr(outcome, name) for outcome in outcomes)
+            for name in crashes.CrashOutcome.__struct_fields__
+        )
+    )
+
+
+def make_crash_table(
+    rows: Sequence[tuple[str, str, crashes.CrashOutcome]],
+) -> table.Table:
+    """Returns a table of sums, a row for each pattern and policy."""
+    made = table.Table(title='calls at engines that crash', box=None)
+    for name in ('pattern', 'policy'):
+        made.add_column(name, no_wrap=True)
+    for name in ('crashes', 'kills', 'late', 'refused', 'served'):
+        made.add_column(name, justify='right')
+    for pattern, policy, outcome in rows:
+        made.add_row(
+            pattern,
+            policy,
+            str(outcome.crashes),
+            str(outcome.kills),
+            str(outcome.late_sends),
+            str(outcome.refused),
+            f'{outcome.served}/{outcome.others}',
+        )
+    return made
+
+
 def write_plot(
     summaries: Sequence[Summary], path: pathlib.Path
 ) -> Result[None, str]:
--- a/waxwingport/experiment/workload.py
+++ b/waxwingport/experiment/workload.py
@@ -22,6 +22,8 @@
     """Returns all steps of a pattern; the same ones for every policy."""
     settings = pattern.trainers
     rng = random.Random(seed)
+    if settings is None:
+        return []
     return [
         _draw_step(
             pattern,
--- a/waxwingport/gateway/crashes.py
+++ b/waxwingport/gateway/crashes.py
@@ -131,10 +131,10 @@
         """Set while this node's record is not written."""
         self._written: bytes | None = None
         self._checks: dict[attribution.TargetStart, asyncio.Task[bool]] = {}
-        self._answered: collections.OrderedDict[ids.RequestDigest, None] = (
+        self._answered: collections.OrderedDict[ids.RequestDigest, float] = (
             collections.OrderedDict()
         )
-        """Requests that were answered and have not been at a crash since."""
+        """Loop time of the last answer to each request."""
         self._crashes: dict[attribution.TargetStart, attribution.Crash] = {}
         self._suspicions: dict[ids.RequestDigest, attribution.Suspicion] = {}
         self._stopped: set[ids.RequestDigest] = set()
@@ -158,7 +158,7 @@
         """Records that a target ran a request and answered."""
         if digest is None:
             return
-        self._answered[digest] = None
+        self._answered[digest] = asyncio.get_running_loop().time()
         self._answered.move_to_end(digest)
         if len(self._answered) > _MAX_ANSWERED:
             self._answered.popitem(last=False)
@@ -208,10 +208,7 @@
             return False
 
     def _report(self, target: fleet.Target, digest: ids.RequestDigest) -> None:
-        answered_before = digest in self._answered
-        # Only one crash is forgiven: from now on the request has to be
-        # answered again.
-        self._answered.pop(digest, None)
+        answered_before = self._was_answered(digest)
         known = digest in self._suspicions
         report = self._find_report(target, known)
         reported = (
@@ -236,6 +233,12 @@
             },
         )
 
+    def _was_answered(self, digest: ids.RequestDigest) -> bool:
+        """Returns whether a request was answered a short time ago."""
+        at = self._answered.get(digest, float('-inf'))
+        age = asyncio.get_running_loop().time() - at
+        return age <= attribution.ANSWER_VALIDITY_S
+
     def _find_report(
         self, target: fleet.Target, suspected: bool
     ) -> _Report | None:
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -20,11 +20,20 @@
 
 from waxwingport import ids
 
-__all__ = ['Crash', 'Suspicion', 'TargetStart', 'find_suspicions']
+__all__ = [
+    'ANSWER_VALIDITY_S',
+    'Crash',
+    'Suspicion',
+    'TargetStart',
+    'find_suspicions',
+]
 
 TargetStart = NewType('TargetStart', str)
 """One run of a target, from its start to its end."""
 
+ANSWER_VALIDITY_S = 10.0
+"""Time after an answer in which a crash says nothing against a request: one
+that is sent often is at several targets when they end together."""
 _MIN_CRASHES = 3
 """Crashes after which a request is stopped if nothing else explains them: as
 many as the users accept."""
@@ -83,7 +92,10 @@
 
     def compute_remaining(self, now: float) -> float:
         """Returns the seconds for which it is still stopped at ``now``."""
-        return max(0.0, self.last_at + self.stop_time - now)
+        stop_time = self.stop_time
+        if not stop_time:
+            return 0.0
+        return max(0.0, self.last_at + stop_time - now)
 
 
 def find_suspicions(
