Stop as few requests as explain the crashes, and place suspects apart

The request that was at most crashes now explains them all, the next one is judged by what remains. One that was stopped wrongly is free again as soon as the cause has crashed an engine without it. Of equals the one that was there for the shortest time is the cause, and a suspect is sent to the target that rendezvous hashing gives for it, so that suspects part.

The soak counts both: what reaches engines late, and refusals of others.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -52,6 +52,7 @@
             loop_clocks.LoopWallClock(NOW),
             metrics.Metrics(),
         )
+        self.sent_at = 0.0
         self.task = None
         for number in range(TARGETS):
             self.register(f't{number}')
@@ -87,7 +88,10 @@
         """A target closes the connections of these requests."""
         target = self.targets.find(name)
         found = await asyncio.gather(
-            *(self.watch.examine(target, digest) for digest in digests)
+            *(
+                self.watch.examine(target, digest, self.sent_at)
+                for digest in digests
+            )
         )
         return all(found)
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,9 @@
                 f'{len(soak.leaving.told_at)} told of leaving engines, '
                 f'{len(soak.limits.spans)} limits, '
                 f'{soak.count_orders()} orders, '
+                f'{soak.count_crashes()} crashes by '
+                f'{soak.crashing_requests} requests, '
+                f'{soak.crashes.refused} refused, '
                 f'{len(soak.faults.injected)} faults, {len(violations)} wrong',
                 flush=True,
             )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,10 @@
 TOLD_TIME_S = 0.5
 """Time after an answer with the limit from which on the node that forwarded
 it is counted."""
+CRASH_SETTLING_S = 3.0
+"""Time after a request's third crash from which on it is stopped."""
+MAX_LATE_RETRIES = 3
+"""Requests that may reach engines after that."""
 FAULT_WINDOW_S = 3.0
 """Time after a fault from which on a node has to meet the times above."""
 
@@ -137,6 +141,67 @@
                 )
 
 
+class CrashCheck:
+    """Checks that requests which crash engines are stopped, and no others."""
+
+    def __init__(self, disturbances, violations):
+        self._disturbances = disturbances
+        self._violations = violations
+        self._sent = {}
+        """Body and node of each request that crashes engines, by its id."""
+        self.refused = 0
+        """Answers that refused such a request."""
+        self.log_troubles = []
+        """First and last time of lost or refused appends."""
+
+    def record_sent(self, node, name, body):
+        """Records that a caller sends a request that crashes engines."""
+        self._sent[name] = body, node
+
+    def record_answer(self, name, body):
+        """Checks that only such requests are refused for crashes."""
+        if b'crashes-targets' not in body:
+            return
+        if name in self._sent:
+            self.refused += 1
+        else:
+            self._violations.append(f'{name} was refused for crashes')
+
+    def check(self, engines):
+        """Checks what reached engines later than the third crash."""
+        for wanted in {body for body, _ in self._sent.values()}:
+            crashes = sorted(
+                at
+                for engine in engines
+                for at, body in engine.crashes
+                if body == wanted
+            )
+            if len(crashes) < 3:
+                continue
+            since = crashes[2] + CRASH_SETTLING_S
+            late = {
+                name
+                for engine in engines
+                for at, _, name in engine.arrivals
+                if at > since
+                and name in self._sent
+                and self._sent[name][0] == wanted
+                and self._is_in_touch(self._sent[name][1], at)
+            }
+            if len(late) > MAX_LATE_RETRIES:
+                self._violations.append(
+                    f'{wanted} crashed {len(crashes)} engines, '
+                    f'{sorted(late)} were sent too late'
+                )
+
+    def _is_in_touch(self, node, at):
+        since = at - FAULT_WINDOW_S
+        return not (
+            self._disturbances.was_disturbed(node, since, at)
+            or _overlaps(self.log_troubles, since, at)
+        )
+
+
 class LeavingCheck:
     """Checks that nodes send nothing new to an engine that leaves."""
 
--- a/waxwingport/experiment/policies.py
+++ b/waxwingport/experiment/policies.py
@@ -29,6 +29,8 @@
     derived from the engine's pace."""
     longest_first: bool = True
     blame_rule: blame.BlameRule = blame.CurrentRule()
+    isolates_suspects: bool = True
+    """Whether requests that were at a crash are sent apart from each other."""
 
 
 _FULL_SHARE = 1.0
@@ -66,6 +68,11 @@
         placement.PlacementSettings(probes_models=False),
     ),
     Policy('any-order', 'items start in any order', longest_first=False),
+    Policy(
+        'no-isolation',
+        'requests that were at a crash are sent like others',
+        isolates_suspects=False,
+    ),
     Policy(
         'no-blame',
         'no request is stopped',
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -82,6 +82,7 @@
         a connection of its own.
         """
         request = self.make_request(call, target, expected, fresh)
+        sent_at = asyncio.get_running_loop().time()
         target.running += 1
         try:
             fetched = await self.http.fetch(
@@ -93,15 +94,22 @@
         if isinstance(outcome, Answered):
             self.crash_watch.record_answer(call.digest)
         record_outcome(target, outcome)
-        return await self.examine(call, target, outcome)
+        return await self.examine(call, target, outcome, sent_at)
 
     async def examine(
-        self, call: dialect.Call, target: fleet.Target, outcome: Outcome
+        self,
+        call: dialect.Call,
+        target: fleet.Target,
+        outcome: Outcome,
+        sent_at: float,
     ) -> Outcome:
-        """Returns the outcome, with whether the target has crashed."""
+        """Returns the outcome, with whether the target has crashed.
+
+        ``sent_at`` is the loop time at which the call was sent.
+        """
         if not isinstance(outcome, Lost) or not outcome.closed:
             return outcome
-        if not await self.crash_watch.examine(target, call.digest):
+        if not await self.crash_watch.examine(target, call.digest, sent_at):
             return outcome
         return msgspec.structs.replace(outcome, crashed=True)
 
@@ -154,12 +162,15 @@
     The caller records the outcome with ``target`` and closes the response.
     """
     request = sender.make_request(call, target, expected, fresh)
+    sent_at = asyncio.get_running_loop().time()
     fetched = await sender.http.open(target.entry.address, request, timeout)
     match fetched:
         case Result(tag='ok', ok=response):
             pass
         case Result(error=fault):
-            return await sender.examine(call, target, classify_fault(fault))
+            return await sender.examine(
+                call, target, classify_fault(fault), sent_at
+            )
     header_fields = tuple(response.headers.get_all())
     head = sender.dialect.read_answer(response.status, header_fields)
     refusal = check_head(call, head)
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -195,7 +195,8 @@
         idempotent = route.kind is routes.RouteKind.IDEMPOTENT
         loop = asyncio.get_running_loop()
         candidates = self._pool.find_untried(state.service, state.tried)
-        target = self._pool.choose(candidates)
+        key = self._crash_watch.make_placement_key(state.call.digest)
+        target = self._pool.choose(candidates, key)
         if target is None:
             return False
         state.tried.add(target.entry.instance)
--- a/waxwingport/gateway/crashes.py
+++ b/waxwingport/gateway/crashes.py
@@ -82,9 +82,9 @@
     """Start of the target in milliseconds since 1970, if known."""
     at: float
     """Seconds since 1970."""
-    requests: list[ids.RequestDigest]
+    requests: dict[ids.RequestDigest, float]
     """This node's requests that the crash ended, without those that were
-    answered since."""
+    answered since, with the seconds since they were sent."""
 
     @property
     def start(self) -> attribution.TargetStart:
@@ -165,14 +165,27 @@
         if digest in self._suspicions:
             self._clear(digest)
 
+    def make_placement_key(
+        self, digest: ids.RequestDigest | None
+    ) -> str | None:
+        """Returns the key by which a suspected request is placed, if it is."""
+        suspicion = self._suspicions.get(digest) if digest else None
+        if suspicion is None:
+            return None
+        return attribution.make_placement_key(digest, suspicion)
+
     async def examine(
-        self, target: fleet.Target, digest: ids.RequestDigest | None
+        self,
+        target: fleet.Target,
+        digest: ids.RequestDigest | None,
+        sent_at: float,
     ) -> bool:
         """Returns whether a target crashed that closed a connection.
 
-        Reports the request that it ran.  A target that leaves ends as it has
-        said.
+        Reports the request that it ran, sent at the loop time ``sent_at``.  A
+        target that leaves ends as it has said.
         """
+        age = asyncio.get_running_loop().time() - sent_at
         if digest is None or target.stage is not fleet.Stage.READY:
             return False
         start = _name_start(target.entry.instance, target.entry.started_at_ms)
@@ -185,7 +198,7 @@
             check.add_done_callback(lambda _: self._checks.pop(start))
         if not await asyncio.shield(check):
             return False
-        self._report(target, digest)
+        self._report(target, digest, age)
         return True
 
     async def run(self) -> None:
@@ -207,7 +220,9 @@
             # The target is cut off, as far as can be told.
             return False
 
-    def _report(self, target: fleet.Target, digest: ids.RequestDigest) -> None:
+    def _report(
+        self, target: fleet.Target, digest: ids.RequestDigest, age: float
+    ) -> None:
         answered_before = self._was_answered(digest)
         known = digest in self._suspicions
         report = self._find_report(target, known)
@@ -217,7 +232,7 @@
             and (known or len(report.requests) < _MAX_CANDIDATES)
         )
         if reported and digest not in report.requests:
-            report.requests.append(digest)
+            report.requests[digest] = round(age, 3)
             self._record_change()
         suspicion = self._suspicions.get(digest)
         _LOG.info(
@@ -229,6 +244,7 @@
                 'reported': reported,
                 'answered_before': answered_before,
                 'company': target.running,
+                'age_s': round(age, 3),
                 'crashes': suspicion.crashes if suspicion else 0,
             },
         )
@@ -257,7 +273,7 @@
             recent += now - report.at < 1.0
         if recent >= _MAX_NEW_REPORTS and not suspected:
             return None
-        made = _Report(entry.instance, entry.started_at_ms, now, [])
+        made = _Report(entry.instance, entry.started_at_ms, now, {})
         self._own.reports.append(made)
         if len(self._own.reports) > _MAX_REPORTS:
             # An empty one tells least.
@@ -274,8 +290,7 @@
         """Withdraws a request from the crashes that are known."""
         suspicion = self._suspicions[digest]
         for report in self._own.reports:
-            if digest in report.requests:
-                report.requests.remove(digest)
+            report.requests.pop(digest, None)
         others = [
             start
             for start, crash in self._crashes.items()
@@ -324,13 +339,20 @@
                 if report.is_expired(now) or self._is_refuted(report, now):
                     continue
                 start = report.start
-                before = found.get(start)
-                candidates = set(report.requests) - answered[start]
+                candidates = {
+                    digest: age
+                    for digest, age in report.requests.items()
+                    if digest not in answered[start]
+                }
                 # A clock that is ahead must not stop a request for longer.
                 at = min(report.at, now)
+                before = found.get(start)
                 if before is not None:
                     at = min(at, before.at)
-                    candidates |= set(before.candidates)
+                    for digest, age in before.candidates.items():
+                        candidates[digest] = min(
+                            age, candidates.get(digest, age)
+                        )
                 found[start] = attribution.Crash(at, candidates)
         self._crashes = found
         self._suspicions = attribution.find_suspicions(found)
@@ -385,7 +407,7 @@
                 extra={
                     'digest': digest,
                     'crashes': suspicion.crashes,
-                    'credit': round(suspicion.credit, 2),
+                    'credit': suspicion.credit,
                     'unexplained': suspicion.unexplained,
                     'targets': [
                         start
--- a/waxwingport/gateway/pools.py
+++ b/waxwingport/gateway/pools.py
@@ -64,11 +64,14 @@
             if target.entry.instance not in tried_instances
         ]
 
-    def choose(self, candidates: list[fleet.Target]) -> fleet.Target | None:
+    def choose(
+        self, candidates: list[fleet.Target], key: str | None = None
+    ) -> fleet.Target | None:
         """Returns the best candidate that takes a request now.
 
-        A turn is reserved at a target with a limit.  Returns ``None`` if
-        there is no such candidate.
+        With a ``key`` it is the one that all nodes choose for it.  A turn is
+        reserved at a target with a limit.  Returns ``None`` if there is no
+        such candidate.
         """
         now = asyncio.get_running_loop().time()
         free = []
@@ -77,7 +80,12 @@
                 target.limit.want(now)
             if target.limit is None or target.limit.count_turns(now):
                 free.append(target)
-        target = choice.choose(free, self._local_data_centre, now, self._rng)
+        if key is None:
+            target = choice.choose(
+                free, self._local_data_centre, now, self._rng
+            )
+        else:
+            target = choice.choose_by_key(free, key, now)
         if target is not None and target.limit is not None:
             target.limit.reserve(now)
         return target
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -206,7 +206,8 @@
         if not self._may_attempt(stream):
             return None
         return self._pool.choose(
-            self._pool.find_untried(stream.service, stream.tried_instances)
+            self._pool.find_untried(stream.service, stream.tried_instances),
+            self._crash_watch.make_placement_key(stream.call.digest),
         )
 
     async def _attempt(
@@ -220,7 +221,8 @@
 
         Returns ``None`` if the complete response was written, else why not.
         """
-        remaining = stream.deadline - asyncio.get_running_loop().time()
+        sent_at = asyncio.get_running_loop().time()
+        remaining = stream.deadline - sent_at
         stream.tried_instances.add(target.entry.instance)
         stream.sends += 1
         expected = dialect.Expectations(
@@ -265,7 +267,9 @@
                 )
             finally:
                 response.close()
-            return await self._judge_end(stream, target, outcome, event_before)
+            return await self._judge_end(
+                stream, target, outcome, event_before, sent_at
+            )
         finally:
             target.running -= 1
 
@@ -275,6 +279,7 @@
         target: fleet.Target,
         outcome: attempts.Lost | None,
         event_before: int,
+        sent_at: float,
     ) -> attempts.Lost | None:
         """Records how an attempt ended; returns why it is lost, if so.
 
@@ -283,7 +288,9 @@
         if outcome is None or stream.last_event != event_before:
             self._crash_watch.record_answer(stream.call.digest)
             return outcome
-        return await self._sender.examine(stream.call, target, outcome)
+        return await self._sender.examine(
+            stream.call, target, outcome, sent_at
+        )
 
     async def _forward(
         self,
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -10,10 +10,9 @@
 other reasons too.
 """
 
-import collections
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
+import statistics
 from typing import NewType
 
 import msgspec
@@ -26,6 +25,7 @@
     'Suspicion',
     'TargetStart',
     'find_suspicions',
+    'make_placement_key',
 ]
 
 TargetStart = NewType('TargetStart', str)
@@ -57,8 +57,9 @@
 
     at: float
     """Seconds since 1970."""
-    candidates: Collection[ids.RequestDigest]
-    """Requests that it ended and that were not answered since."""
+    candidates: Mapping[ids.RequestDigest, float]
+    """Requests that it ended and that were not answered since, with the
+    seconds for which they had been there."""
 
 
 class Suspicion(msgspec.Struct, frozen=True):
@@ -66,8 +67,8 @@
 
     crashes: int
     """Crashes that ended it."""
-    credit: float
-    """Crashes that it explains better than others; equal ones share them."""
+    credit: int
+    """Those of them that no other request explains better."""
     unexplained: int
     """Crashes at the same time for which no request is a likely cause."""
     last_at: float
@@ -87,7 +88,7 @@
         """Seconds for which it is stopped after its last crash, or 0."""
         if self.credit < self.required:
             return 0.0
-        growth = _STOP_GROWTH ** (self.crashes - _MIN_CRASHES)
+        growth = _STOP_GROWTH ** (self.credit - _MIN_CRASHES)
         return min(_MAX_STOP_S, _FIRST_STOP_S * growth)
 
     def compute_remaining(self, now: float) -> float:
@@ -103,53 +104,59 @@
 ) -> dict[ids.RequestDigest, Suspicion]:
     """Returns what each request that was at a crash is held responsible for.
 
-    The likely cause of a crash is the candidate that was at most crashes, if
-    it was at two or more.
+    The request that was at most crashes explains them all, the next one is
+    judged by the crashes that remain, and so on: as few requests as possible
+    are stopped.  One that was stopped for the crashes of another is free
+    again as soon as that one has crashed a target without it.
     """
-    counts = collections.Counter(
-        candidate
+    starts: dict[ids.RequestDigest, set[TargetStart]] = {}
+    for start, crash in crashes.items():
+        for candidate in crash.candidates:
+            starts.setdefault(candidate, set()).add(start)
+    unexplained = [
+        crash.at
         for crash in crashes.values()
-        for candidate in crash.candidates
-    )
-    credits: collections.defaultdict[ids.RequestDigest, float] = (
-        collections.defaultdict(float)
-    )
-    unexplained: list[float] = []
-    for crash in crashes.values():
-        causes = _find_causes(crash, counts)
-        for cause in causes:
-            credits[cause] += 1.0 / len(causes)
-        if not causes:
-            unexplained.append(crash.at)
-    times = _group_times(crashes.values())
-    return {
-        candidate: Suspicion(
-            count,
-            credits[candidate],
-            _count_nearby(times[candidate], unexplained),
-            max(times[candidate]),
+        if all(len(starts[name]) < 2 for name in crash.candidates)
+    ]
+    found: dict[ids.RequestDigest, Suspicion] = {}
+    likely: dict[ids.RequestDigest, set[TargetStart]] = {}
+    for name, own in starts.items():
+        times = [crashes[start].at for start in own]
+        if len(own) < _MIN_CRASHES:
+            found[name] = Suspicion(len(own), len(own), 0, max(times))
+        else:
+            likely[name] = own
+    ages = {
+        name: statistics.fmean(
+            crashes[start].candidates[name] for start in own
         )
-        for candidate, count in counts.items()
+        for name, own in likely.items()
     }
+    while likely:
+        # Of equals the cause is more likely the one that was there for the
+        # shortest time, as it crashes each target that begins to run it.
+        name = max(
+            likely, key=lambda name: (len(likely[name]), -ages[name], name)
+        )
+        own = likely.pop(name)
+        times = [crashes[start].at for start in starts[name]]
+        nearby = _count_nearby(times, unexplained)
+        found[name] = Suspicion(len(times), len(own), nearby, max(times))
+        if found[name].stop_time:
+            likely = {other: left - own for other, left in likely.items()}
+    return found
 
 
-def _find_causes(
-    crash: Crash, counts: Mapping[ids.RequestDigest, int]
-) -> list[ids.RequestDigest]:
-    most = max((counts[name] for name in crash.candidates), default=0)
-    if most < 2:
-        return []
-    return [name for name in crash.candidates if counts[name] == most]
+def make_placement_key(digest: ids.RequestDigest, suspicion: Suspicion) -> str:
+    """Returns a key by which a suspected request is placed.
 
+    All nodes send it to the same target, which changes with each crash, and
+    other suspects to other ones, so that they part from the cause.
 
-def _group_times(
-    crashes: Iterable[Crash],
-) -> dict[ids.RequestDigest, list[float]]:
-    times: dict[ids.RequestDigest, list[float]] = {}
-    for crash in crashes:
-        for candidate in crash.candidates:
-            times.setdefault(candidate, []).append(crash.at)
-    return times
+    Load pattern: a request ends both targets of a service whenever they have
+    started, and new requests that come often are never answered.
+    """
+    return f'{digest}/{suspicion.crashes}'
 
 
 def _count_nearby(times: Iterable[float], others: Iterable[float]) -> int:
--- a/waxwingport/scheduling/choice.py
+++ b/waxwingport/scheduling/choice.py
@@ -5,8 +5,9 @@
 
 from waxwingport.fleet import model
 from waxwingport import ids
+from waxwingport.membership import rendezvous
 
-__all__ = ['choose', 'order_by_score', 'score']
+__all__ = ['choose', 'choose_by_key', 'order_by_score', 'score']
 
 _DISTANCE_COST = 0.15
 """Score added for a target in another data centre, as a share of its slots.
@@ -66,3 +67,18 @@
     """Returns the best target, or ``None`` if there are no targets."""
     ordered = order_by_score(targets, local_data_centre, now, rng)
     return ordered[0] if ordered else None
+
+
+def choose_by_key(
+    targets: Iterable[model.Target], key: str, now: float
+) -> model.Target | None:
+    """Returns the target for a key, or ``None`` if there are no targets.
+
+    Equal targets give equal results; one to avoid is the last choice.
+    """
+    by_name = {target.entry.instance: target for target in targets}
+    sound = [
+        name for name, target in by_name.items() if target.avoided_until <= now
+    ]
+    chosen = rendezvous.pick(key, sound or by_name)
+    return None if chosen is None else by_name[chosen]
