Share limits and crash reports by one mechanism

Claims of limits and reports of crashes are the same kind of fact: learnt by one node, needed by all, written as one record a node on a keyed topic. The limits now use the class that the reports brought (`log/node_records.py`).

--- a/waxwingport/gateway/sharing.py
+++ b/waxwingport/gateway/sharing.py
@@ -15,6 +15,8 @@
 from collections.abc import Sequence
 import logging
 
+from expression import Error
+from expression import Ok
 from expression import Result
 import msgspec
 
@@ -24,8 +26,7 @@
 from waxwingport.fleet import registry
 from waxwingport import ids
 from waxwingport.log import base
-from waxwingport.log import dependency
-from waxwingport.log import followers
+from waxwingport.log import node_records
 from waxwingport.membership import rendezvous
 from waxwingport.scheduling import turns
 from waxwingport import tasks
@@ -33,7 +34,6 @@
 __all__ = ['LimitSharing']
 
 _TOPIC = base.Topic('keyed.limits')
-_PARTITION = base.Partition(_TOPIC, 0)
 _UPDATE_INTERVAL_S = 0.1
 """Time between two updates of the places and the shared clock."""
 _CLAIM_INTERVAL_S = 2.0
@@ -47,8 +47,6 @@
 """Time after which the record of a claim that was not repeated is removed."""
 _DEMAND_TIME_S = 4.0
 """Time after the last request for a target for which its share is kept."""
-_APPEND_TIMEOUT_S = 1.0
-"""Time in which an append is answered by a log 60 times slower than usual."""
 _RESIGN_TIMEOUT_S = 0.3
 """Bounds the release of the shares before the node stops."""
 _UNPLACED_TIME_S = 1.0
@@ -59,12 +57,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-class _Claim(msgspec.Struct, eq=False):
-    instances: frozenset[fleet.InstanceId]
-    read_at: float
-    """Loop time at which the record was read."""
-
-
 class _Shared(msgspec.Struct, eq=False):
     """A limited target, and the share that this node has of its limit."""
 
@@ -76,7 +68,7 @@
     """Loop time since which requests have lacked a place."""
 
 
-class LimitSharing(followers.KeyedListener):
+class LimitSharing:
     """Keeps this node's place at each limited target up to date.
 
     ``add`` is called with each target that begins to name a limit.
@@ -89,12 +81,14 @@
         targets: registry.Registry,
         wall_clock: clocks.WallClock,
     ) -> None:
-        self._log = log
         self._node = node
         self._targets = targets
         self._wall_clock = wall_clock
         self._shared: dict[fleet.InstanceId, _Shared] = {}
-        self._claims: dict[ids.NodeName, _Claim] = {}
+        self._records = node_records.NodeRecords(
+            log, _TOPIC, _decode, self._update
+        )
+        """The targets of which each node claims a share."""
         self._claimed: frozenset[fleet.InstanceId] = frozenset()
         """Targets in this node's last record."""
         self._claimed_at = float('-inf')
@@ -103,7 +97,6 @@
         self._resigned = False
         self._limited = asyncio.Event()
         """Set while a target has a limit or this node has a claim."""
-        self._log_dependency: dependency.Dependency | None = None
 
     def add(self, target: fleet.Target) -> None:
         """Begins to share the limit that a target names."""
@@ -118,9 +111,9 @@
         """Shares limits until cancelled; idle while no target has one."""
         while True:
             await self._limited.wait()
-            follower = followers.KeyedFollower(self._log, _TOPIC, self)
-            self._log_dependency = follower.dependency
-            following = asyncio.get_running_loop().create_task(follower.run())
+            following = asyncio.get_running_loop().create_task(
+                self._records.follow()
+            )
             try:
                 while self._shared or self._claimed:
                     self._update()
@@ -130,7 +123,7 @@
                 await tasks.cancel_all([following])
             # Another target may have named a limit meanwhile.
             if not self._shared:
-                self._claims.clear()
+                self._records.by_node.clear()
                 self._limited.clear()
 
     async def resign(self) -> None:
@@ -144,36 +137,6 @@
         except TimeoutError:
             _LOG.info('limit-claims-kept', extra={'reason': 'log is slow'})
 
-    def replace(self, records: Sequence[base.KeyedRecord]) -> None:
-        """Replaces the claims of all nodes."""
-        self._claims.clear()
-        for record in records:
-            self._apply(record)
-        self._update()
-
-    def update(self, record: base.KeyedRecord) -> None:
-        """Applies a claim, which is released if its value is ``None``."""
-        self._apply(record)
-        self._update()
-
-    def _apply(self, record: base.KeyedRecord) -> None:
-        node = ids.NodeName(record.key)
-        self._claims.pop(node, None)
-        if record.value is None:
-            return
-        try:
-            instances = msgspec.json.decode(
-                record.value, type=frozenset[fleet.InstanceId]
-            )
-        except _DECODE_ERRORS as error:
-            _LOG.warning(
-                'record-skipped',
-                extra={'partition': str(_PARTITION), 'reason': str(error)},
-            )
-            return
-        now = asyncio.get_running_loop().time()
-        self._claims[node] = _Claim(instances, now)
-
     def _update(self) -> None:
         """Computes this node's place at each limited target."""
         now = asyncio.get_running_loop().time()
@@ -197,17 +160,17 @@
 
         None expires while the log can't be read.
         """
-        log = self._log_dependency
-        if log is None or not log.available:
+        records = self._records
+        earliest = now - _CLAIM_LIFETIME_S
+        if not records.available or (
+            records.recovered_at is not None
+            and records.recovered_at > earliest
+        ):
             earliest = float('-inf')
-        else:
-            earliest = now - _CLAIM_LIFETIME_S
-            if log.recovered_at is not None and log.recovered_at > earliest:
-                earliest = float('-inf')
         return {
-            node: claim.instances
-            for node, claim in self._claims.items()
-            if claim.read_at >= earliest
+            node: record.content
+            for node, record in records.by_node.items()
+            if record.read_at >= earliest
         }
 
     def _place(
@@ -314,8 +277,8 @@
         live = self._find_live_claims(now)
         if min(live, default=None) != self._node:
             return
-        for node, claim in list(self._claims.items()):
-            if now - claim.read_at > _FORGET_TIME_S and node not in live:
+        for node, record in list(self._records.by_node.items()):
+            if now - record.read_at > _FORGET_TIME_S and node not in live:
                 await self._write(node, frozenset())
                 return
 
@@ -324,21 +287,15 @@
     ) -> bool:
         """Writes a node's claims; returns whether that is certain."""
         value = msgspec.json.encode(sorted(instances)) if instances else None
-        record = self._log.make_keyed(base.KeyedRecord(node, value))
-        try:
-            async with asyncio.timeout(_APPEND_TIMEOUT_S):
-                found = await self._log.append(_PARTITION, (record,))
-        except TimeoutError:
-            return False
-        match found:
-            case Result(tag='ok'):
-                return True
-            case Result(error=fault):
-                _LOG.debug(
-                    'limit-claim-failed', extra={'reason': fault.detail}
-                )
-                return False
+        return await self._records.write(node, value)
 
     def _compute_offset(self) -> float:
         loop = asyncio.get_running_loop()
         return self._wall_clock.read() - loop.time()
+
+
+def _decode(value: bytes) -> Result[frozenset[fleet.InstanceId], str]:
+    try:
+        return Ok(msgspec.json.decode(value, type=frozenset[fleet.InstanceId]))
+    except _DECODE_ERRORS as error:
+        return Error(str(error))
