--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import functools
+import itertools
 import json
 import pathlib
 import re
@@ -167,6 +169,37 @@
     ]
 
 
+async def test_a_call_refused_for_crashes_leads_to_the_targets(operator):
+    deployment = operator.deployment
+    deployment.add_engine('i2')
+    for engine in deployment.engines:
+        engine.crashing_bodies.add(b'bad')
+        engine.down_time = 0.3
+        engine.on_restart = functools.partial(deployment.register, engine)
+    nodes = [await operator.start_node(name) for name in ('a', 'b')]
+    async with asyncio.timeout(15.0):
+        for number in itertools.count():
+            answer = await deployment.call(
+                nodes[number % 2], 'POST', '/score/x', b'bad', f'c{number}'
+            )
+            if b'crashes-targets' in answer.body:
+                break
+            await asyncio.sleep(0.2)
+    ((_, _, refused),) = await operator.wait_for(
+        f'c{number}', 'request-refused'
+    )
+    digest = refused['digest']
+    stopped = await operator.wait_for(digest, 'request-stopped', 2)
+    assert {source for source, _, _ in stopped} == {'a', 'b'}
+    crashed = await operator.wait_for(digest, 'target-crashed', 3)
+    assert {fields['instance'] for _, _, fields in crashed} == {'i1', 'i2'}
+    assert len(crashed) == int(stopped[0][2]['crashes'])
+    counted = await operator.read_metric(
+        nodes[0], 'waxwingport_requests_stopped_total'
+    )
+    assert counted[-1].endswith(' 1')
+
+
 async def test_an_item_that_ran_twice_leads_to_the_lost_holder(operator):
     engine = operator.deployment.engine
     engine.pause = SLOW_EVENT_S
