Let a node tell of an answer to a request that others suspect

What a node knows of answers was used for its own reports alone.

A node now clears a request that was at two crashes if it was answered there within 10 s, after a random delay of up to 0.1 s, so that of many nodes a few write. Both tests failed before.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -211,6 +211,29 @@
         assert find_stopping(nodes, 'often') == []
 
 
+async def test_an_answer_at_another_node_counts_for_nothing(make_watchers):
+    # The node that got the answer was at none of the crashes.
+    nodes = make_watchers(4)
+    await asyncio.sleep(1.0)
+    nodes[3].watch.record_answer('good')
+    await crash_in_turn(nodes[:3], 'good', 2)
+    assert not any(node.watch.is_suspect('good') for node in nodes)
+    await crash_in_turn(nodes[:3], 'good', 2, first=2)
+    assert find_stopping(nodes, 'good') == []
+
+
+async def test_all_nodes_tell_of_one_answer(make_watchers):
+    nodes = make_watchers(40)
+    await asyncio.sleep(1.0)
+    for node in nodes:
+        node.watch.record_answer('good')
+    before = count_records(make_watchers.log)
+    nodes[0].watch._answered.clear()
+    await crash_in_turn(nodes[:1], 'good', 2)
+    assert not any(node.watch.is_suspect('good') for node in nodes)
+    assert count_records(make_watchers.log) - before <= 12
+
+
 async def test_company_at_crashes_is_stopped_with_their_cause(make_watchers):
     nodes = make_watchers(4)
     await asyncio.sleep(1.0)
--- a/waxwingport/gateway/crashes.py
+++ b/waxwingport/gateway/crashes.py
@@ -64,6 +64,10 @@
 _REMOVAL_PROBABILITY = 0.01
 """Probability with which a node removes another's old record at an update:
 of 690 nodes a few do so in the first second."""
+_VOUCHED_CRASHES = 2
+"""Crashes from which on a node tells that it got an answer to a request."""
+_MAX_VOUCH_DELAY_S = 0.1
+"""Upper bound of the random time until it does: some appends and reads."""
 _MAX_CLEARED = 256
 """Requests in the record of a node that were answered after a crash."""
 _MAX_ANSWERED = 4096
@@ -138,6 +142,8 @@
         self._crashes: dict[attribution.TargetStart, attribution.Crash] = {}
         self._suspicions: dict[ids.RequestDigest, attribution.Suspicion] = {}
         self._stopped: set[ids.RequestDigest] = set()
+        self._vouching: set[ids.RequestDigest] = set()
+        """Suspects that this node is about to clear."""
 
     def is_suspect(self, digest: ids.RequestDigest | None) -> bool:
         """Returns whether a request was at a crash and not answered since."""
@@ -357,6 +363,29 @@
         self._crashes = found
         self._suspicions = attribution.find_suspicions(found)
         self._log_changes(now)
+        self._vouch_for_suspects()
+
+    def _vouch_for_suspects(self) -> None:
+        """Clears suspects that were answered at this node a short time ago.
+
+        Other nodes may only have sent them to targets that crashed.
+        """
+        loop = asyncio.get_running_loop()
+        for digest, suspicion in self._suspicions.items():
+            if (
+                suspicion.crashes >= _VOUCHED_CRASHES
+                and digest not in self._vouching
+                and self._was_answered(digest)
+            ):
+                self._vouching.add(digest)
+                # Of many nodes that could do so the first ones suffice.
+                delay = self._rng.uniform(0.0, _MAX_VOUCH_DELAY_S)
+                loop.call_later(delay, self._vouch, digest)
+
+    def _vouch(self, digest: ids.RequestDigest) -> None:
+        self._vouching.discard(digest)
+        if digest in self._suspicions and self._was_answered(digest):
+            self._clear(digest)
 
     def _adopt_own_record(self) -> None:
         """Takes over what this node wrote before its process was restarted."""
