--- a/tests/system/test_processes.py
+++ b/tests/system/test_processes.py
@@ -1,6 +1,7 @@
 """Service guarantees while node processes and external systems fail."""
 
 import asyncio
+import hashlib
 import signal
 
 import pytest
@@ -223,3 +224,81 @@
     nodes[1].start()
     await running_cluster.wait_until_ready(nodes[1])
     assert await in_force()
+
+
+def make_caller(name, token):
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return declarations.Caller(name=name, token_sha256=digest)
+
+
+async def declare_callers(running_cluster, base, name, *callers):
+    """Replaces the declared callers; returns the new revision."""
+    declared = keys.split(declarations.Declarations(callers=callers))
+    known = [keys.make_key('callers', name) for name in ('withdrawn', 'kept')]
+    change = records.make_change(
+        ids.RecordId(name),
+        'test',
+        ids.Revision(base),
+        dict.fromkeys(known) | declared,
+    )
+    offset = await running_cluster.external.log.append(
+        reader.STREAM, records.encode(change)
+    )
+    return offset.ok
+
+
+async def complete(running_cluster, node, token=None):
+    """Returns the status of a completion that a caller asks for."""
+    headers = {'Authorization': f'Bearer {token}'} if token else {}
+    body = {'model': running_cluster.deployment.pool, 'prompt': 'x'}
+    status, _ = await cluster.fetch(
+        node.url, 'POST', '/v1/completions', body, headers, 5.0
+    )
+    return status
+
+
+@pytest.mark.parametrize('delay', [0.5, 1.5])
+async def test_a_withdrawn_token_is_used_after_a_restart_beside_a_late_log(
+    running_cluster, delay
+):
+    nodes = list(running_cluster.nodes.values())
+    _, before = await cluster.fetch(nodes[0].url, 'GET', '/v1/status')
+    withdrawn = make_caller('withdrawn', 'one')
+    kept = make_caller('kept', 'two')
+    revision = await declare_callers(
+        running_cluster, before['revision'], 'first', withdrawn, kept
+    )
+
+    async def is_accepted():
+        return await complete(running_cluster, nodes[0], 'one') == 200
+
+    await running_cluster.wait_until(is_accepted)
+    await declare_callers(running_cluster, revision, 'second', kept)
+
+    async def is_withdrawn():
+        found = [
+            await complete(running_cluster, node, 'one') for node in nodes
+        ]
+        return set(found) == {401}
+
+    await running_cluster.wait_until(is_withdrawn)
+    running_cluster.external.log.delay = delay
+    for node in nodes:
+        node.kill()
+    for node in nodes:
+        node.start()
+    seen = set()
+
+    async def are_serving():
+        seen.update(
+            [await complete(running_cluster, node, 'one') for node in nodes]
+        )
+        seen.update([await complete(running_cluster, node) for node in nodes])
+        found = [
+            await complete(running_cluster, node, 'two') for node in nodes
+        ]
+        return set(found) == {200}
+
+    await running_cluster.wait_until(are_serving)
+    assert 401 in seen
+    assert seen <= {0, 401, 404, 503}
