--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -269,7 +269,7 @@
     assert count_records(log) - before <= 4 * len(nodes)
     assert all(not node.watch._stopped for node in nodes)
     for node in nodes:
-        assert len(node.watch._own.reports) <= 8
+        assert len(node.watch._reports._own.reports) <= 8
 
 
 async def test_a_link_that_refuses_for_a_while_counts_as_crashes(
