--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -59,6 +59,8 @@
         self.stall_bytes = b'd'
         self.crashing_bodies = set()
         """Bodies that crash the engine when it begins to run them."""
+        self.events_before_crash = 0
+        """Events of a text that are sent before the engine crashes by it."""
         self.down_time = 2.0
         """Seconds from a crash to the next start."""
         self.on_crash = lambda: None
@@ -206,7 +208,8 @@
             self.set_status(421)
             return
         self.engine.runs.append((name, start))
-        await self.crash_if_told()
+        if not self.engine.events_before_crash:
+            await self.crash_if_told()
         self.set_header('Weight-Versions', str(self.engine.version))
         self.set_header('Content-Type', 'text/event-stream')
         if self.engine.early_head:
@@ -216,6 +219,8 @@
             self.write(f'id: {number}\ndata: {name}-{number}\n\n')
             await self.flush()
             self.engine.sent[name] = number
+            if number - start == self.engine.events_before_crash:
+                await self.crash_if_told()
             if self.engine.stall_after.get(name) == number:
                 del self.engine.stall_after[name]
                 await self._stall()
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -75,11 +75,16 @@
     return sum(getattr(answer, 'status', 0) == status for answer in answers)
 
 
-@pytest.mark.parametrize('path', ['/score/x', '/once/x', '/stream/x'])
+@pytest.mark.parametrize(
+    ('path', 'events'),
+    [('/score/x', 0), ('/once/x', 0), ('/stream/x', 0), ('/stream/x', 1)],
+)
 async def test_a_request_that_crashes_engines_goes_on_to_further_ones(
-    deployment, path
+    deployment, path, events
 ):
     nodes = await start_cluster(deployment)
+    for engine in deployment.engines:
+        engine.events_before_crash = events
     send = functools.partial(call_in_turn, deployment, nodes)
     _, others = await asyncio.gather(
         send(path, lambda _: CRASHING_BODY, 0.3, 8.0, 'bad'),
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -38,6 +38,9 @@
 target to go to, looks for one again."""
 _MAX_CRASHES = 2
 """Targets that may crash under one stream, as under one call."""
+_MAX_CRASH_DELAY_S = 1.0
+"""Time from the start of an answer after which a target that crashes does so
+for another reason: requests crash targets that begin to run them."""
 _EVENT_END = b'\n\n'
 
 WriteHead = Callable[[int, tuple[tuple[str, str], ...]], Awaitable[None]]
@@ -69,9 +72,16 @@
     sends: int = 0
     """Attempts, also those that the target rejected without a run."""
     crashes: int = 0
-    """Targets that crashed under the stream before it had an event there."""
+    """Targets that crashed when they had begun to run the stream."""
     silent_runs: int = 0
     """Attempts that were ended because no event came in time."""
+    began_at: float | None = None
+    """Loop time at which the target of the last attempt began to answer."""
+
+    def record_chunk(self, chunk: bytes | None) -> None:
+        """Records that the target of the current attempt has answered."""
+        if chunk and self.began_at is None:
+            self.began_at = asyncio.get_running_loop().time()
 
     def record_events(self, data: bytes) -> bool:
         """Records the events that are about to be written to the caller.
@@ -260,16 +270,14 @@
             response, head = opened
             now = asyncio.get_running_loop().time()
             attempts.record_load_report(target, head, now)
-            event_before = stream.last_event
+            stream.began_at = None
             try:
                 outcome = await self._forward(
                     stream, target, response, write_head, write_body
                 )
             finally:
                 response.close()
-            return await self._judge_end(
-                stream, target, outcome, event_before, sent_at
-            )
+            return await self._judge_end(stream, target, outcome, sent_at)
         finally:
             target.running -= 1
 
@@ -278,15 +286,16 @@
         stream: _Stream,
         target: fleet.Target,
         outcome: attempts.Lost | None,
-        event_before: int,
         sent_at: float,
     ) -> attempts.Lost | None:
-        """Records how an attempt ended; returns why it is lost, if so.
-
-        A target that has made an event did not crash by the request.
-        """
-        if outcome is None or stream.last_event != event_before:
+        """Records how an attempt ended; returns why it is lost, if so."""
+        if outcome is None:
             self._crash_watch.record_answer(stream.call.digest)
+            return None
+        now = asyncio.get_running_loop().time()
+        if stream.began_at is not None and (
+            now - stream.began_at > _MAX_CRASH_DELAY_S
+        ):
             return outcome
         return await self._sender.examine(
             stream.call, target, outcome, sent_at
@@ -317,6 +326,7 @@
                 return attempts.Lost(
                     health.HealthSignal.BROKEN, chunk.detail, closed
                 )
+            stream.record_chunk(chunk)
             if not stream.head_sent:
                 stream.head_sent = True
                 header_fields = tuple(response.headers.get_all())
