Merge crash reports of many nodes together, in linear time

Reading the diff for 690 nodes: each record that arrived merged the records of all, and a merge copied the requests of a crash for each report of it. After the loss of a rack (690 records of 8 crashes with 16 requests) one merge took 15.9 s on the busy machine, and there would have been 690 of them.

A node's own reports are still merged at once while that takes under 5 ms.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -272,6 +272,40 @@
         assert len(node.watch._reports._own.reports) <= 8
 
 
+async def test_each_of_many_records_is_merged_by_itself(
+    make_watchers, monkeypatch
+):
+    # After the loss of a rack the merges kept a node busy for minutes.
+    (node,) = make_watchers(1)
+    await asyncio.sleep(1.0)
+    reports = node.watch._reports
+    merges = []
+    find_crashes = reports._find_crashes
+    monkeypatch.setattr(
+        reports,
+        '_find_crashes',
+        lambda: merges.append(1) or find_crashes(),
+    )
+    for number in range(690):
+        requests = {f'{number}-{n}': 0.1 for n in range(16)}
+        value = msgspec.json.encode(
+            {
+                'reports': [
+                    {
+                        'target': 't1',
+                        'born': 1,
+                        'at': NOW,
+                        'requests': requests,
+                    }
+                ]
+            }
+        )
+        make_watchers.log.write_keyed(TOPIC, f'other{number}', value)
+    await asyncio.sleep(0.5)
+    assert len(merges) <= 30
+    assert node.watch.is_suspect('689-15')
+
+
 async def test_a_link_that_refuses_for_a_while_counts_as_crashes(
     make_watchers,
 ):
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -51,6 +51,15 @@
 start: three of its heartbeats, and some for the log."""
 _WRITE_INTERVAL_S = 0.1
 """Least time between two writes of this node's record."""
+_MERGE_DELAY_S = 0.02
+"""Time from a read to the merge of the records: after the loss of a rack
+hundreds of nodes write theirs."""
+_MERGE_PAUSE = 10.0
+"""That time as a multiple of the time that the last merge took."""
+_MAX_MERGE_DELAY_S = 1.0
+"""Upper bound of it: a request has to be stopped within seconds."""
+_MAX_PROMPT_TIME_S = 0.005
+"""Time of a merge up to which this node's own changes do not wait for it."""
 _RETRY_INTERVAL_S = 0.5
 """Time after which a write that failed is repeated."""
 _UPDATE_INTERVAL_S = 1.0
@@ -109,7 +118,7 @@
         self._on_change = on_change
         self._rng = random.Random()
         self._records = node_records.NodeRecords(
-            log, _TOPIC, _decode, self._merge
+            log, _TOPIC, _decode, self._schedule_merge
         )
         self._own = _Record()
         self._read = asyncio.Event()
@@ -117,6 +126,10 @@
         self._changed = asyncio.Event()
         """Set while this node's record is not written."""
         self._written: bytes | None = None
+        self._merge_timer: asyncio.TimerHandle | None = None
+        """Set while records that were read are not merged."""
+        self._merge_time = 0.0
+        """Seconds that the last merge took."""
         self.crashes: dict[attribution.TargetStart, attribution.Crash] = {}
 
     def add(
@@ -197,9 +210,21 @@
         return made
 
     def _record_change(self) -> None:
-        self._merge()
+        if self._merge_time <= _MAX_PROMPT_TIME_S:
+            self._merge()
+        else:
+            self._schedule_merge()
         self._changed.set()
 
+    def _schedule_merge(self) -> None:
+        """Merges the records soon; those of many nodes arrive together."""
+        self._adopt_own_record()
+        if self._merge_timer is None:
+            delay = max(_MERGE_DELAY_S, _MERGE_PAUSE * self._merge_time)
+            self._merge_timer = asyncio.get_running_loop().call_later(
+                min(delay, _MAX_MERGE_DELAY_S), self._merge
+            )
+
     def _iterate_records(self) -> Iterator[_Record]:
         """Yields the records of all nodes; this node's own is the newest."""
         yield self._own
@@ -208,8 +233,20 @@
                 yield record.content
 
     def _merge(self) -> None:
-        """Computes the crashes from the records of all nodes."""
-        self._adopt_own_record()
+        """Merges the records of all nodes at once."""
+        if self._merge_timer is not None:
+            self._merge_timer.cancel()
+            self._merge_timer = None
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        self.crashes = self._find_crashes()
+        self._on_change()
+        self._merge_time = loop.time() - started_at
+
+    def _find_crashes(
+        self,
+    ) -> dict[attribution.TargetStart, attribution.Crash]:
+        """Returns the crashes in the records of all nodes."""
         now = self._wall_clock.read()
         answered: collections.defaultdict[
             attribution.TargetStart, set[ids.RequestDigest]
@@ -218,29 +255,25 @@
             for digest, starts in record.answered.items():
                 for start in starts:
                     answered[start].add(digest)
-        found: dict[attribution.TargetStart, attribution.Crash] = {}
+        times: dict[attribution.TargetStart, float] = {}
+        requests: collections.defaultdict[
+            attribution.TargetStart, dict[ids.RequestDigest, float]
+        ] = collections.defaultdict(dict)
         for record in self._iterate_records():
             for report in record.reports:
                 if report.is_expired(now) or self._is_refuted(report, now):
                     continue
                 start = report.start
-                candidates = {
-                    digest: age
-                    for digest, age in report.requests.items()
-                    if digest not in answered[start]
-                }
                 # A clock that is ahead must not stop a request for longer.
-                at = min(report.at, now)
-                before = found.get(start)
-                if before is not None:
-                    at = min(at, before.at)
-                    for digest, age in before.candidates.items():
-                        candidates[digest] = min(
-                            age, candidates.get(digest, age)
-                        )
-                found[start] = attribution.Crash(at, candidates)
-        self.crashes = found
-        self._on_change()
+                times[start] = min(report.at, times.get(start, now))
+                known = requests[start]
+                for digest, age in report.requests.items():
+                    if digest not in answered[start]:
+                        known[digest] = min(age, known.get(digest, age))
+        return {
+            start: attribution.Crash(at, requests[start])
+            for start, at in times.items()
+        }
 
     def _adopt_own_record(self) -> None:
         """Takes over what this node wrote before its process was restarted."""
