--- a/waxwingport/experiment/crashes.py
+++ b/waxwingport/experiment/crashes.py
@@ -72,6 +72,11 @@
     sent_at: float = 0.0
 
 
+class _Judgement(msgspec.Struct, frozen=True):
+    stopped: set[ids.RequestDigest]
+    suspicions: dict[ids.RequestDigest, attribution.Suspicion]
+
+
 def replay(
     pattern: patterns.Pattern, policy: policies.Policy, seed: int
 ) -> CrashOutcome:
@@ -98,6 +103,8 @@
         self._crash_times: collections.defaultdict[
             ids.RequestDigest, list[float]
         ] = collections.defaultdict(list)
+        self._judged: _Judgement | None = None
+        """What the policy says of the known crashes, until they change."""
         self._answered_at: dict[ids.RequestDigest, float] = {}
         self._counts: collections.Counter[str] = collections.Counter()
 
@@ -135,7 +142,7 @@
 
     def _send(self, call: _Call) -> None:
         """Sends a call to an engine that it has not tried, if it may."""
-        if call.digest in self._rule.find_stopped(self._known, self._now):
+        if call.digest in self._judge().stopped:
             if not call.settings.crashes:
                 self._counts['refused'] += 1
             return
@@ -170,8 +177,16 @@
                 functools.partial(self._answer, call, engine),
             )
 
+    def _judge(self) -> _Judgement:
+        if self._judged is None:
+            self._judged = _Judgement(
+                self._rule.find_stopped(self._known, self._now),
+                attribution.find_suspicions(self._known),
+            )
+        return self._judged
+
     def _choose(self, call: _Call, ready: list[_Engine]) -> _Engine:
-        suspicion = attribution.find_suspicions(self._known).get(call.digest)
+        suspicion = self._judge().suspicions.get(call.digest)
         if suspicion is not None and self._isolates:
             key = attribution.make_placement_key(call.digest, suspicion)
             name = rendezvous.pick(key, [engine.name for engine in ready])
@@ -206,6 +221,7 @@
         self._answered_at[call.digest] = self._now
         for start, crash in self._known.items():
             if call.digest in crash.candidates:
+                self._judged = None
                 others = dict(crash.candidates)
                 del others[call.digest]
                 self._known[start] = attribution.Crash(crash.at, others)
@@ -228,6 +244,7 @@
     def _end(self, engine: _Engine, seconds: float) -> None:
         lost, engine.calls = engine.calls, []
         engine.up = False
+        self._judged = None
         self._known[engine.start] = attribution.Crash(
             self._now,
             {
