Drop old crash reports less often where a merge takes long

Reading the diff again: a node merged all records each second to drop old reports, whatever that took, so that the reports of a lost rack (0.85 s a merge beside load, 690 nodes) kept it busy for as long as they stand, up to 2 hours. The check now waits twenty times as long as the last merge took.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -322,6 +322,19 @@
     assert find_stopping(nodes, 'often') == []
 
 
+async def test_slow_merges_are_repeated_each_second(
+    make_watchers, monkeypatch
+):
+    (node,) = make_watchers(1)
+    await node.crash('t1', 'bad')
+    reports = node.watch._reports
+    merges = []
+    monkeypatch.setattr(reports, '_merge', lambda: merges.append(1))
+    reports._merge_time = 0.85
+    await asyncio.sleep(170.0)
+    assert 5 <= len(merges) <= 12
+
+
 async def test_a_link_that_refuses_for_a_while_counts_as_crashes(
     make_watchers,
 ):
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -63,7 +63,10 @@
 _RETRY_INTERVAL_S = 0.5
 """Time after which a write that failed is repeated."""
 _UPDATE_INTERVAL_S = 1.0
-"""Time between two checks for reports to drop."""
+"""Least time between two checks for reports to drop."""
+_UPDATE_PAUSE = 20.0
+"""That time as a multiple of the time that the last merge took: reports of a
+lost rack may stand for hours."""
 _MAX_CLEARED = 256
 """Requests in the record of a node that were answered after a crash."""
 _DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
@@ -330,7 +333,9 @@
 
     async def _drop_expired(self) -> None:
         while True:
-            await asyncio.sleep(_UPDATE_INTERVAL_S)
+            await asyncio.sleep(
+                max(_UPDATE_INTERVAL_S, _UPDATE_PAUSE * self._merge_time)
+            )
             if not (self._own.reports or self._records.by_node):
                 continue
             now = self._wall_clock.read()
