Name the crashes of one try once, log appends without an answer

Calls, streams and the replay each had the number of targets that may crash under one try. A record of a node that was not written for lack of an answer has a log line too. No change of behaviour.

--- a/waxwingport/experiment/crashes.py
+++ b/waxwingport/experiment/crashes.py
@@ -24,8 +24,6 @@
 _CRASH_DELAY_S = 0.05
 """Time from the start of a run to the crash that it causes."""
 _MAX_ATTEMPTS = 3
-_MAX_CRASHES = 2
-"""Crashes after which a call is not sent to a further engine, as in a node."""
 _RETRIES = 5
 """Further tries of a caller whose call failed."""
 _RETRY_DELAY_S = 0.2
@@ -154,7 +152,7 @@
         if (
             not ready
             or call.attempts >= _MAX_ATTEMPTS
-            or call.crashes >= _MAX_CRASHES
+            or call.crashes >= attribution.MAX_CRASHES_PER_TRY
         ):
             self._retry(call)
             return
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -21,15 +21,13 @@
 from waxwingport.gateway import routes
 from waxwingport import ids
 from waxwingport import outcomes
+from waxwingport.scheduling import attribution
 
 __all__ = ['CallForwarder']
 
 _EXTRA_SENDS = 2
 """Sends beyond a route's ``max_attempts`` after rejections without a run."""
 
-_MAX_CRASHES = 2
-"""Targets that may crash under one call; the caller's next try is the third,
-after which all nodes know whether the call is the cause."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -177,7 +175,7 @@
         A call that was at a crash is sent to one target at a time.
         """
         digest = state.call.digest
-        if state.crashes >= _MAX_CRASHES:
+        if state.crashes >= attribution.MAX_CRASHES_PER_TRY:
             return False
         if self._crash_watch.is_stopped(digest):
             return False
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -21,6 +21,7 @@
 from waxwingport import ids
 from waxwingport import numerals
 from waxwingport import outcomes
+from waxwingport.scheduling import attribution
 from waxwingport.scheduling import timeouts
 
 __all__ = ['BrokenStream', 'StreamForwarder']
@@ -36,8 +37,6 @@
 _RECHECK_INTERVAL_S = 0.05
 """Time after which a stream that is silent for too long, and has no other
 target to go to, looks for one again."""
-_MAX_CRASHES = 2
-"""Targets that may crash under one stream, as under one call."""
 _MAX_CRASH_DELAY_S = 1.0
 """Time from the start of an answer after which a target that crashes does so
 for another reason: requests crash targets that begin to run them."""
@@ -205,8 +204,9 @@
             return False
         if stream.runs and not route.resumable:
             return False
-        if stream.crashes >= _MAX_CRASHES or self._crash_watch.is_stopped(
-            stream.call.digest
+        if (
+            stream.crashes >= attribution.MAX_CRASHES_PER_TRY
+            or self._crash_watch.is_stopped(stream.call.digest)
         ):
             return False
         # Rejected attempts are not runs and are limited here.
--- a/waxwingport/log/node_records.py
+++ b/waxwingport/log/node_records.py
@@ -93,20 +93,21 @@
             async with asyncio.timeout(_APPEND_TIMEOUT_S):
                 found = await self._log.append(self._partition, (record,))
         except TimeoutError:
+            self._log_failure(f'no answer within {_APPEND_TIMEOUT_S:g} s')
             return False
         match found:
             case Result(tag='ok'):
                 return True
             case Result(error=fault):
-                _LOG.debug(
-                    'node-record-not-written',
-                    extra={
-                        'partition': str(self._partition),
-                        'reason': fault.detail,
-                    },
-                )
+                self._log_failure(fault.detail)
                 return False
 
+    def _log_failure(self, reason: str) -> None:
+        _LOG.debug(
+            'node-record-not-written',
+            extra={'partition': str(self._partition), 'reason': reason},
+        )
+
     def replace(self, records: Sequence[base.KeyedRecord]) -> None:
         """Replaces the records of all nodes."""
         self.by_node.clear()
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     'ANSWER_VALIDITY_S',
+    'MAX_CRASHES_PER_TRY',
     'Crash',
     'Suspicion',
     'TargetStart',
@@ -34,18 +35,21 @@
 ANSWER_VALIDITY_S = 10.0
 """Time after an answer in which a crash says nothing against a request: one
 that is sent often is at several targets when they end together."""
+MAX_CRASHES_PER_TRY = 2
+"""Targets that may crash under one try of a caller.  The next try is the third
+crash, after which all nodes know whether the request is the cause."""
 _MIN_CRASHES = 3
 """Crashes after which a request is stopped if nothing else explains them: as
 many as the users accept."""
 _MAX_CRASHES = 5
 """Crashes after which it is stopped in any case: the users accept three
-retries more than that of a request that is sent to one target at a time."""
+retries after the third crash, and a suspect goes to one target at a time."""
 _NEARBY_S = 10.0
 """Time around a request's crashes in which other ones count: several times
 that of a rack's loss or between two stops of a rolling restart."""
 _FIRST_STOP_S = 120.0
-"""Time for which a request is stopped after its last crash: no longer than
-callers would wait for one that was stopped wrongly."""
+"""Time for which a request is stopped after its third crash.  It bounds the
+harm to one that was stopped wrongly."""
 _STOP_GROWTH = 5.0
 """Factor of that time for each further crash: a request that still crashes
 targets ends three of them in an hour."""
