Refuse waiting calls that would be sent too late to be answered

All engines name a limit there, so calls wait for a turn, and the latest moment to send one was the mean response time before its deadline.

Change: a call that waits keeps at least a tenth of its time for the answer; later than that it is refused with 503 and Retry-After, not having run. Streams, which could wait until the deadline itself, do the same. Ruled out: a deadline that passes before the first attempt (the check of the turn and the send have no wait between them).

Measured: the new test fails before (no such margin: 101.995 of 102.0), tests/gateway 218 passed.

--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -98,6 +98,19 @@
     assert delay == route.target_time / 2
 
 
+def test_a_waiting_call_is_sent_too_late_to_be_answered():
+    # Guards against a run that ends after its caller has got a 504.
+    times = make_times([0.005] * 30)
+    latest = hedging.compute_latest_start(100.0, 102.0, times.mean)
+    assert latest <= 101.8
+
+
+def test_a_waiting_call_leaves_the_time_that_answers_take():
+    times = make_times([0.8] * 30)
+    latest = hedging.compute_latest_start(100.0, 102.0, times.mean)
+    assert latest == pytest.approx(101.2)
+
+
 def test_services_are_picked_by_their_weights(route):
     shares = (routes.Share('a', 90), routes.Share('b', 10))
     split = routes.Route('r', 'h', '/', route.kind, shares, 2, 3.0, 0.2)
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -154,7 +154,9 @@
             state.service,
             state.tried,
             state.route.priority,
-            state.deadline - times.mean,
+            hedging.compute_latest_start(
+                state.started_at, state.deadline, times.mean
+            ),
         )
 
     def _may_attempt(self, state: _CallState) -> bool:
--- a/waxwingport/gateway/hedging.py
+++ b/waxwingport/gateway/hedging.py
@@ -17,6 +17,7 @@
 __all__ = [
     'ResponseTimes',
     'compute_hedge_delay',
+    'compute_latest_start',
     'compute_retry_after',
     'compute_turn_wait',
     'estimate_wait',
@@ -34,6 +35,9 @@
 _MAX_DELAY_SHARE = 0.5
 """Share of a route's target time after which a second attempt starts at the
 latest, so that its response can still meet the target time."""
+_MIN_ANSWER_SHARE = 0.1
+"""Least share of a call's time that is left for its answer: a response that
+is held up on its way takes many times the mean."""
 _RETRY_AFTER_RANGE_S = (0.05, 2.0)
 """At least a round trip, at most the time in which an avoided target usually
 recovers."""
@@ -77,6 +81,20 @@
     return max(_MIN_HEDGE_DELAY_S, overdue, min(latest, 2 * times.mean))
 
 
+def compute_latest_start(
+    started_at: float, deadline: float, mean_time: float = 0.0
+) -> float:
+    """Returns the loop time until which a call may wait to be sent.
+
+    ``mean_time`` is the mean response time in seconds where it is known.
+
+    Load pattern: targets name limits, so that calls wait until shortly before
+    their deadlines; one that is sent then may run without an answer.
+    """
+    least = _MIN_ANSWER_SHARE * (deadline - started_at)
+    return deadline - max(mean_time, least)
+
+
 def estimate_wait(
     target: fleet.Target, times: ResponseTimes, now: float
 ) -> float:
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -60,6 +60,8 @@
     call: dialect.Call
     route: routes.Route
     service: ids.ServiceName
+    started_at: float
+    """Loop time at which the call arrived."""
     deadline: float
     """In seconds of the event loop's clock."""
     tried_instances: set[fleet.InstanceId]
@@ -144,6 +146,7 @@
             call,
             route,
             self._pool.pick_service(route),
+            now,
             now + min(timeout, route.timeout),
             set(),
         )
@@ -193,7 +196,7 @@
             stream.service,
             stream.tried_instances,
             stream.route.priority,
-            stream.deadline,
+            hedging.compute_latest_start(stream.started_at, stream.deadline),
         )
 
     def _may_attempt(self, stream: _Stream) -> bool:
