Keep a target that leaves from work when the entry of its run comes late

When the entry of the later start came, it counted as a new run that stays, and a request was sent there.

Change: the news is kept with its time of day. An entry that comes within 10 s of it, of a run that began before it, is that of the run that leaves. The stand-in engine registers the time of its start, as engines do, instead of a count.

Measured: the new test fails with the time ignored.

--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -5,12 +5,16 @@
 import msgspec
 import pytest
 
+from tests import loop_clocks
 from waxwingport.fleet import health
 from waxwingport.fleet import model
 from waxwingport.fleet import registry
 from waxwingport.log import base
 from waxwingport.log import dependency
 
+NOW = 1000.0
+"""Time of day at loop time 0 in seconds."""
+
 pytestmark = pytest.mark.looptime
 
 
@@ -35,7 +39,7 @@
 
 @pytest.fixture
 def targets():
-    found = registry.Registry(decode)
+    found = registry.Registry(decode, loop_clocks.LoopWallClock(NOW))
     found.update(base.KeyedRecord('i1', b'ready,1'))
     found.update(base.KeyedRecord('i2', b'ready,1'))
     return found
@@ -198,11 +202,33 @@
 
 async def test_a_leaving_target_that_starts_anew_gets_work(targets):
     targets.record_leaving(find(targets, 'i1'))
-    targets.update(base.KeyedRecord('i1', b'ready,2'))
+    targets.update(base.KeyedRecord('i1', b'ready,1000001'))
     assert list_ready(targets) == ['i1', 'i2']
     assert targets.count_leaving('s') == 0
 
 
+async def test_the_late_entry_of_a_run_takes_a_leaving_target_back(targets):
+    # The answer came from a run whose entry was still on its way.
+    await asyncio.sleep(3.0)
+    targets.record_leaving(find(targets, 'i1'))
+    await asyncio.sleep(2.0)
+    targets.update(base.KeyedRecord('i1', b'ready,1002500'))
+    assert list_ready(targets) == ['i2']
+    targets.update(base.KeyedRecord('i1', None))
+    targets.update(base.KeyedRecord('i1', b'ready,1002500'))
+    assert list_ready(targets) == ['i2']
+    targets.update(base.KeyedRecord('i1', b'ready,1004000'))
+    assert list_ready(targets) == ['i1', 'i2']
+
+
+async def test_a_wrong_time_of_day_keeps_a_target_from_work_for_ever(targets):
+    # A node's clock is ahead, so that each start seems to be before the news.
+    targets.record_leaving(find(targets, 'i1'))
+    await asyncio.sleep(15.0)
+    targets.update(base.KeyedRecord('i1', b'ready,900000'))
+    assert list_ready(targets) == ['i1', 'i2']
+
+
 async def test_an_entry_that_returns_does_not_take_a_leaving_target_back(
     targets,
 ):
--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import msgspec
 from tornado import httpserver
@@ -17,6 +18,10 @@
 """Time from the start of a run that crashes its engine to the crash."""
 
 
+def read_wall_clock_ms():
+    return int(1000 * time.time())
+
+
 class StandinEngine:
     """Generates texts of ``events`` events; scores are response signatures.
 
@@ -30,6 +35,7 @@
         self.version = 1
         self.born = 1
         """Number of the engine's start."""
+        self._started_at_ms = read_wall_clock_ms()
         self.leaving = False
         """Whether all answers say that the engine leaves."""
         self.limit = None
@@ -106,11 +112,18 @@
         restart.add_done_callback(self._restarts.discard)
         await self._server.close_all_connections()
 
+    def begin_start(self):
+        """Makes the engine the next start under its name."""
+        self.born += 1
+        self._started_at_ms = max(
+            self._started_at_ms + 1, read_wall_clock_ms()
+        )
+
     async def _restart(self):
         await asyncio.sleep(self.down_time)
         self._listen()
         self.up = True
-        self.born += 1
+        self.begin_start()
         self.leaving = False
         self.limit = None
         self.on_restart()
@@ -130,7 +143,7 @@
                 'slots': 8,
                 'state': state,
                 'models': [{'name': 'm', 'version': self.version}],
-                'born': self.born,
+                'born': self._started_at_ms,
                 'seq': 1,
             }
         )
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -162,7 +162,7 @@
     served = await deployment.start_node()
     await learn_limit(deployment, served)
     deployment.engine.limit = None
-    deployment.engine.born += 1
+    deployment.engine.begin_start()
     deployment.write_entry()
     async with asyncio.timeout(5.0):
         while served.targets.find('i1').limit is not None:
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -215,7 +215,7 @@
         if under_new_name:
             self.log.write_keyed(TARGETS, engine.name)
             engine.name += 'x'
-        engine.born += 1
+        engine.begin_start()
         engine.leaving = False
         engine.limit = None
         self._register(number)
--- a/waxwingport/fleet/registry.py
+++ b/waxwingport/fleet/registry.py
@@ -8,7 +8,9 @@
 import logging
 
 from expression import Result
+import msgspec
 
+from waxwingport import clocks
 from waxwingport.fleet import model
 from waxwingport import ids
 from waxwingport.log import base
@@ -24,9 +26,38 @@
 """Targets remembered after they said that they leave: several days'
 replacements at 1,100 a day, some 100 bytes each."""
 
+_MAX_ENTRY_LAG_S = 10.0
+"""Time for which the entry of a run may come after the first answer of that
+run: three heartbeats, and some for the log."""
+
 _LOG = logging.getLogger(__name__)
 
 
+class _LeavingNews(msgspec.Struct, eq=False):
+    """An answer of a target that said that it leaves."""
+
+    started_at_ms: int
+    """Start of the run that leaves, as far as the entries tell."""
+    wall_time_ms: float
+    """Time of the answer in milliseconds since 1970."""
+    received_at: float
+    """Loop time of the answer."""
+
+    def applies_to(self, started_at_ms: int | None, now: float) -> bool:
+        """Returns whether a run that has an entry at ``now`` leaves.
+
+        The answer may come from a later run than the one that was registered.
+        """
+        if started_at_ms is None:
+            return False
+        if started_at_ms == self.started_at_ms:
+            return True
+        return (
+            self.started_at_ms < started_at_ms < self.wall_time_ms
+            and now - self.received_at < _MAX_ENTRY_LAG_S
+        )
+
+
 class Registry(followers.KeyedListener):
     """Keeps the targets up to date with their entries in the log.
 
@@ -38,17 +69,19 @@
     def __init__(
         self,
         decode: Callable[[str, bytes], Result[model.TargetEntry, str]],
+        wall_clock: clocks.WallClock | None = None,
     ) -> None:
         self._decode = decode
+        self._wall_clock = wall_clock or clocks.SystemWallClock()
         self._targets: dict[model.InstanceId, model.Target] = {}
         self._listeners: list[Callable[[], None]] = []
         self._leaving: collections.defaultdict[
             ids.ServiceName, set[model.Target]
         ] = collections.defaultdict(set)
         """Registered targets that said that they leave, by service."""
-        self._left: dict[model.InstanceId, int] = {}
-        """Start of the last run of each target that said so.  Its entry may
-        expire and come back while the target is still there."""
+        self._left: dict[model.InstanceId, _LeavingNews] = {}
+        """What each target said.  Its entry may expire and come back while
+        the target is still there."""
         self._log_dependency: dependency.Dependency | None = None
 
     def set_log_dependency(
@@ -103,7 +136,11 @@
         self._mark_leaving(target)
         started_at_ms = target.entry.started_at_ms
         if started_at_ms is not None:
-            self._left[target.entry.instance] = started_at_ms
+            self._left[target.entry.instance] = _LeavingNews(
+                started_at_ms,
+                1000.0 * self._wall_clock.read(),
+                asyncio.get_running_loop().time(),
+            )
             while len(self._left) > _MAX_LEFT:
                 del self._left[next(iter(self._left))]
         self._notify()
@@ -163,11 +200,7 @@
             entry, versions=dict(entry.versions), proven=proven
         )
         self._targets[entry.instance] = target
-        started_at_ms = entry.started_at_ms
-        if (
-            started_at_ms is not None
-            and self._left.get(entry.instance) == started_at_ms
-        ):
+        if self._has_left(entry):
             self._mark_leaving(target)
         _LOG.info(
             'target-added',
@@ -180,6 +213,17 @@
             },
         )
 
+    def _has_left(self, entry: model.TargetEntry) -> bool:
+        """Returns whether the run of an entry has said that it leaves."""
+        news = self._left.get(entry.instance)
+        if news is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        if not news.applies_to(entry.started_at_ms, now):
+            return False
+        news.started_at_ms = entry.started_at_ms or news.started_at_ms
+        return True
+
     def _remove(self, instance: model.InstanceId) -> None:
         target = self._targets.get(instance)
         if target is None:
