Ask for more crashes where answers may not be known yet

Change: a crash is settled when its report is in the log, and if it was held up, 0.75 s later. Where targets end for other reasons too, each one that is not asks for one crash more; five remain the bound. Without other crashes three are enough, as before, and a node alone still decides.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -189,6 +189,45 @@
     assert find_stopping(nodes, 'bad') == ['n0', 'n1']
 
 
+async def kill_in_turn(node, count):
+    """Targets end for other reasons, each with one request."""
+    for number in range(count):
+        await node.crash(f't{20 + number}', f'once{number}')
+        await asyncio.sleep(0.1)
+
+
+async def test_chance_counts_in_full_while_the_log_is_away(make_watchers):
+    # Guards against refusals of requests that other nodes got answers to.
+    nodes = make_watchers(2)
+    await asyncio.sleep(1.0)
+    make_watchers.log.down = True
+    await asyncio.sleep(1.0)
+    await kill_in_turn(nodes[0], 2)
+    await crash_in_turn(nodes[:1], 'often', 4)
+    assert find_stopping(nodes, 'often') == []
+    # The bound on what a request may crash holds without the log too.
+    await crash_in_turn(nodes[:1], 'often', 1, first=4)
+    assert find_stopping(nodes, 'often') == ['n0']
+
+
+async def test_reports_that_were_held_up_come_before_the_answers(
+    make_watchers,
+):
+    # Guards against refusals when the log returns.
+    nodes = make_watchers(3)
+    await asyncio.sleep(1.0)
+    make_watchers.log.down = True
+    await asyncio.sleep(1.0)
+    await kill_in_turn(nodes[0], 2)
+    await crash_in_turn(nodes[:1], 'often', 4)
+    nodes[1].watch.record_answer('often')
+    make_watchers.log.down = False
+    for _ in range(300):
+        assert find_stopping(nodes, 'often') == []
+        await asyncio.sleep(0.01)
+    assert not any(node.watch.is_suspect('often') for node in nodes)
+
+
 async def test_a_request_that_was_answered_stays_stopped(make_watchers):
     nodes = make_watchers(3)
     await asyncio.sleep(1.0)
--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -1,16 +1,17 @@
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from waxwingport.scheduling import attribution
 
 NOW = 1.79e9
 
 
-def make_crashes(*candidates, gap=1.0):
+def make_crashes(*candidates, gap=1.0, settled=True):
     """Returns crashes a second after each other, each of the given names."""
     return {
         attribution.TargetStart(f't{number}/1'): attribution.Crash(
-            NOW + gap * number, dict.fromkeys(names.split(), 0.1)
+            NOW + gap * number, dict.fromkeys(names.split(), 0.1), settled
         )
         for number, names in enumerate(candidates)
     }
@@ -83,6 +84,22 @@
     assert find_stopped(crashes) == {'bad'}
 
 
+@pytest.mark.parametrize(
+    ('kills', 'unsettled', 'settled'), [(0, 3, 3), (1, 5, 3), (3, 5, 4)]
+)
+def test_answers_that_are_not_known_yet_make_no_difference(
+    kills, unsettled, settled
+):
+    # A request at killed targets may have been answered at another node.
+    others = [f'other{number}' for number in range(kills)]
+    for known, required in ((False, unsettled), (True, settled)):
+        crashes = ['bad'] * required
+        found = make_crashes(*others, *crashes, settled=known)
+        assert find_stopped(found) == {'bad'}
+        found = make_crashes(*others, *crashes[1:], settled=known)
+        assert find_stopped(found) == set()
+
+
 def test_kills_hide_a_request_for_ever():
     kills = [f'other{number}' for number in range(50)]
     crashes = make_crashes(*kills, *(['bad'] * 5), gap=0.1)
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -9,6 +9,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
+import math
 import random
 
 from expression import Error
@@ -49,6 +51,12 @@
 _REGISTRATION_LAG_S = 10.0
 """Time after which a target that crashed is no longer registered with the same
 start: three of its heartbeats, and some for the log."""
+_MAX_READ_LAG_S = 1.0
+"""Age of a crash above which its report was held up, and with it the answers
+that other nodes got: several times that of an append and its read."""
+_SETTLING_S = 0.75
+"""Time after such a report in which nodes that got answers tell of them:
+their delay, an append and its read."""
 _WRITE_INTERVAL_S = 0.1
 """Least time between two writes of this node's record."""
 _MERGE_DELAY_S = 0.02
@@ -133,6 +141,9 @@
         """Set while records that were read are not merged."""
         self._merge_time = 0.0
         """Seconds that the last merge took."""
+        self._settled_at: dict[attribution.TargetStart, float] = {}
+        """Loop time from which on the answers of other nodes are known, for
+        the crashes in the log."""
         self.crashes: dict[attribution.TargetStart, attribution.Crash] = {}
 
     def add(
@@ -275,11 +286,40 @@
                 for digest, age in report.requests.items():
                     if digest not in answered[start]:
                         known[digest] = max(age, known.get(digest, age))
+        self._update_settling(times, now)
+        loop_time = asyncio.get_running_loop().time()
         return {
-            start: attribution.Crash(at, requests[start])
+            start: attribution.Crash(
+                at,
+                requests[start],
+                self._settled_at.get(start, math.inf) <= loop_time,
+            )
             for start, at in times.items()
         }
 
+    def _update_settling(
+        self, times: Mapping[attribution.TargetStart, float], now: float
+    ) -> None:
+        """Notes when crashes that are new in the log will be settled."""
+        loop_time = asyncio.get_running_loop().time()
+        unwritten = self._find_unwritten()
+        self._settled_at = {
+            start: self._settled_at.get(
+                start,
+                loop_time + (_SETTLING_S if now - at > _MAX_READ_LAG_S else 0),
+            )
+            for start, at in times.items()
+            if start not in unwritten
+        }
+
+    def _find_unwritten(self) -> set[attribution.TargetStart]:
+        """Returns the crashes of this node that are not in the log yet."""
+        record = self._records.by_node.get(self._node)
+        written = record.content.reports if record is not None else []
+        return {report.start for report in self._own.reports} - {
+            report.start for report in written
+        }
+
     def _adopt_own_record(self) -> None:
         """Takes over what this node wrote before its process was restarted."""
         record = self._records.by_node.get(self._node)
--- a/waxwingport/gateway/crashes.py
+++ b/waxwingport/gateway/crashes.py
@@ -247,6 +247,7 @@
                     'crashes': suspicion.crashes,
                     'credit': suspicion.credit,
                     'unexplained': suspicion.unexplained,
+                    'unsettled': suspicion.unsettled,
                     'targets': [
                         start
                         for start, crash in self._reports.crashes.items()
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -64,6 +64,8 @@
     candidates: Mapping[ids.RequestDigest, float]
     """Requests that it ended and that were not answered since, with the
     seconds for which the longest run of each had been there."""
+    settled: bool = True
+    """Whether answers to them at other nodes would be known by now."""
 
 
 class Suspicion(msgspec.Struct, frozen=True):
@@ -78,15 +80,20 @@
     """Crashes at the same time for which no request is a likely cause."""
     last_at: float
     """Time of the last of its crashes in seconds since 1970."""
+    unsettled: int = 0
+    """Crashes in ``credit`` that are not settled."""
 
     @property
     def required(self) -> int:
         """Crashes after which the request is stopped.
 
         Where targets end for other reasons, chance alone may put a request
-        at several of them.
+        at several of them, and more often while its answers are not known.
         """
-        return max(_MIN_CRASHES, min(_MAX_CRASHES, self.unexplained + 1))
+        if not self.unexplained:
+            return _MIN_CRASHES
+        required = max(_MIN_CRASHES, self.unexplained + 1) + self.unsettled
+        return min(_MAX_CRASHES, required)
 
     @property
     def stop_time(self) -> float:
@@ -147,7 +154,10 @@
         own = likely.pop(name)
         times = [crashes[start].at for start in starts[name]]
         nearby = _count_nearby(times, unexplained)
-        found[name] = Suspicion(len(times), len(own), nearby, max(times))
+        unsettled = sum(not crashes[start].settled for start in own)
+        found[name] = Suspicion(
+            len(times), len(own), nearby, max(times), unsettled
+        )
         if found[name].stop_time:
             likely = {
                 other: left - starts[name] for other, left in likely.items()
