Send items to engines that have not answered some while the others are limited

Of the model `other`, which no entry lists, one engine had answered items; it named a limit, and items waited for it for 20 s beside free engines.

Change: engines that have said nothing are left out as long as another one has that names no limit. One that lacks the model refuses the item, and is left out for that. Tried and not taken: leave them out only where entries list the model (fails the test on an empty engine, which is added before it has loaded weights).

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -6,6 +6,7 @@
 
 from tests.scheduling.conftest import LOCAL
 from waxwingport.fleet import health
+from waxwingport.fleet import limits
 from waxwingport.fleet import pace
 from waxwingport.scheduling import lengths
 from waxwingport.scheduling import placement
@@ -61,6 +62,14 @@
     assert [engine.entry.instance for engine in found] == ['new']
 
 
+def test_items_wait_for_the_one_engine_that_has_answered_some(make_engine):
+    # Guards against items that are not started while that engine is limited.
+    answered, free = make_engine('answered'), make_engine('free', version=0)
+    answered.limit = limits.RateLimit(0.1, 0.0)
+    found = placement.find_eligible([answered, free], 'm', 1, 0.0)
+    assert found == [answered, free]
+
+
 def test_a_refused_model_is_tried_again_a_little_later(make_engine):
     engine = make_engine('a')
     engine.pause_model('m', 0.0)
--- a/waxwingport/scheduling/placement.py
+++ b/waxwingport/scheduling/placement.py
@@ -89,12 +89,17 @@
     Leaves out engines whose known version is below ``minimum``, and those
     that are avoided or do not accept the model at the loop time ``now``.  An
     engine that has not said which version it has is left out as long as
-    another one has.
+    another one has that names no limit.
+
+    Load pattern: the only engine that has answered items of a model names a
+    limit, while others are free.
     """
     known = [target for target in targets if model in target.versions]
+    if any(target.limit is None for target in known):
+        targets = known
     return [
         target
-        for target in known or targets
+        for target in targets
         if target.versions.get(model, minimum) >= minimum
         and target.avoided_until <= now
         and target.accepts_model(model, now)
