Begin with a short stop where more than three crashes are required

Cause: the length of a stop grew with each crash above the third, also where kills nearby ask for four or five.

Change: it grows with each crash above those that are required.

Measured: the new test fails before (3000 s).

--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -125,6 +125,13 @@
     assert times[-1] <= 3600.0
 
 
+def test_the_first_stop_beside_kills_lasts_for_an_hour():
+    kills = [f'other{number}' for number in range(3)]
+    crashes = make_crashes(*kills, *(['bad'] * 5), gap=0.1, settled=False)
+    suspicion = attribution.find_suspicions(crashes)['bad']
+    assert 0.0 < suspicion.stop_time <= 120.0
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.sets(strategies.sampled_from('abcdefgh'), max_size=5),
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -48,8 +48,8 @@
 """Time around a request's crashes in which other ones count: several times
 that of a rack's loss or between two stops of a rolling restart."""
 _FIRST_STOP_S = 120.0
-"""Time for which a request is stopped after its third crash.  It bounds the
-harm to one that was stopped wrongly."""
+"""Time for which a request is stopped first.  It bounds the harm to one that
+was stopped wrongly."""
 _STOP_GROWTH = 5.0
 """Factor of that time for each further crash: a request that still crashes
 targets ends three of them in an hour."""
@@ -100,7 +100,7 @@
         """Seconds for which it is stopped after its last crash, or 0."""
         if self.credit < self.required:
             return 0.0
-        growth = _STOP_GROWTH ** (self.credit - _MIN_CRASHES)
+        growth = _STOP_GROWTH ** (self.credit - self.required)
         return min(_MAX_STOP_S, _FIRST_STOP_S * growth)
 
     def compute_remaining(self, now: float) -> float:
