Count a crash by the last run of a request, compare by the first

A request that crashes engines was sent to several nodes at once; its runs at one engine had begun before another crashed, so that three crashes counted as two when the report with the longer run came. It was released 0.3 s after its stop and crashed 15 engines.

Change: reports tell the longest and the shortest run. A crash counts if the last run began after the crash before; crashes where all runs did so decide between requests.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -343,7 +343,7 @@
         lambda: merges.append(1) or find_crashes(),
     )
     for number in range(690):
-        requests = {f'{number}-{n}': 0.1 for n in range(16)}
+        requests = {f'{number}-{n}': [0.1, 0.1] for n in range(16)}
         value = msgspec.json.encode(
             {
                 'reports': [
--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -7,11 +7,17 @@
 NOW = 1.79e9
 
 
+def make_presence(longest, shortest=None):
+    return attribution.Presence(longest, shortest or longest)
+
+
 def make_crashes(*candidates, gap=1.0, settled=True):
     """Returns crashes a second after each other, each of the given names."""
     return {
         attribution.TargetStart(f't{number}/1'): attribution.Crash(
-            NOW + gap * number, dict.fromkeys(names.split(), 0.1), settled
+            NOW + gap * number,
+            dict.fromkeys(names.split(), make_presence(0.1)),
+            settled,
         )
         for number, names in enumerate(candidates)
     }
@@ -46,18 +52,33 @@
     # All runs had been sent before the first of the crashes.
     crashes = {
         attribution.TargetStart(f't{number}/1'): attribution.Crash(
-            NOW + 0.03 * number, {'often': 0.1 + 0.1 * number}
+            NOW + 0.03 * number, {'often': make_presence(0.1 + 0.1 * number)}
         )
         for number in range(5)
     }
     assert find_stopped(crashes) == set()
 
 
+def test_a_cause_that_is_sent_often_hides_behind_its_earlier_runs():
+    # Runs that began before one crash wait at the next target to crash.
+    crashes = {
+        attribution.TargetStart(f't{number}/1'): attribution.Crash(
+            NOW + 0.2 * number, {'bad': make_presence(0.5, 0.05)}
+        )
+        for number in range(3)
+    }
+    assert find_stopped(crashes) == {'bad'}
+
+
 def test_a_request_that_waited_is_taken_for_the_cause():
     crashes = {
         attribution.TargetStart(f't{number}/1'): attribution.Crash(
             NOW + 5.0 * number,
-            {'bad': 0.05, 'long': 0.2, 'other': 0.06 + number},
+            {
+                'bad': make_presence(0.05),
+                'long': make_presence(0.2),
+                'other': make_presence(0.06 + number),
+            },
         )
         for number in range(3)
     }
--- a/waxwingport/experiment/crashes.py
+++ b/waxwingport/experiment/crashes.py
@@ -243,13 +243,15 @@
         lost, engine.calls = engine.calls, []
         engine.up = False
         self._judged = None
-        ages = {
-            # Of several runs of a request the longest one counts.
-            call.digest: self._now - call.sent_at
-            for call in sorted(lost, key=lambda call: -call.sent_at)
-            if not self._was_answered(call.digest)
-        }
-        self._known[engine.start] = attribution.Crash(self._now, ages)
+        candidates: dict[ids.RequestDigest, attribution.Presence] = {}
+        for call in lost:
+            if not self._was_answered(call.digest):
+                age = self._now - call.sent_at
+                presence = attribution.Presence(age, age)
+                candidates[call.digest] = candidates.get(
+                    call.digest, presence
+                ).include(presence)
+        self._known[engine.start] = attribution.Crash(self._now, candidates)
         self._schedule(
             self._now + seconds, functools.partial(self._restart, engine)
         )
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -88,9 +88,9 @@
     """Start of the target in milliseconds since 1970, if known."""
     at: float
     """Seconds since 1970."""
-    requests: dict[ids.RequestDigest, float]
+    requests: dict[ids.RequestDigest, attribution.Presence]
     """This node's requests that the crash ended, without those that were
-    answered since, with the seconds since they were first sent to it."""
+    answered since."""
 
     @property
     def start(self) -> attribution.TargetStart:
@@ -155,19 +155,18 @@
     ) -> bool:
         """Reports a request that a crash ended; returns whether it did.
 
-        ``age`` is the time since the request was sent, in seconds; of several
-        runs that of the longest one counts.  Of many requests, and of many
-        crashes at once, only suspects are reported.
+        ``age`` is the time since the request was sent, in seconds.  Of many
+        requests, and of many crashes at once, only suspects are reported.
         """
         report = self._find_report(target, suspected)
         if report is None or not (
             suspected or len(report.requests) < _MAX_CANDIDATES
         ):
             return False
-        age = round(age, 3)
-        if age > report.requests.get(digest, -1.0):
-            report.requests[digest] = age
-            self._record_change()
+        presence = attribution.Presence(round(age, 3), round(age, 3))
+        known = report.requests.get(digest, presence)
+        report.requests[digest] = known.include(presence)
+        self._record_change()
         return True
 
     def add_crash(self, target: fleet.Target) -> bool:
@@ -273,7 +272,8 @@
                     answered[start].add(digest)
         times: dict[attribution.TargetStart, float] = {}
         requests: collections.defaultdict[
-            attribution.TargetStart, dict[ids.RequestDigest, float]
+            attribution.TargetStart,
+            dict[ids.RequestDigest, attribution.Presence],
         ] = collections.defaultdict(dict)
         for record in self._iterate_records():
             for report in record.reports:
@@ -283,9 +283,11 @@
                 # A clock that is ahead must not stop a request for longer.
                 times[start] = min(report.at, times.get(start, now))
                 known = requests[start]
-                for digest, age in report.requests.items():
+                for digest, presence in report.requests.items():
                     if digest not in answered[start]:
-                        known[digest] = max(age, known.get(digest, age))
+                        known[digest] = known.get(digest, presence).include(
+                            presence
+                        )
         self._update_settling(times, now)
         loop_time = asyncio.get_running_loop().time()
         return {
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -23,6 +23,7 @@
     'ANSWER_VALIDITY_S',
     'MAX_CRASHES_PER_TRY',
     'Crash',
+    'Presence',
     'Suspicion',
     'TargetStart',
     'find_suspicions',
@@ -56,14 +57,29 @@
 _MAX_STOP_S = 3600.0
 
 
+class Presence(msgspec.Struct, frozen=True, array_like=True):
+    """The runs of a request that a crash ended."""
+
+    longest: float
+    """Seconds since the first of them was sent."""
+    shortest: float
+    """Seconds since the last of them was sent."""
+
+    def include(self, other: 'Presence') -> 'Presence':
+        """Returns the presence of both together."""
+        return Presence(
+            max(self.longest, other.longest),
+            min(self.shortest, other.shortest),
+        )
+
+
 class Crash(msgspec.Struct, frozen=True):
     """A target that ended, and the requests that may have caused it."""
 
     at: float
     """Seconds since 1970."""
-    candidates: Mapping[ids.RequestDigest, float]
-    """Requests that it ended and that were not answered since, with the
-    seconds for which the longest run of each had been there."""
+    candidates: Mapping[ids.RequestDigest, Presence]
+    """Requests that it ended and that were not answered since."""
     settled: bool = True
     """Whether answers to them at other nodes would be known by now."""
 
@@ -111,6 +127,27 @@
         return max(0.0, self.last_at + stop_time - now)
 
 
+class _Evidence(msgspec.Struct, eq=False):
+    """What speaks for a request as the cause of crashes."""
+
+    credited: set[TargetStart]
+    """Crashes where a run of it began after its crash before."""
+    certain: set[TargetStart]
+    """Crashes where all of its runs did."""
+    age: float
+    """Mean seconds for which it was there at its crashes."""
+
+    @property
+    def rank(self) -> tuple[int, float]:
+        """Of two requests the likelier cause has the higher one.
+
+        Of equals it is the one that was there for the shortest time, as it
+        crashes each target that begins to run it.  One that is sent often has
+        begun many runs that crashed nothing.
+        """
+        return len(self.certain), -self.age
+
+
 def find_suspicions(
     crashes: Mapping[TargetStart, Crash],
 ) -> dict[ids.RequestDigest, Suspicion]:
@@ -131,27 +168,16 @@
         if all(len(starts[name]) < 2 for name in crash.candidates)
     ]
     found: dict[ids.RequestDigest, Suspicion] = {}
-    likely: dict[ids.RequestDigest, set[TargetStart]] = {}
+    likely: dict[ids.RequestDigest, _Evidence] = {}
     for name, own in starts.items():
-        times = [crashes[start].at for start in own]
         if len(own) < _MIN_CRASHES:
-            found[name] = Suspicion(len(own), len(own), 0, max(times))
+            last_at = max(crashes[start].at for start in own)
+            found[name] = Suspicion(len(own), len(own), 0, last_at)
         else:
-            likely[name] = _select_successive(name, own, crashes)
-    ages = {
-        name: statistics.fmean(
-            crashes[start].candidates[name] for start in own
-        )
-        for name, own in likely.items()
-    }
+            likely[name] = _weigh_evidence(name, own, crashes)
     while likely:
-        # Of equals the cause is more likely the one that was there for the
-        # shortest time, as it crashes each target that begins to run it.  One
-        # that is sent often has begun many runs that crashed nothing.
-        name = max(
-            likely, key=lambda name: (len(likely[name]), -ages[name], name)
-        )
-        own = likely.pop(name)
+        name = max(likely, key=lambda name: (likely[name].rank, name))
+        own = likely.pop(name).credited
         times = [crashes[start].at for start in starts[name]]
         nearby = _count_nearby(times, unexplained)
         unsettled = sum(not crashes[start].settled for start in own)
@@ -159,9 +185,9 @@
             len(times), len(own), nearby, max(times), unsettled
         )
         if found[name].stop_time:
-            likely = {
-                other: left - starts[name] for other, left in likely.items()
-            }
+            for evidence in likely.values():
+                evidence.credited -= starts[name]
+                evidence.certain -= starts[name]
     return found
 
 
@@ -177,23 +203,44 @@
     return f'{digest}/{suspicion.crashes}'
 
 
-def _select_successive(
+def _weigh_evidence(
     name: ids.RequestDigest,
     starts: Iterable[TargetStart],
     crashes: Mapping[TargetStart, Crash],
+) -> _Evidence:
+    first_runs = []
+    last_runs = []
+    ages = []
+    for start in sorted(starts, key=lambda start: crashes[start].at):
+        at = crashes[start].at
+        presence = crashes[start].candidates[name]
+        first_runs.append((start, at, at - presence.longest))
+        last_runs.append((start, at, at - presence.shortest))
+        ages.append(presence.longest)
+    return _Evidence(
+        _select_successive(last_runs),
+        _select_successive(first_runs),
+        statistics.fmean(ages),
+    )
+
+
+def _select_successive(
+    runs: Iterable[tuple[TargetStart, float, float]],
 ) -> set[TargetStart]:
     """Returns the crashes of runs that began after the one before.
 
+    ``runs`` has each crash with its time and the beginning of the run, in the
+    order of the crashes.
+
     Load pattern: a rack loses power, and a request that is sent often was at
     several of its targets.  They say no more of it than one crash.
     """
     chosen: set[TargetStart] = set()
     last = float('-inf')
-    for start in sorted(starts, key=lambda start: crashes[start].at):
-        crash = crashes[start]
-        if crash.at - crash.candidates[name] >= last:
+    for start, at, began_at in runs:
+        if began_at >= last:
             chosen.add(start)
-            last = crash.at
+            last = at
     return chosen
 
 
