Write a crash report only when it changes; log what a new run was taken for

A request with many runs at one target had the record written again for each of them, also where neither its longest nor its shortest run changed. `target-added` tells whether the run is taken for one that leaves. Measured: crash watch, fleet, leaving and log tests pass.

--- a/waxwingport/fleet/registry.py
+++ b/waxwingport/fleet/registry.py
@@ -210,6 +210,7 @@
                 'address': entry.address,
                 'born': entry.started_at_ms,
                 'versions': entry.versions,
+                'leaving': target.leaving,
             },
         )
 
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -164,9 +164,12 @@
         ):
             return False
         presence = attribution.Presence(round(age, 3), round(age, 3))
-        known = report.requests.get(digest, presence)
-        report.requests[digest] = known.include(presence)
-        self._record_change()
+        known = report.requests.get(digest)
+        if known is not None:
+            presence = presence.include(known)
+        if presence != known:
+            report.requests[digest] = presence
+            self._record_change()
         return True
 
     def add_crash(self, target: fleet.Target) -> bool:
