Do not count the wait for a turn as the response time of a target

The response times of a route held the time for which calls had waited for turns of limited targets. After a burst the mean was a third of the timeout, so that calls of the next burst were refused long before their deadlines, and the target looked slow.

Change: the wait is left out of the response time; the log line keeps the whole time.

The new test fails before (mean 0.73 s); limits and calls 46 passed.

--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -64,6 +64,25 @@
     assert set(statuses) <= ({200, 503} if all_limited else {200})
 
 
+async def test_waiting_for_a_limited_engine_counts_as_its_slowness(
+    deployment,
+):
+    # Guards against bursts that are refused for the waits of earlier ones.
+    deployment.engine.limit = '10'
+    served = await deployment.start_node()
+    await learn_limit(deployment, served)
+    for burst in range(3):
+        calls = [
+            deployment.call(served, 'POST', '/score/a', name=f'{burst}-{n}')
+            for n in range(30)
+        ]
+        answers = await asyncio.gather(*calls)
+        assert sum(answer.status == 200 for answer in answers) >= 10
+    times = served.call_forwarder._times['r2']
+    assert times.mean < 0.3
+    assert served.targets.find('i1').slowness < 3.0
+
+
 async def learn_limit(deployment, served):
     """Makes the node hear of the limit of the first engine."""
     async with asyncio.timeout(5.0):
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -55,6 +55,8 @@
     """The last 5xx response, passed on if no other attempt succeeds."""
     lost_detail: str | None = None
     """Why the last attempt of unknown outcome failed, if there was one."""
+    waited: float = 0.0
+    """Seconds for which it waited for turns."""
 
 
 class CallForwarder:
@@ -150,7 +152,9 @@
         """
         if not self._may_attempt(state):
             return False
-        return await self._pool.wait_for_turn(
+        loop = asyncio.get_running_loop()
+        waits_since = loop.time()
+        has_turn = await self._pool.wait_for_turn(
             state.service,
             state.tried,
             state.route.priority,
@@ -158,6 +162,8 @@
                 state.started_at, state.deadline, times.mean
             ),
         )
+        state.waited += loop.time() - waits_since
+        return has_turn
 
     def _may_attempt(self, state: _CallState) -> bool:
         """Returns whether the route allows a further attempt now."""
@@ -239,8 +245,9 @@
             case attempts.Answered(status=status) if status < 500:
                 now = asyncio.get_running_loop().time()
                 elapsed = now - state.started_at
-                health.record_time(target, elapsed, times.mean)
-                times.record(elapsed)
+                response_time = elapsed - state.waited
+                health.record_time(target, response_time, times.mean)
+                times.record(response_time)
                 _LOG.info(
                     'call-answered',
                     extra={
