End the soak's nodes when it is terminated

Cause: soak seed 679 reported 32 submissions without all items: three nodes of an earlier soak, which had been terminated at 14:30:28, still ran at its ports, and one of them claimed a partition of the new run (the name of the claim's holder has the time of its start). The fault is the tool's and the one who terminated it; no node of the run was at fault.

Change: SIGTERM ends a soak like an interrupt, which ends its nodes; all violations are printed, not the first five.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import tempfile
 
 import fire
@@ -14,6 +15,8 @@
 
     Copies the nodes' logs of a failed seed to the directory ``keep``.
     """
+    # Nodes that outlive a run would join the next one at the same ports.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     for seed in range(first, first + count):
         with tempfile.TemporaryDirectory() as folder:
             logs = pathlib.Path(folder)
@@ -36,7 +39,7 @@
             )
             if not violations:
                 continue
-            print('\n'.join(map(str, (*violations[:5], soak.faults.injected))))
+            print('\n'.join(map(str, (*violations, soak.faults.injected))))
             kept_logs = pathlib.Path(keep) / str(seed)
             kept_logs.mkdir(parents=True, exist_ok=True)
             for log in logs.glob('*.log'):
