Ask for one more crash for every two kills nearby

Change: one more is required for every two crashes nearby that no request explains, instead of as many as those and one.

The new test fails before.

--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -121,6 +121,11 @@
         assert find_stopped(found) == set()
 
 
+def test_two_kills_make_no_difference():
+    crashes = make_crashes('x', 'y', 'often', 'often', 'often')
+    assert find_stopped(crashes) == set()
+
+
 def test_kills_hide_a_request_for_ever():
     kills = [f'other{number}' for number in range(50)]
     crashes = make_crashes(*kills, *(['bad'] * 5), gap=0.1)
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -45,6 +45,9 @@
 _MAX_CRASHES = 5
 """Crashes after which it is stopped in any case: the users accept three
 retries after the third crash, and a suspect goes to one target at a time."""
+_KILLS_PER_CRASH = 2
+"""Crashes for other reasons nearby for which one more is required: a request
+is at some of them by chance, and seldom at all."""
 _NEARBY_S = 10.0
 """Time around a request's crashes in which other ones count: several times
 that of a rack's loss or between two stops of a rolling restart."""
@@ -108,8 +111,8 @@
         """
         if not self.unexplained:
             return _MIN_CRASHES
-        required = max(_MIN_CRASHES, self.unexplained + 1) + self.unsettled
-        return min(_MAX_CRASHES, required)
+        chance = self.unexplained // _KILLS_PER_CRASH + self.unsettled
+        return min(_MAX_CRASHES, _MIN_CRASHES + chance)
 
     @property
     def stop_time(self) -> float:
