--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -46,8 +46,8 @@
 """Crashes after which it is stopped in any case: the users accept three
 retries after the third crash, and a suspect goes to one target at a time."""
 _KILLS_PER_CRASH = 2
-"""Crashes for other reasons nearby for which one more is required: a request
-is at some of them by chance, and seldom at all."""
+"""Unexplained crashes nearby that ask for one more: chance puts a request at
+some of the targets that end, and seldom at all of them."""
 _NEARBY_S = 10.0
 """Time around a request's crashes in which other ones count: several times
 that of a rack's loss or between two stops of a rolling restart."""
@@ -107,7 +107,7 @@
         """Crashes after which the request is stopped.
 
         Where targets end for other reasons, chance alone may put a request
-        at several of them, and more often while its answers are not known.
+        at several of them, and more often while answers to it are not known.
         """
         if not self.unexplained:
             return _MIN_CRASHES
