Let all nodes judge targets that end at the same time alike

Cause: crashes of one time were taken in the order of a set, which differs between processes; which of them counts for a request depends on it.

Change: the name of the target's run decides.

--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -1,3 +1,4 @@
+import itertools
 import time
 
 import hypothesis
@@ -123,6 +124,17 @@
         assert find_stopped(found) == set()
 
 
+def test_nodes_disagree_on_targets_that_end_at_the_same_time():
+    # The order of a set differs between processes.
+    crashes = make_crashes('a', 'a', 'a', gap=0.0)
+    orders = itertools.permutations(crashes)
+    chosen = [
+        attribution._weigh_evidence('a', order, crashes).credited
+        for order in orders
+    ]
+    assert all(starts == chosen[0] for starts in chosen)
+
+
 def test_two_kills_make_no_difference():
     crashes = make_crashes('x', 'y', 'often', 'often', 'often')
     assert find_stopped(crashes) == set()
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -224,7 +224,8 @@
     first_runs = []
     last_runs = []
     ages = []
-    for start in sorted(starts, key=lambda start: crashes[start].at):
+    # Names decide between equal times, so that all nodes judge alike.
+    for start in sorted(starts, key=lambda start: (crashes[start].at, start)):
         at = crashes[start].at
         presence = crashes[start].candidates[name]
         first_runs.append((start, at, at - presence.longest))
