Stop a request at a node that has just started, also beside kills

Cause: since a crash that is read a second late has to settle. A node that starts reads all reports late, and where targets had ended for other reasons too it sent a stopped request on for 0.75 s and up to a merge.

Change: what is older than the node was not held up, as the answers to it are read with it. The decision stands apart in scheduling.settling. In the same files, without a change of behaviour: the records of nodes are decoded in one place.

--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -133,6 +133,13 @@
         await asyncio.sleep(SHARED_S)
 
 
+async def kill_in_turn(node, count):
+    """Targets end for other reasons, each with one request."""
+    for number in range(count):
+        await node.crash(f't{20 + number}', f'once{number}')
+        await asyncio.sleep(0.1)
+
+
 def count_records(log):
     return len(log.get_records(base.Partition(TOPIC, 0)))
 
@@ -162,6 +169,23 @@
     await again.stop()
 
 
+async def test_a_restarted_node_waits_before_it_stops_a_request(
+    make_watchers,
+):
+    # Reports that are older than the node were not held up.
+    nodes = make_watchers(3)
+    await asyncio.sleep(1.0)
+    await kill_in_turn(nodes[1], 2)
+    await crash_in_turn(nodes, 'bad', 4)
+    assert len(find_stopping(nodes, 'bad')) == 3
+    await nodes[0].stop()
+    again = Watcher(make_watchers.log, nodes[0].name)
+    again.start()
+    await asyncio.sleep(0.1)
+    assert again.watch.is_stopped('bad')
+    await again.stop()
+
+
 async def test_a_report_written_before_the_old_one_is_read_replaces_it(
     make_watchers,
 ):
@@ -189,13 +213,6 @@
     assert find_stopping(nodes, 'bad') == ['n0', 'n1']
 
 
-async def kill_in_turn(node, count):
-    """Targets end for other reasons, each with one request."""
-    for number in range(count):
-        await node.crash(f't{20 + number}', f'once{number}')
-        await asyncio.sleep(0.1)
-
-
 async def test_chance_counts_in_full_while_the_log_is_away(make_watchers):
     # Guards against refusals of requests that other nodes got answers to.
     nodes = make_watchers(2)
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -9,13 +9,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
-from collections.abc import Mapping
-import math
 import random
 
-from expression import Error
-from expression import Ok
-from expression import Result
 import msgspec
 
 from waxwingport import clocks
@@ -25,6 +20,7 @@
 from waxwingport.log import base
 from waxwingport.log import node_records
 from waxwingport.scheduling import attribution
+from waxwingport.scheduling import settling
 
 __all__ = ['CrashReports', 'name_start']
 
@@ -51,12 +47,6 @@
 _REGISTRATION_LAG_S = 10.0
 """Time after which a target that crashed is no longer registered with the same
 start: three of its heartbeats, and some for the log."""
-_MAX_READ_LAG_S = 1.0
-"""Age of a crash above which its report was held up, and with it the answers
-that other nodes got: several times that of an append and its read."""
-_SETTLING_S = 0.75
-"""Time after such a report in which nodes that got answers tell of them:
-their delay, an append and its read."""
 _WRITE_INTERVAL_S = 0.1
 """Least time between two writes of this node's record."""
 _MERGE_DELAY_S = 0.02
@@ -77,7 +67,6 @@
 lost rack may stand for hours."""
 _MAX_CLEARED = 256
 """Requests in the record of a node that were answered after a crash."""
-_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
 
 
 class _Report(msgspec.Struct, eq=False):
@@ -129,7 +118,7 @@
         self._on_change = on_change
         self._rng = random.Random()
         self._records = node_records.NodeRecords(
-            log, _TOPIC, _decode, self._schedule_merge
+            log, _TOPIC, _Record, self._schedule_merge
         )
         self._own = _Record()
         self._read = asyncio.Event()
@@ -141,9 +130,7 @@
         """Set while records that were read are not merged."""
         self._merge_time = 0.0
         """Seconds that the last merge took."""
-        self._settled_at: dict[attribution.TargetStart, float] = {}
-        """Loop time from which on the answers of other nodes are known, for
-        the crashes in the log."""
+        self._settling = settling.SettlingTimes(wall_clock.read())
         self.crashes: dict[attribution.TargetStart, attribution.Crash] = {}
 
     def add(
@@ -291,32 +278,17 @@
                         known[digest] = known.get(digest, presence).include(
                             presence
                         )
-        self._update_settling(times, now)
         loop_time = asyncio.get_running_loop().time()
+        self._settling.update(times, self._find_unwritten(), now, loop_time)
         return {
             start: attribution.Crash(
                 at,
                 requests[start],
-                self._settled_at.get(start, math.inf) <= loop_time,
+                self._settling.is_settled(start, loop_time),
             )
             for start, at in times.items()
         }
 
-    def _update_settling(
-        self, times: Mapping[attribution.TargetStart, float], now: float
-    ) -> None:
-        """Notes when crashes that are new in the log will be settled."""
-        loop_time = asyncio.get_running_loop().time()
-        unwritten = self._find_unwritten()
-        self._settled_at = {
-            start: self._settled_at.get(
-                start,
-                loop_time + (_SETTLING_S if now - at > _MAX_READ_LAG_S else 0),
-            )
-            for start, at in times.items()
-            if start not in unwritten
-        }
-
     def _find_unwritten(self) -> set[attribution.TargetStart]:
         """Returns the crashes of this node that are not in the log yet."""
         record = self._records.by_node.get(self._node)
@@ -419,10 +391,3 @@
 ) -> attribution.TargetStart:
     """Returns the name of one run of a target."""
     return attribution.TargetStart(f'{instance}/{born}')
-
-
-def _decode(value: bytes) -> Result[_Record, str]:
-    try:
-        return Ok(msgspec.json.decode(value, type=_Record))
-    except _DECODE_ERRORS as error:
-        return Error(str(error))
--- a/waxwingport/gateway/sharing.py
+++ b/waxwingport/gateway/sharing.py
@@ -15,9 +15,6 @@
 from collections.abc import Sequence
 import logging
 
-from expression import Error
-from expression import Ok
-from expression import Result
 import msgspec
 
 from waxwingport import clocks
@@ -52,7 +49,6 @@
 _UNPLACED_TIME_S = 1.0
 """Time without a place after which a node takes a small share by itself; a
 claim usually takes an eighth of it."""
-_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
 
 _LOG = logging.getLogger(__name__)
 
@@ -86,7 +82,7 @@
         self._wall_clock = wall_clock
         self._shared: dict[fleet.InstanceId, _Shared] = {}
         self._records = node_records.NodeRecords(
-            log, _TOPIC, _decode, self._update
+            log, _TOPIC, frozenset[fleet.InstanceId], self._update
         )
         """The targets of which each node claims a share."""
         self._claimed: frozenset[fleet.InstanceId] = frozenset()
@@ -292,10 +288,3 @@
     def _compute_offset(self) -> float:
         loop = asyncio.get_running_loop()
         return self._wall_clock.read() - loop.time()
-
-
-def _decode(value: bytes) -> Result[frozenset[fleet.InstanceId], str]:
-    try:
-        return Ok(msgspec.json.decode(value, type=frozenset[fleet.InstanceId]))
-    except _DECODE_ERRORS as error:
-        return Error(str(error))
--- a/waxwingport/log/node_records.py
+++ b/waxwingport/log/node_records.py
@@ -23,6 +23,7 @@
 
 _APPEND_TIMEOUT_S = 1.0
 """Time in which an append is answered by a log 60 times slower than usual."""
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
 
 Content = TypeVar('Content')
 
@@ -40,20 +41,20 @@
 class NodeRecords(followers.KeyedListener, Generic[Content]):
     """Writes this node's record of a topic and keeps those of all nodes.
 
-    ``decode`` returns the content of a record's value or what is wrong with
-    it.  ``on_change`` is called after each change.
+    A record's value is JSON of the type ``content_type``.  ``on_change`` is
+    called after each change.
     """
 
     def __init__(
         self,
         log: base.PartitionLog,
         topic: base.Topic,
-        decode: Callable[[bytes], Result[Content, str]],
+        content_type: type[Content],
         on_change: Callable[[], None],
     ) -> None:
         self._log = log
         self._partition = base.Partition(topic, 0)
-        self._decode = decode
+        self._content_type = content_type
         self._on_change = on_change
         self._dependency: dependency.Dependency | None = None
         self.by_node: dict[ids.NodeName, NodeRecord[Content]] = {}
@@ -125,15 +126,18 @@
         self.by_node.pop(node, None)
         if record.value is None:
             return
-        match self._decode(record.value):
-            case Result(tag='ok', ok=content):
-                now = asyncio.get_running_loop().time()
-                self.by_node[node] = NodeRecord(content, now)
-            case Result(error=reason):
-                _LOG.warning(
-                    'record-skipped',
-                    extra={
-                        'partition': str(self._partition),
-                        'reason': reason,
-                    },
-                )
+        try:
+            content = msgspec.json.decode(
+                record.value, type=self._content_type
+            )
+        except _DECODE_ERRORS as error:
+            _LOG.warning(
+                'record-skipped',
+                extra={
+                    'partition': str(self._partition),
+                    'reason': str(error),
+                },
+            )
+            return
+        now = asyncio.get_running_loop().time()
+        self.by_node[node] = NodeRecord(content, now)
