Take the change of what a target said out of a question

A method that told whether a target leaves also changed what was known of it. Renamed, and the notice with it; behaviour unchanged, tests/fleet pass.

--- a/waxwingport/fleet/registry.py
+++ b/waxwingport/fleet/registry.py
@@ -25,7 +25,6 @@
 _MAX_LEFT = 4096
 """Targets remembered after they said that they leave: several days'
 replacements at 1,100 a day, some 100 bytes each."""
-
 _MAX_ENTRY_LAG_S = 10.0
 """Time for which the entry of a run may come after the first answer of that
 run: three heartbeats, and some for the log."""
@@ -33,7 +32,7 @@
 _LOG = logging.getLogger(__name__)
 
 
-class _LeavingNews(msgspec.Struct, eq=False):
+class _LeavingNotice(msgspec.Struct, eq=False):
     """An answer of a target that said that it leaves."""
 
     started_at_ms: int
@@ -43,13 +42,11 @@
     received_at: float
     """Loop time of the answer."""
 
-    def applies_to(self, started_at_ms: int | None, now: float) -> bool:
+    def applies_to(self, started_at_ms: int, now: float) -> bool:
         """Returns whether a run that has an entry at ``now`` leaves.
 
         The answer may come from a later run than the one that was registered.
         """
-        if started_at_ms is None:
-            return False
         if started_at_ms == self.started_at_ms:
             return True
         return (
@@ -79,7 +76,7 @@
             ids.ServiceName, set[model.Target]
         ] = collections.defaultdict(set)
         """Registered targets that said that they leave, by service."""
-        self._left: dict[model.InstanceId, _LeavingNews] = {}
+        self._left: dict[model.InstanceId, _LeavingNotice] = {}
         """What each target said.  Its entry may expire and come back while
         the target is still there."""
         self._log_dependency: dependency.Dependency | None = None
@@ -136,7 +133,7 @@
         self._mark_leaving(target)
         started_at_ms = target.entry.started_at_ms
         if started_at_ms is not None:
-            self._left[target.entry.instance] = _LeavingNews(
+            self._left[target.entry.instance] = _LeavingNotice(
                 started_at_ms,
                 1000.0 * self._wall_clock.read(),
                 asyncio.get_running_loop().time(),
@@ -200,8 +197,7 @@
             entry, versions=dict(entry.versions), proven=proven
         )
         self._targets[entry.instance] = target
-        if self._has_left(entry):
-            self._mark_leaving(target)
+        self._recall_leaving(target)
         _LOG.info(
             'target-added',
             extra={
@@ -214,16 +210,15 @@
             },
         )
 
-    def _has_left(self, entry: model.TargetEntry) -> bool:
-        """Returns whether the run of an entry has said that it leaves."""
-        news = self._left.get(entry.instance)
-        if news is None:
-            return False
-        now = asyncio.get_running_loop().time()
-        if not news.applies_to(entry.started_at_ms, now):
-            return False
-        news.started_at_ms = entry.started_at_ms or news.started_at_ms
-        return True
+    def _recall_leaving(self, target: model.Target) -> None:
+        """Marks a target that said that it leaves before it had this entry."""
+        notice = self._left.get(target.entry.instance)
+        started_at_ms = target.entry.started_at_ms
+        if notice is None or started_at_ms is None:
+            return
+        if notice.applies_to(started_at_ms, asyncio.get_running_loop().time()):
+            notice.started_at_ms = started_at_ms
+            self._mark_leaving(target)
 
     def _remove(self, instance: model.InstanceId) -> None:
         target = self._targets.get(instance)
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -28,7 +28,6 @@
 _EXTRA_SENDS = 2
 """Sends beyond a route's ``max_attempts`` after rejections without a run."""
 
-
 _LOG = logging.getLogger(__name__)
 
 
