--- a/waxwingport/experiment/crashes.py
+++ b/waxwingport/experiment/crashes.py
@@ -5,14 +5,12 @@
 """
 
 import collections
-from collections.abc import Callable
 import functools
-import heapq
-import itertools
 import random
 
 import msgspec
 
+from waxwingport.experiment import agenda
 from waxwingport.experiment import patterns
 from waxwingport.experiment import policies
 from waxwingport import ids
@@ -90,9 +88,7 @@
         self._rule = policy.blame_rule
         self._isolates = policy.isolates_suspects
         self._rng = random.Random(seed)
-        self._now = 0.0
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
+        self._agenda = agenda.Agenda()
         self._engines = [
             _Engine(f'engine-{number}')
             for number in range(pattern.engines.count)
@@ -112,14 +108,15 @@
                 at = settings.at + settings.gap * (
                     number + self._rng.uniform(-0.5, 0.5)
                 )
-                self._schedule(
+                self._agenda.schedule(
                     at, functools.partial(self._ask, settings, number)
                 )
         for fault in self._pattern.faults:
-            self._schedule(fault.at, functools.partial(self._kill, fault))
+            self._agenda.schedule(
+                fault.at, functools.partial(self._kill, fault)
+            )
         while self._agenda:
-            self._now, _, action = heapq.heappop(self._agenda)
-            action()
+            self._agenda.pop()()
         return CrashOutcome(
             self._counts['crashes'],
             self._counts['kills'],
@@ -129,9 +126,6 @@
             self._counts['others'],
         )
 
-    def _schedule(self, at: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._agenda, (at, next(self._numbers), action))
-
     def _ask(self, settings: patterns.CallSettings, number: int) -> None:
         name = settings.name if settings.same else f'{settings.name}-{number}'
         if not settings.crashes:
@@ -160,25 +154,25 @@
         call.attempts += 1
         call.tried.add(engine.name)
         call.engine = engine
-        call.sent_at = self._now
+        call.sent_at = self._agenda.now
         engine.calls.append(call)
         if call.settings.crashes:
             if call.attempts == 1:
                 self._record_late(call)
-            self._schedule(
-                self._now + _CRASH_DELAY_S,
+            self._agenda.schedule(
+                self._agenda.now + _CRASH_DELAY_S,
                 functools.partial(self._crash, call, engine),
             )
         else:
-            self._schedule(
-                self._now + call.settings.duration,
+            self._agenda.schedule(
+                self._agenda.now + call.settings.duration,
                 functools.partial(self._answer, call, engine),
             )
 
     def _judge(self) -> _Judgement:
         if self._judged is None:
             self._judged = _Judgement(
-                self._rule.find_stopped(self._known, self._now),
+                self._rule.find_stopped(self._known, self._agenda.now),
                 attribution.find_suspicions(self._known),
             )
         return self._judged
@@ -199,13 +193,14 @@
             return
         again = _Call(call.digest, call.settings, set())
         again.retries = call.retries + 1
-        self._schedule(
-            self._now + _RETRY_DELAY_S, functools.partial(self._send, again)
+        self._agenda.schedule(
+            self._agenda.now + _RETRY_DELAY_S,
+            functools.partial(self._send, again),
         )
 
     def _record_late(self, call: _Call) -> None:
         times = self._crash_times[call.digest]
-        if len(times) >= 3 and self._now > times[2] + _SETTLING_S:
+        if len(times) >= 3 and self._agenda.now > times[2] + _SETTLING_S:
             self._counts['late'] += 1
 
     def _answer(self, call: _Call, engine: _Engine) -> None:
@@ -216,7 +211,7 @@
         self._counts['served'] += 1
         if not self._rule.clears:
             return
-        self._answered_at[call.digest] = self._now
+        self._answered_at[call.digest] = self._agenda.now
         for start, crash in self._known.items():
             if call.digest in crash.candidates:
                 self._judged = None
@@ -228,7 +223,7 @@
         if call.engine is not engine:
             return
         self._counts['crashes'] += 1
-        self._crash_times[call.digest].append(self._now)
+        self._crash_times[call.digest].append(self._agenda.now)
         self._end(engine, self._pattern.engines.down_time)
 
     def _kill(self, fault: patterns.Fault) -> None:
@@ -246,14 +241,17 @@
         candidates: dict[ids.RequestDigest, attribution.Presence] = {}
         for call in lost:
             if not self._was_answered(call.digest):
-                age = self._now - call.sent_at
+                age = self._agenda.now - call.sent_at
                 presence = attribution.Presence(age, age)
                 candidates[call.digest] = candidates.get(
                     call.digest, presence
                 ).include(presence)
-        self._known[engine.start] = attribution.Crash(self._now, candidates)
-        self._schedule(
-            self._now + seconds, functools.partial(self._restart, engine)
+        self._known[engine.start] = attribution.Crash(
+            self._agenda.now, candidates
+        )
+        self._agenda.schedule(
+            self._agenda.now + seconds,
+            functools.partial(self._restart, engine),
         )
         for call in lost:
             call.engine = None
@@ -262,7 +260,7 @@
 
     def _was_answered(self, digest: ids.RequestDigest) -> bool:
         at = self._answered_at.get(digest, float('-inf'))
-        return self._now - at <= attribution.ANSWER_VALIDITY_S
+        return self._agenda.now - at <= attribution.ANSWER_VALIDITY_S
 
     def _restart(self, engine: _Engine) -> None:
         engine.starts += 1
--- a/waxwingport/experiment/replay.py
+++ b/waxwingport/experiment/replay.py
@@ -5,14 +5,12 @@
 the engines are a model.
 """
 
-from collections.abc import Callable
 import functools
-import heapq
-import itertools
 import random
 
 import msgspec
 
+from waxwingport.experiment import agenda
 from waxwingport.experiment import engines
 from waxwingport.experiment import patterns
 from waxwingport.experiment import policies
@@ -70,9 +68,7 @@
         self._placement = placement.Placement(
             engines.DATA_CENTRE, self._rng, policy.placement_settings
         )
-        self._now = 0.0
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
+        self._agenda = agenda.Agenda()
         self._engines = engines.make_engines(pattern.engines, policy)
         self._steps = workload.draw_steps(pattern, seed)
         trainers = pattern.trainers.count if pattern.trainers else 0
@@ -87,12 +83,14 @@
 
     def run(self) -> Outcome:
         for step in self._steps:
-            self._schedule(step.asked_at, functools.partial(self._ask, step))
+            self._agenda.schedule(
+                step.asked_at, functools.partial(self._ask, step)
+            )
         for fault in self._pattern.faults:
-            self._schedule(
+            self._agenda.schedule(
                 fault.at, functools.partial(self._apply, fault, True)
             )
-            self._schedule(
+            self._agenda.schedule(
                 fault.at + fault.seconds,
                 functools.partial(self._apply, fault, False),
             )
@@ -102,15 +100,12 @@
         while self._agenda and any(
             step.finished_at is None for step in self._steps
         ):
-            self._now, _, action = heapq.heappop(self._agenda)
-            if self._now > _MAX_TIME_S:
+            action = self._agenda.pop()
+            if self._agenda.now > _MAX_TIME_S:
                 break
             action()
         return self._summarise()
 
-    def _schedule(self, at: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._agenda, (at, next(self._numbers), action))
-
     def _summarise(self) -> Outcome:
         ends = [
             _MAX_TIME_S if step.finished_at is None else step.finished_at
@@ -167,8 +162,8 @@
                 timeout = timeouts.compute_silence_timeout(
                     engine.target.pace.seconds
                 )
-            self._schedule(
-                max(self._now, run.last_at + timeout),
+            self._agenda.schedule(
+                max(self._agenda.now, run.last_at + timeout),
                 functools.partial(self._break, run),
             )
 
@@ -193,26 +188,32 @@
             [engine.target for engine in targets.values()],
             engines.MODEL,
             1,
-            self._now,
+            self._agenda.now,
         )
         if not any(
-            self._placement.count_free_slots(target, self._now) >= 1
+            self._placement.count_free_slots(target, self._agenda.now) >= 1
             for target in eligible
         ):
             eligible = []
         for candidate in self._sort() if eligible else ():
             target = self._placement.choose_engine(
-                placement.find_accepting(eligible, engines.MODEL, self._now),
+                placement.find_accepting(
+                    eligible, engines.MODEL, self._agenda.now
+                ),
                 frozenset(),
-                self._now,
+                self._agenda.now,
             )
             if target is None:
                 break
-            self._placement.record_start(target, engines.MODEL, self._now)
+            self._placement.record_start(
+                target, engines.MODEL, self._agenda.now
+            )
             self._start(candidate.key, targets[target.entry.instance])
         if self._waiting and not self._ticking:
             self._ticking = True
-            self._schedule(self._now + _DISPATCH_INTERVAL_S, self._tick)
+            self._agenda.schedule(
+                self._agenda.now + _DISPATCH_INTERVAL_S, self._tick
+            )
 
     def _sort(self) -> list[order.Candidate[engines.Item]]:
         candidates = [
@@ -231,20 +232,22 @@
     def _start(self, item: engines.Item, engine: engines.Engine) -> None:
         self._waiting.remove(item)
         if not item.generated:
-            self._waits.append(self._now - item.step.asked_at)
+            self._waits.append(self._agenda.now - item.step.asked_at)
         run = engines.Run(
-            item, engine, self._now, engine.delay, item.generated
+            item, engine, self._agenda.now, engine.delay, item.generated
         )
         item.run = run
         engine.target.running += 1
         if engine.dark:
-            timeout = timeouts.choose_head_timeout(engine.target, self._now)
-            self._schedule(
-                self._now + timeout, functools.partial(self._break, run)
+            timeout = timeouts.choose_head_timeout(
+                engine.target, self._agenda.now
+            )
+            self._agenda.schedule(
+                self._agenda.now + timeout, functools.partial(self._break, run)
             )
         elif engine.rejects:
-            self._schedule(
-                self._now + _REJECTION_TIME_S,
+            self._agenda.schedule(
+                self._agenda.now + _REJECTION_TIME_S,
                 functools.partial(self._reject, run),
             )
         else:
@@ -253,8 +256,8 @@
             self._schedule_event(run)
 
     def _schedule_event(self, run: engines.Run) -> None:
-        self._schedule(
-            self._now + run.engine.draw_gap(self._rng),
+        self._agenda.schedule(
+            self._agenda.now + run.engine.draw_gap(self._rng),
             functools.partial(self._generate, run),
         )
 
@@ -265,14 +268,15 @@
         delay = engine.delay - run.seen_delay
         if delay > 0.0:
             run.seen_delay = engine.delay
-            self._schedule(
-                self._now + delay, functools.partial(self._generate, run)
+            self._agenda.schedule(
+                self._agenda.now + delay,
+                functools.partial(self._generate, run),
             )
             return
         if run.generated:
-            engine.target.pace.record(self._now - run.last_at)
+            engine.target.pace.record(self._agenda.now - run.last_at)
         engine.target.proven = True
-        run.last_at = self._now
+        run.last_at = self._agenda.now
         run.generated += 1
         item.generated += 1
         if item.generated >= item.length:
@@ -292,7 +296,7 @@
             [engine.target for engine in self._engines if engine.listed],
             engines.MODEL,
             1,
-            self._now,
+            self._agenda.now,
         )
         progress = placement.RunProgress(
             run.generated,
@@ -300,7 +304,7 @@
             self._estimate_remaining(run.item),
         )
         return self._placement.should_move(
-            run.engine.target, eligible, progress, self._now
+            run.engine.target, eligible, progress, self._agenda.now
         )
 
     def _finish(self, run: engines.Run) -> None:
@@ -317,7 +321,7 @@
         self._dispatch()
 
     def _end_step(self, step: engines.Step) -> None:
-        step.finished_at = self._now
+        step.finished_at = self._agenda.now
         for item in step.items:
             if item.run is not None and not item.run.ended:
                 self._end(item.run)
@@ -331,7 +335,7 @@
         self._broken += 1
         self._end(run)
         health.record_failure(
-            run.engine.target, health.HealthSignal.BROKEN, self._now
+            run.engine.target, health.HealthSignal.BROKEN, self._agenda.now
         )
         self._waiting.append(run.item)
         self._dispatch()
@@ -341,7 +345,7 @@
             return
         self._rejected += 1
         self._end(run)
-        run.engine.target.pause_model(engines.MODEL, self._now)
+        run.engine.target.pause_model(engines.MODEL, self._agenda.now)
         self._waiting.append(run.item)
         self._dispatch()
 
