Close all connections of a stand-in engine when it crashes

close_all_connections waits for the request of each connection in turn, so that an engine which had crashed went on answering the others: a request that crashes engines got 200 from one that another try of it had just ended, and was cleared. Seen in a new test of many tries at once; the soak was not affected, as its proxies reset all connections at once.

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+import weakref
 
 import msgspec
 from tornado import httpserver
@@ -76,6 +77,8 @@
         self.crashes = []
         """Loop time of each crash and the body that caused it, if one did."""
         self.up = True
+        self.streams = weakref.WeakSet()
+        """Connections on which requests have arrived."""
         self._restarts = set()
         application = web.Application(
             [
@@ -106,6 +109,10 @@
         self.up = False
         self.crashes.append((asyncio.get_running_loop().time(), body))
         self._server.stop()
+        # ``close_all_connections`` waits for the requests of each one, while
+        # those of the others are still answered.
+        for stream in list(self.streams):
+            stream.close()
         self.on_crash()
         restart = asyncio.ensure_future(self._restart())
         self._restarts.add(restart)
@@ -161,6 +168,7 @@
         return self.application.settings['engine']
 
     def prepare(self):
+        self.engine.streams.add(self.request.connection.stream)
         if self.request.path != '/report':
             now = asyncio.get_running_loop().time()
             name = self.request.headers.get('Request-Id', self.request.path)
