--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -203,3 +203,56 @@
     assert answer.status == 503
     assert float(dict(answer.headers)['Retry-After']) > 60.0
     assert len(find_crashes(deployment)) == 3
+
+
+async def test_many_tries_reach_an_engine_before_it_crashes(deployment):
+    # Guards against tries that are all sent before the first of them crashes.
+    nodes = await start_cluster(deployment)
+    for engine in deployment.engines:
+        engine.down_time = 0.5
+        engine.score_pause = 0.3
+    send = functools.partial(call_in_turn, deployment, nodes)
+
+    async def send_bad(number):
+        return await deployment.call(
+            nodes[number % 4],
+            'POST',
+            '/once/x',
+            CRASHING_BODY,
+            f'bad{number}',
+        )
+
+    async def kill():
+        await asyncio.sleep(0.5)
+        await asyncio.gather(*(e.crash() for e in deployment.engines[:4]))
+
+    # Kills ask for more crashes, so that three do not stop the request; each
+    # of the calls is at one of them.
+    await asyncio.gather(
+        kill(),
+        send('/once/y', lambda n: b'body %d' % n, 0.02, 1.0, 'good'),
+    )
+    await asyncio.sleep(0.5)
+    for number in range(3):
+        await send_bad(number)
+        await asyncio.sleep(0.7)
+    assert len(find_crashes(deployment)) == 3
+    await asyncio.sleep(SETTLING_S)
+    await asyncio.gather(*(send_bad(number) for number in range(3, 19)))
+    assert len(find_crashes(deployment)) > 3
+    assert len(find_late_retries(deployment, 'bad')) <= ALLOWED_RETRIES
+
+
+async def test_a_new_request_is_sent_to_each_engine_with_the_cause(deployment):
+    # Guards against requests that are refused as they were never apart.
+    nodes = await start_cluster(deployment, engines=2)
+    for engine in deployment.engines:
+        engine.score_pause = 0.2
+        engine.down_time = 0.4
+    send = functools.partial(call_in_turn, deployment, nodes, '/score/x')
+    bad, often = await asyncio.gather(
+        send(lambda _: CRASHING_BODY, 0.1, 6.0, 'bad'),
+        send(lambda n: b'often %d' % (n % 5), 0.05, 6.0, 'often'),
+    )
+    assert find_refused(bad)
+    assert find_refused(often) == []
