Send one try of a request at three crashes at a time over all nodes

Both engines were down; when they came back, five tries at three nodes reached one of them before it crashed, later than 3 s after the third crash.

Cause: the rule allows up to five crashes, counted on one try of a suspect at a time. That held within one call; tries of several callers and nodes were not bounded by anything.

Change: a request at three crashes that is not stopped is sent after a claim. Claims stand in the nodes' crash reports, all nodes read them in the order of the log (scheduling.probes), and an earlier one of the same request or target holds up the later ones until it is withdrawn, for 2 s at most. A withdrawal is in one record with the report of the crash, so that the next try comes from a node that knows of it. Without the log a node serialises its own.

The policies of other rules play without claims, as they did.

--- a/tests/experiment/test_crashes.py
+++ b/tests/experiment/test_crashes.py
@@ -44,6 +44,13 @@
     assert add_up(pattern).crashes < without.crashes / 10
 
 
+def test_tries_that_come_together_all_reach_an_engine():
+    for outcome in play('crashing-burst'):
+        assert outcome.late_sends <= ALLOWED_RETRIES
+    without = play('crashing-burst', 'no-claims')
+    assert all(outcome.late_sends > ALLOWED_RETRIES for outcome in without)
+
+
 def test_new_requests_at_starved_engines_are_refused():
     # A wrong verdict ends when the cause crashes an engine without them, which
     # is sooner where suspects are sent apart.
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -25,6 +25,35 @@
 pytestmark = pytest.mark.looptime
 
 
+class Probe:
+    """A try of a request at a node, sent to one target."""
+
+    def __init__(self, node, digest, target, wait=30.0):
+        self.sent_at = None
+        self.may_send = None
+        self._end = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        self.task = loop.create_task(
+            self._run(node, digest, target, loop.time() + wait)
+        )
+
+    async def _run(self, node, digest, target, latest_start):
+        async with node.watch.probe(
+            node.targets.find(target), digest, latest_start
+        ) as self.may_send:
+            if self.may_send:
+                self.sent_at = asyncio.get_running_loop().time()
+                await self._end.wait()
+
+    @property
+    def in_progress(self):
+        return self.sent_at is not None and not self.task.done()
+
+    async def end(self):
+        self._end.set()
+        await self.task
+
+
 class Connections:
     """Tells which addresses refuse connections."""
 
@@ -508,3 +537,122 @@
     (record,) = (await make_watchers.log.read_newest(TOPIC)).ok.records
     (report,) = msgspec.json.decode(record.value)['reports']
     assert report.keys() == {'target', 'born', 'at', 'requests'}
+
+
+def count_in_progress(tries):
+    return sum(one.in_progress for one in tries)
+
+
+async def crash_beside_kills(nodes, digest):
+    """The request is at three crashes, which beside kills do not stop it."""
+    await asyncio.sleep(1.0)
+    await kill_in_turn(nodes[0], 4)
+    await crash_in_turn(nodes, digest)
+    assert find_stopping(nodes, digest) == []
+
+
+async def test_tries_at_all_nodes_are_sent_at_once(make_watchers):
+    nodes = make_watchers(4)
+    await crash_beside_kills(nodes, 'new')
+    tries = [
+        Probe(nodes[number % 4], 'new', f't{10 + number}')
+        for number in range(6)
+    ]
+    for left in range(6, 0, -1):
+        await asyncio.sleep(SHARED_S)
+        assert count_in_progress(tries) == 1
+        (running,) = (one for one in tries if one.in_progress)
+        await running.end()
+        tries.remove(running)
+        assert len(tries) == left - 1
+
+
+async def test_the_next_try_is_sent_before_a_crash_is_known(make_watchers):
+    nodes = make_watchers(3)
+    await crash_beside_kills(nodes, 'bad')
+    tries = [Probe(node, 'bad', f't{8 + n}') for n, node in enumerate(nodes)]
+    await asyncio.sleep(SHARED_S)
+    for number in range(2):
+        (running,) = (one for one in tries if one.in_progress)
+        await nodes[tries.index(running)].crash(f't{9 + number}', 'bad')
+        await running.end()
+        await asyncio.sleep(SHARED_S)
+    assert [one.may_send for one in tries].count(True) == 2
+    assert len(find_stopping(nodes, 'bad')) == 3
+    assert all(one.task.done() for one in tries)
+
+
+async def test_tries_wait_after_an_answer_at_another_node(make_watchers):
+    nodes = make_watchers(3)
+    await crash_beside_kills(nodes, 'often')
+    nodes[0].watch.record_answer('often')
+    await asyncio.sleep(SHARED_S)
+    tries = [Probe(node, 'often', 't9') for node in nodes]
+    await asyncio.sleep(0.0)
+    assert count_in_progress(tries) == 3
+    for one in tries:
+        await one.end()
+
+
+async def test_suspects_at_one_target_are_sent_together(make_watchers):
+    nodes = make_watchers(2)
+    await asyncio.sleep(1.0)
+    await kill_in_turn(nodes[0], 4)
+    for number in range(3):
+        await nodes[number % 2].crash(f't{number}', 'bad', 'new')
+        await asyncio.sleep(SHARED_S)
+    tries = [
+        Probe(nodes[0], 'bad', 't9'),
+        Probe(nodes[1], 'new', 't9'),
+        Probe(nodes[1], 'bad', 't8'),
+    ]
+    await asyncio.sleep(SHARED_S)
+    assert count_in_progress(tries) == 1
+    for one in tries:
+        one.task.cancel()
+
+
+async def test_a_suspect_that_is_never_its_turn_waits_for_ever(make_watchers):
+    nodes = make_watchers(2)
+    await crash_beside_kills(nodes, 'new')
+    first = Probe(nodes[0], 'new', 't8')
+    await asyncio.sleep(SHARED_S)
+    late = Probe(nodes[1], 'new', 't9', wait=1.0)
+    await asyncio.sleep(1.1)
+    assert late.may_send is False
+    # A node that is lost holds up the others for a while only.
+    await nodes[0].stop()
+    again = Probe(nodes[1], 'new', 't9')
+    await asyncio.sleep(3.0)
+    assert again.in_progress
+    await first.end()
+    await again.end()
+
+
+async def test_a_suspect_is_not_sent_without_the_log(make_watchers):
+    nodes = make_watchers(2)
+    await crash_beside_kills(nodes, 'new')
+    make_watchers.log.down = True
+    await asyncio.sleep(3.0)
+    tries = [Probe(nodes[0], 'new', f't{8 + number}') for number in range(3)]
+    await asyncio.sleep(SHARED_S)
+    assert count_in_progress(tries) == 1
+    for one in tries:
+        one.task.cancel()
+
+
+async def test_claims_stand_after_their_tries(make_watchers):
+    nodes = make_watchers(2)
+    await crash_beside_kills(nodes, 'new')
+    one = Probe(nodes[0], 'new', 't9')
+    await asyncio.sleep(SHARED_S)
+    cancelled = Probe(nodes[1], 'new', 't9')
+    await asyncio.sleep(SHARED_S)
+    cancelled.task.cancel()
+    await one.end()
+    await asyncio.sleep(SHARED_S)
+    records = (await make_watchers.log.read_newest(TOPIC)).ok.records
+    claims = [
+        msgspec.json.decode(record.value)['claims'] for record in records
+    ]
+    assert claims == [[], []]
--- a/waxwingport/experiment/crashes.py
+++ b/waxwingport/experiment/crashes.py
@@ -6,6 +6,7 @@
 
 import collections
 import functools
+import itertools
 import random
 
 import msgspec
@@ -16,6 +17,7 @@
 from waxwingport import ids
 from waxwingport.membership import rendezvous
 from waxwingport.scheduling import attribution
+from waxwingport.scheduling import probes
 
 __all__ = ['CrashOutcome', 'replay']
 
@@ -25,6 +27,12 @@
 _RETRIES = 5
 """Further tries of a caller whose call failed."""
 _RETRY_DELAY_S = 0.2
+_CLAIM_DELAY_S = 0.1
+"""Time in which all nodes read a claim."""
+_CLAIM_CHECK_INTERVAL_S = 0.05
+_MAX_CLAIM_WAIT_S = 2.0
+"""Time after which the caller of a call that waits for others gives up."""
+_NODE = ids.NodeName('any')
 _SETTLING_S = 3.0
 """Time after the third crash from which on a request should be stopped."""
 
@@ -66,6 +74,8 @@
     crashes: int = 0
     retries: int = 0
     sent_at: float = 0.0
+    claim: probes.Claim | None = None
+    claimed_at: float = 0.0
 
 
 class _Judgement(msgspec.Struct, frozen=True):
@@ -87,6 +97,7 @@
         self._pattern = pattern
         self._rule = policy.blame_rule
         self._isolates = policy.isolates_suspects
+        self._needs_claims = policy.claims_suspects
         self._rng = random.Random(seed)
         self._agenda = agenda.Agenda()
         self._engines = [
@@ -100,6 +111,9 @@
         self._judged: _Judgement | None = None
         """What the policy says of the known crashes, until they change."""
         self._answered_at: dict[ids.RequestDigest, float] = {}
+        self._claims: dict[probes.ClaimKey, None] = {}
+        self._claim_numbers = itertools.count()
+        self._claim_order = probes.ProbeOrder()
         self._counts: collections.Counter[str] = collections.Counter()
 
     def run(self) -> CrashOutcome:
@@ -135,6 +149,7 @@
     def _send(self, call: _Call) -> None:
         """Sends a call to an engine that it has not tried, if it may."""
         if call.digest in self._judge().stopped:
+            self._withdraw(call)
             if not call.settings.crashes:
                 self._counts['refused'] += 1
             return
@@ -148,9 +163,13 @@
             or call.attempts >= _MAX_ATTEMPTS
             or call.crashes >= attribution.MAX_CRASHES_PER_TRY
         ):
+            self._withdraw(call)
             self._retry(call)
             return
         engine = self._choose(call, ready)
+        if self._needs_claim(call) and not self._may_probe(call, engine):
+            self._await_grant(call)
+            return
         call.attempts += 1
         call.tried.add(engine.name)
         call.engine = engine
@@ -169,6 +188,51 @@
                 functools.partial(self._answer, call, engine),
             )
 
+    def _needs_claim(self, call: _Call) -> bool:
+        suspicion = self._judge().suspicions.get(call.digest)
+        return (
+            self._needs_claims
+            and suspicion is not None
+            and suspicion.needs_claim
+            and not self._was_answered(call.digest)
+        )
+
+    def _may_probe(self, call: _Call, engine: _Engine) -> bool:
+        """Returns whether no other try of the call, or suspect, is in the way.
+
+        The call claims the engine first.
+        """
+        now = self._agenda.now
+        if call.claim is None:
+            call.claimed_at = now
+        if call.claim is None or call.claim.target != engine.start:
+            self._withdraw(call)
+            call.claim = probes.Claim(
+                call.digest, engine.start, next(self._claim_numbers)
+            )
+            self._claims[_NODE, call.claim] = None
+            self._claim_order.update(self._claims, now)
+        return (
+            self._claim_order.is_granted((_NODE, call.claim), now)
+            and now - call.claimed_at >= _CLAIM_DELAY_S
+        )
+
+    def _await_grant(self, call: _Call) -> None:
+        if self._agenda.now - call.claimed_at > _MAX_CLAIM_WAIT_S:
+            self._withdraw(call)
+            self._retry(call)
+            return
+        self._agenda.schedule(
+            self._agenda.now + _CLAIM_CHECK_INTERVAL_S,
+            functools.partial(self._send, call),
+        )
+
+    def _withdraw(self, call: _Call) -> None:
+        if call.claim is not None:
+            del self._claims[_NODE, call.claim]
+            call.claim = None
+            self._claim_order.update(self._claims, self._agenda.now)
+
     def _judge(self) -> _Judgement:
         if self._judged is None:
             self._judged = _Judgement(
@@ -208,6 +272,7 @@
             return
         engine.calls.remove(call)
         call.engine = None
+        self._withdraw(call)
         self._counts['served'] += 1
         if not self._rule.clears:
             return
@@ -256,6 +321,7 @@
         for call in lost:
             call.engine = None
             call.crashes += 1
+            self._withdraw(call)
             self._send(call)
 
     def _was_answered(self, digest: ids.RequestDigest) -> bool:
--- a/waxwingport/experiment/policies.py
+++ b/waxwingport/experiment/policies.py
@@ -31,6 +31,8 @@
     blame_rule: blame.BlameRule = blame.CurrentRule()
     isolates_suspects: bool = True
     """Whether requests that were at a crash are sent apart from each other."""
+    claims_suspects: bool = True
+    """Whether one try of a request that was at several is sent at a time."""
 
 
 _FULL_SHARE = 1.0
@@ -73,25 +75,34 @@
         'requests that were at a crash are sent like others',
         isolates_suspects=False,
     ),
+    Policy(
+        'no-claims',
+        'tries of a request that was at several crashes are sent together',
+        claims_suspects=False,
+    ),
     Policy(
         'no-blame',
         'no request is stopped',
         blame_rule=blame.NoRule(),
+        claims_suspects=False,
     ),
     Policy(
         'plain-count',
         'a request is stopped after three crashes',
         blame_rule=blame.PlainCount(),
+        claims_suspects=False,
     ),
     Policy(
         'clearing-count',
         'a request is stopped after three crashes without an answer',
         blame_rule=blame.ClearingCount(),
+        claims_suspects=False,
     ),
     Policy(
         'by-company',
         'the requests at a crash share it equally',
         blame_rule=blame.ByCompany(),
+        claims_suspects=False,
     ),
 )
 
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -26,6 +26,8 @@
     head: dialect.AnswerHead
     failures: int = 0
     """Number of targets that returned a 5xx response, this one included."""
+    waited: float = 0.0
+    """Seconds for which the request waited for other tries of it."""
 
 
 class NotRun(msgspec.Struct, frozen=True):
@@ -75,12 +77,39 @@
         expected: dialect.Expectations,
         timeout: float,
         fresh: bool,
+        latest_start: float,
     ) -> Outcome:
         """Sends ``call`` and records and returns the outcome.
 
-        ``timeout`` in seconds covers the whole exchange.  ``fresh`` asks for
-        a connection of its own.
+        ``timeout`` in seconds covers the wait and the whole exchange.
+        ``fresh`` asks for a connection of its own.  A call that may crash its
+        target is not sent after the loop time ``latest_start``.
         """
+        loop = asyncio.get_running_loop()
+        waits_since = loop.time()
+        async with self.crash_watch.probe(
+            target, call.digest, latest_start
+        ) as may_send:
+            if not may_send:
+                return make_withheld()
+            waited = loop.time() - waits_since
+            remaining = timeout - waited
+            expected = msgspec.structs.replace(expected, remaining=remaining)
+            outcome = await self._exchange(
+                call, target, expected, remaining, fresh
+            )
+        if isinstance(outcome, Answered):
+            return msgspec.structs.replace(outcome, waited=waited)
+        return outcome
+
+    async def _exchange(
+        self,
+        call: dialect.Call,
+        target: fleet.Target,
+        expected: dialect.Expectations,
+        timeout: float,
+        fresh: bool,
+    ) -> Outcome:
         request = self.make_request(call, target, expected, fresh)
         sent_at = asyncio.get_running_loop().time()
         target.running += 1
@@ -199,6 +228,13 @@
     )
 
 
+def make_withheld() -> NotRun:
+    """Returns the outcome of a request that waits for other tries of it."""
+    return NotRun(
+        health.HealthSignal.WITHHELD, 'another try of it is not answered yet'
+    )
+
+
 def classify_fault(fault: client.TransportFault) -> NotRun | Lost:
     """Returns ``Lost`` if the request was sent, else ``NotRun``."""
     if fault.kind is client.TransportFaultKind.WITHDRAWN:
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -123,7 +123,7 @@
                 delay = hedging.compute_hedge_delay(state.route, times)
                 hedge_at = now + delay
             elif not state.running:
-                if await self._wait_for_turn(state, times):
+                if await self._wait_for_turn(state):
                     continue
                 return self._conclude_unanswered(state)
             elif due:
@@ -142,9 +142,14 @@
                 if answer is not None:
                     return Ok(answer)
 
-    async def _wait_for_turn(
-        self, state: _CallState, times: hedging.ResponseTimes
-    ) -> bool:
+    def _compute_latest_start(self, state: _CallState) -> float:
+        """Returns the loop time until which the call may wait to be sent."""
+        times = self._times[state.route.name]
+        return hedging.compute_latest_start(
+            state.started_at, state.deadline, times.mean
+        )
+
+    async def _wait_for_turn(self, state: _CallState) -> bool:
         """Waits until an attempt is possible; ``False`` if none will be.
 
         The answer still has to arrive before the deadline.
@@ -157,9 +162,7 @@
             state.service,
             state.tried,
             state.route.priority,
-            hedging.compute_latest_start(
-                state.started_at, state.deadline, times.mean
-            ),
+            self._compute_latest_start(state),
         )
         state.waited += loop.time() - waits_since
         return has_turn
@@ -226,7 +229,12 @@
         )
         task = loop.create_task(
             self._sender.send(
-                state.call, target, expected, remaining, fresh=not idempotent
+                state.call,
+                target,
+                expected,
+                remaining,
+                not idempotent,
+                self._compute_latest_start(state),
             )
         )
         state.running[task] = target
@@ -244,7 +252,7 @@
             case attempts.Answered(status=status) if status < 500:
                 now = asyncio.get_running_loop().time()
                 elapsed = now - state.started_at
-                response_time = elapsed - state.waited
+                response_time = elapsed - state.waited - outcome.waited
                 health.record_time(target, response_time, times.mean)
                 times.record(response_time)
                 _LOG.info(
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -2,7 +2,8 @@
 
 Each node writes the crashes that it saw in its record on one topic, with the
 requests that they ended, and which requests were answered since.  All nodes
-read the records of all and merge them alike.
+read the records of all and merge them alike.  The records also hold the claims
+to send requests that may crash further targets.
 """
 
 import asyncio
@@ -16,10 +17,12 @@
 from waxwingport import clocks
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
+from waxwingport.gateway import probe_claims
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import node_records
 from waxwingport.scheduling import attribution
+from waxwingport.scheduling import probes
 from waxwingport.scheduling import settling
 
 __all__ = ['CrashReports', 'name_start']
@@ -96,6 +99,8 @@
     reports: list[_Report] = []
     answered: dict[ids.RequestDigest, list[attribution.TargetStart]] = {}
     """Requests that were answered after crashes that other nodes reported."""
+    claims: list[probes.Claim] = []
+    """Claims to send requests that were at several crashes."""
 
 
 class CrashReports:
@@ -120,7 +125,8 @@
         self._records = node_records.NodeRecords(
             log, _TOPIC, _Record, self._schedule_merge
         )
-        self._own = _Record()
+        self._claims = probe_claims.ProbeClaims(node)
+        self._own = _Record(claims=self._claims.own)
         self._read = asyncio.Event()
         """Set once the records of all nodes have been read."""
         self._changed = asyncio.Event()
@@ -181,6 +187,32 @@
             del self._own.answered[next(iter(self._own.answered))]
         self._record_change()
 
+    def add_claim(
+        self, target: fleet.Target, digest: ids.RequestDigest
+    ) -> probes.Claim | None:
+        """Claims to send a request to a target.
+
+        Returns ``None`` if this node has too many claims.
+        """
+        claim = self._claims.add(
+            digest,
+            name_start(target.entry.instance, target.entry.started_at_ms),
+            asyncio.get_running_loop().time(),
+        )
+        if claim is not None:
+            self._changed.set()
+        return claim
+
+    def remove_claim(self, claim: probes.Claim) -> None:
+        """Withdraws a claim, as its request was answered or is not sent."""
+        self._claims.remove(claim, asyncio.get_running_loop().time())
+        self._changed.set()
+
+    def is_granted(self, claim: probes.Claim) -> bool:
+        """Returns whether the request of a claim may be sent now."""
+        now = asyncio.get_running_loop().time()
+        return self._claims.is_granted(claim, now, self._records.available)
+
     async def run(self) -> None:
         """Exchanges reports with the other nodes until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -224,6 +256,11 @@
     def _schedule_merge(self) -> None:
         """Merges the records soon; those of many nodes arrive together."""
         self._adopt_own_record()
+        self._claims.read(
+            (node, claim)
+            for node, record in self._records.by_node.items()
+            for claim in record.content.claims
+        )
         if self._merge_timer is None:
             delay = max(_MERGE_DELAY_S, _MERGE_PAUSE * self._merge_time)
             self._merge_timer = asyncio.get_running_loop().call_later(
@@ -245,6 +282,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         self.crashes = self._find_crashes()
+        self._claims.apply(started_at)
         self._on_change()
         self._merge_time = loop.time() - started_at
 
@@ -339,7 +377,7 @@
             await self._changed.wait()
             self._changed.clear()
             value = None
-            if self._own.reports or self._own.answered:
+            if self._own.reports or self._own.answered or self._own.claims:
                 value = msgspec.json.encode(self._own)
             if value == self._written:
                 continue
--- a/waxwingport/gateway/crashes.py
+++ b/waxwingport/gateway/crashes.py
@@ -10,6 +10,8 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
+import contextlib
 import logging
 import random
 
@@ -22,6 +24,7 @@
 from waxwingport.log import base
 from waxwingport import metrics
 from waxwingport.scheduling import attribution
+from waxwingport.scheduling import probes
 
 __all__ = ['CrashWatch']
 
@@ -36,6 +39,10 @@
 _MAX_VOUCH_DELAY_S = 0.25
 """Upper bound of the random time until it does: several times that of an
 append and its read by all nodes."""
+_GRANT_CHECK_INTERVAL_S = 0.02
+"""Time between two checks whether a claim is granted: the delay of a read."""
+_MAX_GRANT_WAIT_S = 2 * probes.CLAIM_LIFETIME_S
+"""Longest wait for a grant: two claims before it may not be withdrawn."""
 _MAX_ANSWERED = 4096
 """Requests remembered after an answer: a minute of those of a node at 46,000 a
 second and 690 nodes."""
@@ -107,6 +114,69 @@
             return None
         return attribution.make_placement_key(digest, suspicion)
 
+    @contextlib.asynccontextmanager
+    async def probe(
+        self,
+        target: fleet.Target,
+        digest: ids.RequestDigest | None,
+        latest_start: float,
+    ) -> AsyncIterator[bool]:
+        """Yields whether a request may be sent to a target.
+
+        One that was at several crashes waits until no other try of it is at a
+        target and no other such request at this one, up to the loop time
+        ``latest_start``.  Others follow when the context ends.
+        """
+        suspicion = self._suspicions.get(digest) if digest else None
+        if (
+            suspicion is None
+            or not suspicion.needs_claim
+            or self._was_answered(digest)
+        ):
+            yield True
+            return
+        claim = self._reports.add_claim(target, digest)
+        if claim is None:
+            yield False
+            return
+        try:
+            yield await self._wait_for_grant(claim, target, latest_start)
+        finally:
+            self._reports.remove_claim(claim)
+
+    async def _wait_for_grant(
+        self, claim: probes.Claim, target: fleet.Target, latest_start: float
+    ) -> bool:
+        """Waits for a grant; returns whether the request may be sent."""
+        loop = asyncio.get_running_loop()
+        waits_since = loop.time()
+        end = min(latest_start, waits_since + _MAX_GRANT_WAIT_S)
+        avoided_until = target.avoided_until
+        outcome = 'too late'
+        while loop.time() < end:
+            if claim.digest not in self._suspicions:
+                outcome = 'cleared'
+            elif self.is_stopped(claim.digest):
+                outcome = 'stopped'
+            elif target.avoided_until > avoided_until:
+                outcome = 'target failed'
+            elif self._reports.is_granted(claim):
+                outcome = 'granted'
+            else:
+                await asyncio.sleep(_GRANT_CHECK_INTERVAL_S)
+                continue
+            break
+        _LOG.info(
+            'probe-claimed',
+            extra={
+                'digest': claim.digest,
+                'instance': target.entry.instance,
+                'outcome': outcome,
+                'waited_s': round(loop.time() - waits_since, 3),
+            },
+        )
+        return outcome in ('granted', 'cleared')
+
     async def examine(
         self,
         target: fleet.Target,
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -196,7 +196,7 @@
             stream.service,
             stream.tried_instances,
             stream.route.priority,
-            hedging.compute_latest_start(stream.started_at, stream.deadline),
+            _compute_latest_start(stream),
         )
 
     def _may_attempt(self, stream: _Stream) -> bool:
@@ -234,10 +234,24 @@
 
         Returns ``None`` if the complete response was written, else why not.
         """
-        sent_at = asyncio.get_running_loop().time()
-        remaining = stream.deadline - sent_at
         stream.tried_instances.add(target.entry.instance)
         stream.sends += 1
+        async with self._crash_watch.probe(
+            target, stream.call.digest, _compute_latest_start(stream)
+        ) as may_send:
+            if not may_send:
+                return attempts.make_withheld()
+            return await self._exchange(stream, target, write_head, write_body)
+
+    async def _exchange(
+        self,
+        stream: _Stream,
+        target: fleet.Target,
+        write_head: WriteHead,
+        write_body: WriteBody,
+    ) -> attempts.NotRun | attempts.Lost | None:
+        sent_at = asyncio.get_running_loop().time()
+        remaining = stream.deadline - sent_at
         expected = dialect.Expectations(
             target.entry.instance,
             remaining,
@@ -421,6 +435,11 @@
         )
 
 
+def _compute_latest_start(stream: _Stream) -> float:
+    """Returns the loop time until which the stream may wait to be sent."""
+    return hedging.compute_latest_start(stream.started_at, stream.deadline)
+
+
 def _find_last_event(data: bytes, previous: int) -> int:
     last = previous
     for line in data.split(b'\n'):
--- a/waxwingport/scheduling/attribution.py
+++ b/waxwingport/scheduling/attribution.py
@@ -47,7 +47,7 @@
 many as the users accept."""
 _MAX_CRASHES = 5
 """Crashes after which it is stopped in any case: the users accept three
-retries after the third crash, and a suspect goes to one target at a time."""
+retries after the third crash, and one try of a suspect is sent at a time."""
 _KILLS_PER_CRASH = 2
 """Unexplained crashes nearby that ask for one more: chance puts a request at
 some of the targets that end, and seldom at all of them."""
@@ -117,6 +117,14 @@
         chance = self.unexplained // _KILLS_PER_CRASH + self.unsettled
         return min(_MAX_CRASHES, _MIN_CRASHES + chance)
 
+    @property
+    def needs_claim(self) -> bool:
+        """Whether one try of the request is sent at a time over all nodes.
+
+        Before, further tries bring the verdict sooner than they do harm.
+        """
+        return self.crashes >= _MIN_CRASHES
+
     @property
     def stop_time(self) -> float:
         """Seconds for which it is stopped after its last crash, or 0."""
