--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -29,6 +29,8 @@
     def __init__(self, target):
         self._target = target
         self._server = None
+        self._ended = False
+        """Whether the server behind the proxy is down."""
         self._writers = set()
         self._silenced = set()
         self._tasks = set()
@@ -47,13 +49,20 @@
 
         The server behind the proxy has crashed.
         """
+        self._ended = True
         self._server.close()
         self.reset()
 
     async def restart_server(self):
         """Accepts connections again."""
+        self._ended = False
         host, _, port = self.address.rpartition(':')
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        server = await asyncio.start_server(self._serve, host, int(port))
+        if self._ended:
+            # It has crashed again meanwhile.
+            server.close()
+        else:
+            self._server = server
 
     def set_impairment(self, impairment):
         """Sets the impairment of all connections.
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -40,6 +40,7 @@
 MAX_READS = 16
 """Reads at the same time after the faults.  The callers, the log and the
 engines share one event loop, which hundreds of reads would keep busy."""
+LAG_CHECK_INTERVAL_S = 0.05
 RECOVERY_TIME_S = 20.0
 """Time after the last fault within which accepted submissions finish."""
 
@@ -122,6 +123,9 @@
         self._unanswered = []
         """Node, times and id of each probe without an answer."""
         self._watches = set()
+        self.longest_lag = 0.0
+        """Longest time in seconds for which the log, the engines and the
+        callers, which share a loop, were held up."""
 
     async def start(self):
         for number in range(self._scale.nodes):
@@ -159,9 +163,11 @@
 
         Returns a description of each violated guarantee.
         """
+        watch = asyncio.ensure_future(self._watch_lag())
         callers = asyncio.ensure_future(self._run_callers())
         await self.faults.run(seconds)
         callers.cancel()
+        watch.cancel()
         await asyncio.gather(*(node.run_process() for node in self.nodes))
         await self._check_submissions()
         self._check_executions()
@@ -175,6 +181,13 @@
         )
         return self.violations
 
+    async def _watch_lag(self):
+        while True:
+            slept_at = checks.read_clock()
+            await asyncio.sleep(LAG_CHECK_INTERVAL_S)
+            lag = checks.read_clock() - slept_at - LAG_CHECK_INTERVAL_S
+            self.longest_lag = max(self.longest_lag, lag)
+
     def count_orders(self):
         """Returns how many orders reached the engines."""
         return sum(len(engine.order_arrivals) for engine in self.engines)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,10 @@
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_promises_hold_under_faults(tmp_path, seed):
     soak, violations = await soak_run.run_seed(tmp_path, seed, FAULT_SECONDS)
-    assert not violations, (violations, soak.faults.injected)
+    assert not violations, (
+        violations,
+        soak.longest_lag,
+        soak.faults.injected,
+    )
     assert len(soak.accepted) >= 3
     assert soak.calls[200] >= 3
