--- a/waxwingport/experiment/policies.py
+++ b/waxwingport/experiment/policies.py
@@ -32,7 +32,7 @@
     isolates_suspects: bool = True
     """Whether requests that were at a crash are sent apart from each other."""
     claims_suspects: bool = True
-    """Whether one try of a request that was at several is sent at a time."""
+    """Whether one try of a request that was at three is sent at a time."""
 
 
 _FULL_SHARE = 1.0
@@ -77,7 +77,7 @@
     ),
     Policy(
         'no-claims',
-        'tries of a request that was at several crashes are sent together',
+        'tries of a request that was at three crashes are sent together',
         claims_suspects=False,
     ),
     Policy(
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -100,7 +100,7 @@
     answered: dict[ids.RequestDigest, list[attribution.TargetStart]] = {}
     """Requests that were answered after crashes that other nodes reported."""
     claims: list[probes.Claim] = []
-    """Claims to send requests that were at several crashes."""
+    """Claims to send requests that were at three crashes."""
 
 
 class CrashReports:
--- a/waxwingport/gateway/crashes.py
+++ b/waxwingport/gateway/crashes.py
@@ -123,7 +123,7 @@
     ) -> AsyncIterator[bool]:
         """Yields whether a request may be sent to a target.
 
-        One that was at several crashes waits until no other try of it is at a
+        One that was at three crashes waits until no other try of it is at a
         target and no other such request at this one, up to the loop time
         ``latest_start``.  Others follow when the context ends.
         """
--- a/waxwingport/scheduling/probes.py
+++ b/waxwingport/scheduling/probes.py
@@ -1,8 +1,9 @@
 """Order in which requests that may crash targets are sent.
 
-A request that was at several crashes is sent only after a claim, which all
-nodes read in the same order.  One try of it is at a target at a time then, and
-at a target only one such request, so that the next crash tells its cause.
+A request that was at three crashes and is not stopped is sent only after a
+claim, which all nodes read in the same order.  One try of it is at a target at
+a time then, and at a target only one such request, so that the next crash
+tells its cause.
 
 Load pattern: all targets are down, and tries of the request that crashes them
 come at every node until one is back.  Another request, which has never been
