--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -34,6 +34,7 @@
         self.pause = pause
         self.events = EVENTS
         self.version = 1
+        self.software = 'v1'
         self.born = 1
         """Number of the engine's start."""
         self._started_at_ms = read_wall_clock_ms()
@@ -147,6 +148,7 @@
                 'service': service,
                 'address': self.address,
                 'zone': 'here',
+                'version': self.software,
                 'slots': 8,
                 'state': state,
                 'models': [{'name': 'm', 'version': self.version}],
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -61,6 +61,7 @@
         'service': 's',
         'address': '10.0.0.1:80',
         'zone': 'z',
+        'version': 'v1',
         'slots': 8,
         'state': 'ready',
         'models': [{'name': 'm', 'version': 1}],
@@ -111,6 +112,7 @@
         'service': 's',
         'address': address,
         'zone': 'z',
+        'version': 'v1',
         'slots': 8,
         'state': 'ready',
     }
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -26,6 +26,7 @@
     'service': 'x',
     'address': '10.0.0.1:8080',
     'zone': 'muenchen',
+    'version': 'v1.1',
     'slots': 8,
     'state': 'ready',
     'models': [{'name': 'm', 'version': 3, 'adapters': []}],
@@ -126,6 +127,7 @@
     assert found.instance == 'i1'
     assert found.stage is fleet.Stage.READY
     assert found.versions == {'m': 3}
+    assert found.software == 'v1.1'
     assert found.started_at_ms == 1700000000000
 
 
@@ -137,6 +139,7 @@
         {'address': 'nowhere'},
         {'address': ':80'},
         {'slots': 'many'},
+        {'version': 2},
         {'models': [{'name': 'm'}]},
         {'born': 'today'},
     ],
@@ -145,7 +148,9 @@
     assert read_target(**changes).is_error()
 
 
-@pytest.mark.parametrize('missing', ['service', 'address', 'state', 'zone'])
+@pytest.mark.parametrize(
+    'missing', ['service', 'address', 'state', 'version', 'zone']
+)
 def test_a_target_entry_with_a_missing_field_is_a_fault(missing):
     fields = {name: ENTRY[name] for name in ENTRY if name != missing}
     value = msgspec.json.encode(fields)
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -59,6 +59,8 @@
     """Start of this run of the target in milliseconds since 1970, if known."""
     versions: dict[str, ids.WeightVersion]
     """Weight version of each model that the target serves."""
+    software: ids.SoftwareVersion = ids.SoftwareVersion('')
+    """Version of the target's software."""
 
 
 class LoadReport(msgspec.Struct, frozen=True):
--- a/waxwingport/fleet/registry.py
+++ b/waxwingport/fleet/registry.py
@@ -205,6 +205,7 @@
                 'service': entry.service,
                 'address': entry.address,
                 'born': entry.started_at_ms,
+                'software': entry.software,
                 'versions': entry.versions,
                 'leaving': target.leaving,
             },
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -265,6 +265,7 @@
                 'digest': stream.call.digest,
                 'route': stream.route.name,
                 'instance': target.entry.instance,
+                'software': target.entry.software,
                 'limit': target.limit.rate if target.limit else None,
                 'leaving': self._pool.count_leaving(stream.service),
                 'attempt': stream.sends,
--- a/waxwingport/ids.py
+++ b/waxwingport/ids.py
@@ -24,6 +24,7 @@
     'Revision',
     'SampleNumber',
     'ServiceName',
+    'SoftwareVersion',
     'StepNumber',
     'StreamName',
     'TargetName',
@@ -55,6 +56,9 @@
 SampleNumber = NewType('SampleNumber', int)
 """Counts from 0 within a step, group after group."""
 ServiceName = NewType('ServiceName', str)
+SoftwareVersion = NewType('SoftwareVersion', str)
+"""Version of an engine's software, without an order; unlike
+``WeightVersion``."""
 StepNumber = NewType('StepNumber', int)
 StreamName = NewType('StreamName', str)
 TargetName = NewType('TargetName', str)
--- a/waxwingport/platform/operators.py
+++ b/waxwingport/platform/operators.py
@@ -107,6 +107,7 @@
     service: str
     address: str
     zone: str
+    version: str
     slots: int
     state: str
     models: list[_LoadedModel] = []
@@ -197,6 +198,7 @@
                 model.name: ids.WeightVersion(model.version)
                 for model in found.models
             },
+            ids.SoftwareVersion(found.version),
         )
     )
 
--- a/waxwingport/submissions/selection.py
+++ b/waxwingport/submissions/selection.py
@@ -235,6 +235,7 @@
                 'submission': submission.submission_id,
                 'item': choice.job.item.item_id,
                 'instance': target.entry.instance,
+                'software': target.entry.software,
                 'fitting': choice.eligible_count,
                 'ready': choice.ready_count,
                 'limit': target.limit.rate if target.limit else None,
