--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 import weakref
 
@@ -35,6 +36,8 @@
         self.events = EVENTS
         self.version = 1
         self.software = 'v1'
+        self.marks_software = False
+        """Whether each event names the software that made it."""
         self.born = 1
         """Number of the engine's start."""
         self._started_at_ms = read_wall_clock_ms()
@@ -58,6 +61,9 @@
         """Ids of reward calls that always fail."""
         self.break_after = {}
         """Event after which the connection is closed once, by request id."""
+        self.break_probability = 0.0
+        """Share of the events after which the connection is closed."""
+        self._rng = random.Random(name)
         self.early_head = False
         """Whether the head of a text is sent before its first event."""
         self.stall_after = {}
@@ -157,6 +163,17 @@
             }
         )
 
+    def make_event(self, name, number):
+        mark = f'{self.software} ' if self.marks_software else ''
+        return f'id: {number}\ndata: {mark}{name}-{number}\n\n'
+
+    def breaks_off(self, name, number):
+        """Returns whether the connection closes after an event."""
+        if self.break_after.get(name) == number:
+            del self.break_after[name]
+            return True
+        return self._rng.random() < self.break_probability
+
     async def stop(self):
         for restart in self._restarts:
             restart.cancel()
@@ -239,7 +256,7 @@
             await self.flush()
         for number in range(start + 1, self.engine.events + 1):
             await asyncio.sleep(self.engine.pause)
-            self.write(f'id: {number}\ndata: {name}-{number}\n\n')
+            self.write(self.engine.make_event(name, number))
             await self.flush()
             self.engine.sent[name] = number
             if number - start == self.engine.events_before_crash:
@@ -249,8 +266,7 @@
                 await self._stall()
             if self.engine.stalling and number == 3:
                 await self._stall()
-            if self.engine.break_after.get(name) == number:
-                del self.engine.break_after[name]
+            if self.engine.breaks_off(name, number):
                 self.request.connection.stream.close()
                 raise web.Finish
 
