Let a stream go on only at the software version that began it

Callers saw streams of two versions, with nothing in the answer to show it: within one answer, and over their tries, most of all after all nodes were killed. Cause: what a stream goes on with is a property of the stream that no node kept. A target was chosen among all that serve, and after a restart no node could know the version.

A new stream's version is computed from its id by weighted rendezvous hashing over the slots of each version. A node publishes the weights that it uses and has used within the lifetime of a stream before it uses them, so that a process that has just started computes which versions may have begun a stream, also for nodes that are cut off or frozen. A stream at another version, as where the engines of its own are full, is recorded before its first event is passed on; one that several weights in use make ambiguous soon after. What can't be shown gets 503 not-resumable at once, and a hint to begin anew.

The test of a version that is added had used the same ids twice.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tests.gateway import raw_server
+from waxwingport import background
 from waxwingport import clocks
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
@@ -12,9 +13,11 @@
 from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
 from waxwingport.gateway import crashes
+from waxwingport.gateway import origins
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport.gateway import server
+from waxwingport.gateway import stream_records
 from waxwingport.gateway import streams
 from waxwingport.http import client
 from waxwingport import ids
@@ -62,6 +65,17 @@
                 self.metrics,
             ),
         )
+        self.origins = origins.StreamOrigins(
+            self.log,
+            base.MemberName('n1-1'),
+            self.targets,
+            clocks.SystemWallClock(),
+            stream_records.StreamSettings(),
+            1 << 16,
+        )
+        self.configuration.add_listener(self.origins.set_configuration)
+        self.background = background.BackgroundTasks()
+        self.background.spawn(self.origins.run())
         pool = pools.TargetPool(
             self.targets, ids.DataCentre('here'), random.Random(1)
         )
@@ -74,7 +88,11 @@
             dialect_,
             self.configuration,
             calls.CallForwarder(sender, pool),
-            streams.StreamForwarder(sender, pool),
+            streams.StreamForwarder(
+                sender,
+                pool,
+                self.origins,
+            ),
             service.SubmissionService(
                 self.log,
                 self.submission_view,
@@ -139,6 +157,7 @@
         return await self.caller_http.fetch(self.address, request, 5.0)
 
     async def stop(self):
+        await self.background.stop()
         self.http.close()
         self.caller_http.close()
         self.gateway.server.stop()
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import itertools
-import random
 import signal
 
 import pytest
@@ -30,7 +29,7 @@
     def __init__(self, folder):
         self.deployment = test_node.Deployment()
         self.deployment.configure(**{'timeout-ms': 4000})
-        self.rng = random.Random(35)
+        self._numbers = itertools.count()
         self.nodes = [
             processes.NodeProcess(
                 folder, f'n{number}', self.deployment.store.address
@@ -78,18 +77,17 @@
     def start_streams(self, nodes=None, count=STREAMS, **options):
         """Starts streams at the nodes in turn; each try is at another."""
         nodes = nodes or self.nodes
-        turn = itertools.count()
 
-        def start(number):
-            first = next(turn)
+        def start():
+            first = next(self._numbers)
             caller = resuming_callers.Caller(
                 self.deployment.http,
                 lambda attempt: nodes[(first + attempt) % len(nodes)],
                 **options,
             )
-            return asyncio.ensure_future(caller.run(f'q{number}', 0.3))
+            return asyncio.ensure_future(caller.run(f'q{first}', 0.3))
 
-        return [start(number) for number in range(count)]
+        return [start() for _ in range(count)]
 
     async def stop(self):
         for node in self.nodes:
--- /dev/null
+++ b/waxwingport/gateway/assignments.py
@@ -0,0 +1,366 @@
+"""Weights by which each node assigns new streams to software versions.
+
+A node begins streams without a record of each only at versions that its
+record on a keyed topic implies.  The record is acknowledged before the node
+uses new weights and keeps the earlier ones for as long as a stream may last,
+so that every node can compute which versions may have begun a stream, also if
+its own process has just started or the first node is lost or cut off.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Sequence
+import logging
+import random
+
+import msgspec
+
+from waxwingport import clocks
+from waxwingport.fleet import registry
+from waxwingport.gateway import stream_records
+from waxwingport import ids
+from waxwingport.log import base
+from waxwingport.log import followers
+from waxwingport.log import writers
+from waxwingport.scheduling import versions
+from waxwingport import tasks
+
+__all__ = ['Assignments']
+
+TOPIC = base.Topic('keyed.stream-assignments')
+_CHECK_INTERVAL_S = 0.5
+"""Time after which the weights are compared with the targets again, also
+without a change of these."""
+_WRITE_INTERVAL_S = 0.2
+"""Least time between two writes, as targets register one after the other."""
+_GONE_TIME_S = 2.0
+"""Time without a target of a version after which it gets no weight: targets
+that crash and start anew are back before."""
+_RECORD_LIFETIME_S = 3600.0
+"""Time after which a record that was not repeated tells nothing.  Until then
+its node may only be cut off from the log."""
+_REPEAT_INTERVAL_S = _RECORD_LIFETIME_S / 6
+_TRUST_TIME_S = _RECORD_LIFETIME_S / 2
+"""Time after its last acknowledged write for which a node relies on its own
+record; the difference to its lifetime allows for clocks that differ."""
+_MAX_WRITE_TIME_S = 5.0
+"""Time of a write from which on the record is written again, as weights that
+it ended were in use meanwhile; small against the lifetime of a stream."""
+_REMOVAL_PROBABILITY = 0.01
+"""Probability with which a node removes an expired record at a check: of 690
+nodes some do so each second."""
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
+
+_LOG = logging.getLogger(__name__)
+
+
+class _Span(msgspec.Struct, frozen=True):
+    """A time in which a node used the same weights for a service."""
+
+    weights: dict[ids.SoftwareVersion, int]
+    ended_at: float | None = None
+    """Seconds since 1970, ``None`` if they are in use."""
+
+
+class _Record(msgspec.Struct, frozen=True):
+    """Everything that a node has used within the lifetime of a stream."""
+
+    written_at: float
+    """Seconds since 1970."""
+    services: dict[ids.ServiceName, list[_Span]]
+
+
+class Assignments(followers.KeyedListener):
+    """Publishes this node's weights and reads those of all nodes."""
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        member: base.MemberName,
+        targets: registry.Registry,
+        wall_clock: clocks.WallClock,
+        settings: stream_records.StreamSettings,
+        call_size: int,
+    ) -> None:
+        self._log = log
+        self._member = member
+        self._targets = targets
+        self._wall_clock = wall_clock
+        self._settings = settings
+        self._rng = random.Random()
+        self._follower = followers.KeyedFollower(log, TOPIC, self)
+        self._writer = writers.MemberWriter(
+            log, base.Partition(TOPIC, 0), member, call_size
+        )
+        self._services: frozenset[ids.ServiceName] = frozenset()
+        self._records: dict[str, _Record] = {}
+        """Records by the name of the member that wrote them."""
+        self._published = _Record(0.0, {})
+        self._published_at = float('-inf')
+        """Loop time at which the write of ``_published`` began."""
+        self._ended_late = False
+        """Whether weights were in use for longer than ``_published`` tells."""
+        self._seen_at: dict[
+            tuple[ids.ServiceName, ids.SoftwareVersion], float
+        ] = {}
+        """Loop time at which a version last had a target."""
+        self._changed = asyncio.Event()
+        self._needed = asyncio.Event()
+        """Set once there are services whose streams may be resumed."""
+        targets.add_listener(self._changed.set)
+
+    def set_services(self, services: Iterable[ids.ServiceName]) -> None:
+        """Sets the services whose streams callers may resume."""
+        self._services = frozenset(services)
+        self._changed.set()
+        if self._services:
+            self._needed.set()
+
+    @property
+    def log_available(self) -> bool:
+        """Whether the last read of the log succeeded."""
+        return self._follower.dependency.available
+
+    @property
+    def node_count(self) -> int:
+        """How many members have a record."""
+        return len(self._records)
+
+    def assign(
+        self, service: ids.ServiceName, request_id: ids.RequestId
+    ) -> ids.SoftwareVersion | None:
+        """Returns the version at which this node should begin a stream.
+
+        Returns ``None`` if the node has no record to rely on.
+        """
+        if not self._is_trusted():
+            return None
+        for span in self._published.services.get(service, ()):
+            if span.ended_at is None:
+                return versions.assign(request_id, span.weights)
+        return None
+
+    def implies(
+        self,
+        service: ids.ServiceName,
+        request_id: ids.RequestId,
+        software: ids.SoftwareVersion,
+    ) -> bool:
+        """Returns whether this node's record tells where a stream began."""
+        return self._is_trusted() and software in self._find_implied(
+            self._published, service, request_id
+        )
+
+    def find_candidates(
+        self, service: ids.ServiceName, request_id: ids.RequestId | None
+    ) -> set[ids.SoftwareVersion]:
+        """Returns all versions that may have begun a stream without a record.
+
+        Without a ``request_id`` these are all that any stream may have begun
+        at.  The result is complete after ``catch_up``.
+        """
+        found: set[ids.SoftwareVersion] = set()
+        if request_id is None:
+            found = {
+                target.entry.software
+                for target in self._targets
+                if target.entry.service == service
+            }
+        for record in [self._published, *self._records.values()]:
+            found |= self._find_implied(record, service, request_id)
+        return found
+
+    async def catch_up(self) -> bool:
+        """Reads the records that exist now; returns whether that is certain.
+
+        May take as long as the log is unavailable.
+        """
+        return await self._follower.catch_up()
+
+    async def run(self) -> None:
+        """Follows the records and publishes this node's until cancelled.
+
+        Idle until there are services whose streams may be resumed.
+        """
+        await self._needed.wait()
+        following = asyncio.gather(self._follower.run(), self._writer.run())
+        try:
+            await self._publish_changes()
+        finally:
+            await tasks.cancel_all([following])
+
+    def replace(self, records: Sequence[base.KeyedRecord]) -> None:
+        """Replaces the records of all members."""
+        self._records.clear()
+        for record in records:
+            self.update(record)
+
+    def update(self, record: base.KeyedRecord) -> None:
+        """Applies the record of a member."""
+        self._records.pop(record.key, None)
+        if record.value is None:
+            return
+        try:
+            found = msgspec.json.decode(record.value, type=_Record)
+        except _DECODE_ERRORS as error:
+            _LOG.warning(
+                'record-skipped',
+                extra={'partition': str(TOPIC), 'reason': str(error)},
+            )
+            return
+        self._records[record.key] = found
+
+    def _is_trusted(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now - self._published_at <= _TRUST_TIME_S
+
+    def _find_implied(
+        self,
+        record: _Record,
+        service: ids.ServiceName,
+        request_id: ids.RequestId | None,
+    ) -> set[ids.SoftwareVersion]:
+        now = self._wall_clock.read()
+        if now - record.written_at > _RECORD_LIFETIME_S:
+            return set()
+        found: set[ids.SoftwareVersion] = set()
+        for span in record.services.get(service, ()):
+            if not self._is_in_use(span, now):
+                continue
+            if request_id is None:
+                found.update(span.weights)
+                continue
+            software = versions.assign(request_id, span.weights)
+            if software is not None:
+                found.add(software)
+        return found
+
+    def _is_in_use(self, span: _Span, now: float) -> bool:
+        """Returns whether streams that began in a span may be resumed."""
+        return (
+            span.ended_at is None
+            or now - span.ended_at <= self._settings.lifetime
+        )
+
+    async def _publish_changes(self) -> None:
+        while True:
+            record = self._plan()
+            if record is not None:
+                await self._publish(record)
+                await asyncio.sleep(_WRITE_INTERVAL_S)
+            await self._remove_expired_record()
+            try:
+                async with asyncio.timeout(_CHECK_INTERVAL_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+            finally:
+                self._changed.clear()
+
+    def _plan(self) -> _Record | None:
+        """Returns the record to write, ``None`` if there is nothing new."""
+        loop = asyncio.get_running_loop()
+        now = self._wall_clock.read()
+        services: dict[ids.ServiceName, list[_Span]] = {}
+        changed = False
+        for service in sorted(
+            self._services | self._published.services.keys()
+        ):
+            spans = [
+                span
+                for span in self._published.services.get(service, ())
+                if self._is_in_use(span, now)
+            ]
+            current = next(
+                (span for span in spans if span.ended_at is None), None
+            )
+            fresh = self._compute_weights(service)
+            if versions.should_replace(
+                current.weights if current else {}, fresh
+            ):
+                changed = True
+                spans = [
+                    span
+                    if span.ended_at is not None
+                    else _Span(span.weights, now)
+                    for span in spans
+                ]
+                spans.append(_Span(fresh))
+            services[service] = spans
+        due = loop.time() - self._published_at > _REPEAT_INTERVAL_S
+        if changed or due or self._ended_late:
+            return _Record(now, services)
+        return None
+
+    def _compute_weights(
+        self, service: ids.ServiceName
+    ) -> dict[ids.SoftwareVersion, int]:
+        """Returns the weights of a service by its targets.
+
+        A version whose targets have left just now keeps its weight.
+        """
+        if service not in self._services:
+            return {}
+        now = asyncio.get_running_loop().time()
+        fresh = versions.compute_weights(self._targets.find_ready(service))
+        for software in fresh:
+            self._seen_at[service, software] = now
+        for span in self._published.services.get(service, ()):
+            if span.ended_at is not None:
+                continue
+            for software, slots in span.weights.items():
+                gone_at = self._seen_at.get((service, software), now)
+                if software not in fresh and now - gone_at < _GONE_TIME_S:
+                    fresh[software] = slots
+        return dict(sorted(fresh.items()))
+
+    async def _publish(self, record: _Record) -> None:
+        """Writes this node's record and uses it once it is acknowledged.
+
+        Until then the record before stays in use, whose weights are in both.
+        """
+        started_at = asyncio.get_running_loop().time()
+        value = msgspec.json.encode(record)
+        encoded = self._log.make_keyed(base.KeyedRecord(self._member, value))
+        await self._writer.write([encoded])
+        now = self._wall_clock.read()
+        self._ended_late = now - record.written_at > _MAX_WRITE_TIME_S
+        self._published = _end_spans_at(now, record)
+        self._published_at = started_at
+        _LOG.info(
+            'stream-weights',
+            extra={
+                'node': self._member,
+                'weights': {
+                    service: span.weights
+                    for service, spans in record.services.items()
+                    for span in spans
+                    if span.ended_at is None
+                },
+            },
+        )
+
+    async def _remove_expired_record(self) -> None:
+        """Removes the record of a member that has ended long ago."""
+        if self._rng.random() > _REMOVAL_PROBABILITY:
+            return
+        earliest = self._wall_clock.read() - 2 * _RECORD_LIFETIME_S
+        for member, record in self._records.items():
+            if record.written_at < earliest:
+                removed = self._log.make_keyed(base.KeyedRecord(member, None))
+                await self._writer.write([removed])
+                return
+
+
+def _end_spans_at(now: float, record: _Record) -> _Record:
+    """Returns a record whose spans that it has just ended end at ``now``."""
+    services = {
+        service: [
+            _Span(span.weights, now)
+            if span.ended_at == record.written_at
+            else span
+            for span in spans
+        ]
+        for service, spans in record.services.items()
+    }
+    return msgspec.structs.replace(record, services=services)
--- a/waxwingport/gateway/dialect.py
+++ b/waxwingport/gateway/dialect.py
@@ -26,12 +26,22 @@
     'Expectations',
     'Headers',
     'ItemRead',
+    'Resumption',
     'SubmitCall',
 ]
 
 Headers = Sequence[tuple[str, str]]
 
 
+class Resumption(msgspec.Struct, frozen=True):
+    """A stream whose first events the caller has from earlier tries."""
+
+    after: int | None
+    """Number of the last event, ``None`` if it can't be read."""
+    first_id: ids.RequestId | None
+    """Id of the try that brought the first event, if the caller names it."""
+
+
 class Call(msgspec.Struct, frozen=True):
     """A complete request of a caller."""
 
@@ -45,6 +55,8 @@
     body: bytes
     timeout: float | None
     """Seconds that the caller waits from now on, or ``None`` if not stated."""
+    resumption: Resumption | None = None
+    """What the caller has of the stream that it resumes, if it does."""
     digest: ids.RequestDigest | None = None
     """Recognises the request when it comes again; ``None`` for items and their
     reward calls, which come once."""
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -17,6 +17,7 @@
 from waxwingport.gateway import conditions
 from waxwingport.gateway import configured
 from waxwingport.gateway import crashes
+from waxwingport.gateway import origins
 from waxwingport.gateway import pools
 from waxwingport.gateway import server
 from waxwingport.gateway import settings
@@ -119,6 +120,15 @@
             self._wall_clock,
             self.metrics,
         )
+        self.stream_origins = origins.StreamOrigins(
+            self._log,
+            self._member_name,
+            self.targets,
+            self._wall_clock,
+            self._settings.streams,
+            self._settings.store.call_size,
+        )
+        self.configuration.add_listener(self.stream_origins.set_configuration)
         self._operator_follower = followers.KeyedFollower(
             self._log, operators.OPERATOR_TOPIC, self.configuration
         )
@@ -138,7 +148,9 @@
         )
         pool = pools.TargetPool(self.targets, local_data_centre, rng)
         self.call_forwarder = calls.CallForwarder(sender, pool)
-        self.stream_forwarder = streams.StreamForwarder(sender, pool)
+        self.stream_forwarder = streams.StreamForwarder(
+            sender, pool, self.stream_origins
+        )
         reader = texts.TextReader(self._log, settings_.submissions.text_memory)
         self.submission_service = service.SubmissionService(
             self._log,
@@ -245,6 +257,7 @@
             self.controller.run(),
             self.limit_sharing.run(),
             self.crash_watch.run(),
+            self.stream_origins.run(),
         ):
             self.background.spawn(coroutine)
 
--- /dev/null
+++ b/waxwingport/gateway/origins.py
@@ -0,0 +1,222 @@
+"""Finds out at which software version a stream began.
+
+Most streams begin at the version that their id and the weights of the node
+imply; every node can compute it.  The others have a record.  What can't be
+shown is unknown: a stream whose origin is unknown must not go on.
+"""
+
+import asyncio
+import collections
+import enum
+import logging
+
+from waxwingport import clocks
+from waxwingport.fleet import registry
+from waxwingport.gateway import assignments
+from waxwingport.gateway import dialect
+from waxwingport.gateway import digests
+from waxwingport.gateway import routes
+from waxwingport.gateway import stream_records
+from waxwingport import ids
+from waxwingport.log import base
+
+__all__ = ['StreamOrigins', 'Unknown']
+
+_FIND_TIMEOUT_S = 0.5
+"""Bounds the search for an origin: a log that is 50 times slower than usual
+answers in time.  The caller is better off with a new stream after that."""
+_STORE_TIMEOUT_S = 1.0
+"""Bounds the write of a record that the first event waits for."""
+_MAX_REMEMBERED = 20_000
+"""Streams whose origin a node remembers: those of some minutes at 67 streams
+a second, some 200 bytes each."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class Unknown(enum.Enum):
+    """Why the origin of a stream is not known."""
+
+    AMBIGUOUS = 'ambiguous'
+    """It may have begun at several versions and has no record."""
+    LOG_UNAVAILABLE = 'log-unavailable'
+    """The log did not tell in time."""
+    NEVER_BEGUN = 'never-begun'
+    """No node can have begun it within the lifetime of a stream."""
+
+
+class StreamOrigins:
+    """Where the streams that callers resume began."""
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        member: base.MemberName,
+        targets: registry.Registry,
+        wall_clock: clocks.WallClock,
+        settings: stream_records.StreamSettings,
+        call_size: int,
+    ) -> None:
+        self._assignments = assignments.Assignments(
+            log, member, targets, wall_clock, settings, call_size
+        )
+        self._records = stream_records.StreamRecords(
+            log,
+            member,
+            wall_clock,
+            settings,
+            call_size,
+            lambda: self._assignments.node_count,
+        )
+        self._known: collections.OrderedDict[
+            stream_records.StreamKey, stream_records.Origin
+        ] = collections.OrderedDict()
+
+    async def run(self) -> None:
+        """Exchanges with other nodes what they need until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._assignments.run())
+            group.create_task(self._records.run())
+
+    def set_configuration(self, configuration: routes.Configuration) -> None:
+        """Sets the routes, some of whose streams callers may resume."""
+        self._assignments.set_services(
+            share.service
+            for route in configuration.routes
+            if route.kind is routes.RouteKind.STREAMING and route.resumable
+            for share in route.shares
+            if share.weight > 0
+        )
+
+    def assign(
+        self, service: ids.ServiceName, request_id: ids.RequestId
+    ) -> ids.SoftwareVersion | None:
+        """Returns the version at which a new stream should begin.
+
+        ``None`` if the node can't tell the others of any.
+        """
+        return self._assignments.assign(service, request_id)
+
+    def may_deviate(self) -> bool:
+        """Returns whether a stream may begin at another version."""
+        return self._assignments.log_available
+
+    async def settle(
+        self, call: dialect.Call, origin: stream_records.Origin
+    ) -> bool:
+        """Settles the origin of a stream before its first event is sent.
+
+        Returns whether other nodes can find it.  If not, the stream must not
+        go on at all: the record may still take effect.
+        """
+        key = make_key(call, call.request_id)
+        implied = self._assignments.implies(
+            origin.service, call.request_id, origin.software
+        )
+        if not implied:
+            try:
+                async with asyncio.timeout(_STORE_TIMEOUT_S):
+                    if not await self._records.store(key, origin):
+                        return False
+            except TimeoutError:
+                _LOG.warning(
+                    'stream-not-recorded',
+                    extra={
+                        'request': call.request_id,
+                        'software': origin.software,
+                        'reason': f'no answer within {_STORE_TIMEOUT_S:g} s',
+                    },
+                )
+                return False
+        elif self._is_ambiguous(origin.service, call.request_id):
+            self._records.add(key, origin)
+        self.remember(call, call.request_id, origin)
+        return True
+
+    def remember(
+        self,
+        call: dialect.Call,
+        first_id: ids.RequestId,
+        origin: stream_records.Origin,
+    ) -> None:
+        """Remembers the origin of a stream at this node."""
+        key = make_key(call, first_id)
+        self._known[key] = origin
+        self._known.move_to_end(key)
+        if len(self._known) > _MAX_REMEMBERED:
+            self._known.popitem(last=False)
+
+    async def find(
+        self,
+        call: dialect.Call,
+        first_id: ids.RequestId | None,
+        service: ids.ServiceName,
+    ) -> stream_records.Origin | Unknown:
+        """Returns where a stream that a caller resumes began.
+
+        ``first_id`` is the id of the try that brought its first event, if
+        the caller names it; ``service`` is that of streams without a record.
+        """
+        if first_id is not None:
+            known = self._known.get(make_key(call, first_id))
+            if known is not None:
+                return known
+        try:
+            async with asyncio.timeout(_FIND_TIMEOUT_S):
+                found = await self._search(call, first_id, service)
+        except stream_records.ConflictError as error:
+            _LOG.info(
+                'stream-origin-unread',
+                extra={
+                    'request': call.request_id,
+                    'resumes': first_id,
+                    'reason': str(error),
+                },
+            )
+            return Unknown.AMBIGUOUS
+        except (LookupError, TimeoutError) as error:
+            _LOG.info(
+                'stream-origin-unread',
+                extra={
+                    'request': call.request_id,
+                    'resumes': first_id,
+                    'reason': str(error) or 'no answer of the log in time',
+                },
+            )
+            return Unknown.LOG_UNAVAILABLE
+        if isinstance(found, stream_records.Origin) and first_id is not None:
+            self.remember(call, first_id, found)
+        return found
+
+    async def _search(
+        self,
+        call: dialect.Call,
+        first_id: ids.RequestId | None,
+        service: ids.ServiceName,
+    ) -> stream_records.Origin | Unknown:
+        if first_id is not None:
+            recorded = await self._records.find(make_key(call, first_id))
+            if recorded is not None:
+                return recorded
+        if not await self._assignments.catch_up():
+            return Unknown.LOG_UNAVAILABLE
+        candidates = self._assignments.find_candidates(service, first_id)
+        if len(candidates) > 1:
+            return Unknown.AMBIGUOUS
+        for software in candidates:
+            return stream_records.Origin(service, software)
+        return Unknown.NEVER_BEGUN
+
+    def _is_ambiguous(
+        self, service: ids.ServiceName, request_id: ids.RequestId
+    ) -> bool:
+        candidates = self._assignments.find_candidates(service, request_id)
+        return len(candidates) > 1
+
+
+def make_key(
+    call: dialect.Call, first_id: ids.RequestId
+) -> stream_records.StreamKey:
+    """Returns a stream's key, by the id of its first try and any try."""
+    id_digest = digests.compute_digest(first_id.encode(errors='surrogatepass'))
+    return stream_records.StreamKey(f'{id_digest}.{call.digest}')
--- a/waxwingport/gateway/pools.py
+++ b/waxwingport/gateway/pools.py
@@ -40,9 +40,15 @@
         self._waiting: dict[ids.ServiceName, sortedcontainers.SortedList] = {}
         """Priority and number of each request that waits for a turn."""
 
-    def pick_service(self, route: routes.Route) -> ids.ServiceName:
-        """Returns a random service of the route, by its weights."""
-        return hedging.pick_service(route, self._rng)
+    def pick_service(
+        self, route: routes.Route, key: str | None = None
+    ) -> ids.ServiceName:
+        """Returns a random service of the route, by its weights.
+
+        With a ``key`` it is the one that all nodes choose for it.
+        """
+        rng = self._rng if key is None else random.Random(key)
+        return hedging.pick_service(route, rng)
 
     def find_ready(self, service: ids.ServiceName) -> list[fleet.Target]:
         """Returns the targets of a service that accept requests."""
@@ -56,12 +62,17 @@
         self,
         service: ids.ServiceName,
         tried_instances: Collection[fleet.InstanceId],
+        software: ids.SoftwareVersion | None = None,
     ) -> list[fleet.Target]:
-        """Returns the targets that accept requests and were not tried yet."""
+        """Returns the targets that accept requests and were not tried yet.
+
+        With ``software`` only those of this version.
+        """
         return [
             target
             for target in self.find_ready(service)
             if target.entry.instance not in tried_instances
+            and software in (None, target.entry.software)
         ]
 
     def choose(
@@ -96,9 +107,12 @@
         tried_instances: Collection[fleet.InstanceId],
         priority: int,
         deadline: float,
+        software: ids.SoftwareVersion | None = None,
     ) -> bool:
         """Waits until a target that was not tried yet takes a request.
 
+        With ``software`` only those of this version count.
+
         Returns ``False`` at once if none will before the loop time
         ``deadline``.  Of the requests that wait for the targets of a service
         the most urgent goes first; 0 is the most urgent ``priority``.
@@ -111,7 +125,9 @@
         waiting.add(ticket)
         try:
             while True:
-                candidates = self.find_untried(service, tried_instances)
+                candidates = self.find_untried(
+                    service, tried_instances, software
+                )
                 wait = hedging.compute_turn_wait(
                     candidates, waiting.index(ticket), loop.time()
                 )
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -32,6 +32,7 @@
     outcomes.Reason.DEADLINE: 503,
     outcomes.Reason.LOG_UNAVAILABLE: 503,
     outcomes.Reason.NOT_FOUND: 404,
+    outcomes.Reason.NOT_RESUMABLE: 503,
     outcomes.Reason.NO_TARGET: 503,
     outcomes.Reason.OVERLOADED: 503,
     outcomes.Reason.SHUTTING_DOWN: 503,
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -15,14 +15,17 @@
 from waxwingport.gateway import attempts
 from waxwingport.gateway import dialect
 from waxwingport.gateway import hedging
+from waxwingport.gateway import origins
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
+from waxwingport.gateway import stream_records
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import numerals
 from waxwingport import outcomes
 from waxwingport.scheduling import attribution
 from waxwingport.scheduling import timeouts
+from waxwingport.scheduling import versions
 
 __all__ = ['BrokenStream', 'StreamForwarder']
 
@@ -40,6 +43,11 @@
 _MAX_CRASH_DELAY_S = 1.0
 """Time from the start of an answer after which a target that crashes does so
 for another reason: requests crash targets that begin to run them."""
+_LOG_RETRY_AFTER_S = 0.5
+"""Sent when the version of a stream can't be read: another node may still
+reach the log."""
+_NEW_STREAM_RETRY_AFTER_S = 0.05
+"""Sent when a stream can't go on: a new one can begin at once."""
 _EVENT_END = b'\n\n'
 
 WriteHead = Callable[[int, tuple[tuple[str, str], ...]], Awaitable[None]]
@@ -65,6 +73,13 @@
     deadline: float
     """In seconds of the event loop's clock."""
     tried_instances: set[fleet.InstanceId]
+    software: ids.SoftwareVersion | None = None
+    """Version of the target that made the first event that the caller has;
+    the stream must not go on at another one."""
+    assigned: ids.SoftwareVersion | None = None
+    """Version at which the stream should begin."""
+    unsettled: bool = False
+    """Whether its version could not be settled, so that it must not go on."""
     head_sent: bool = False
     last_event: int = 0
     """Id of the last event sent to the caller."""
@@ -122,8 +137,10 @@
         self,
         sender: attempts.Sender,
         pool: pools.TargetPool,
+        origins_: origins.StreamOrigins,
     ) -> None:
         self._sender = sender
+        self._origins = origins_
         self._crash_watch = sender.crash_watch
         self._pool = pool
 
@@ -139,17 +156,11 @@
         Fails with a refusal if no head was written, and with
         ``BrokenStream`` after that.
         """
-        now = asyncio.get_running_loop().time()
-        # Without a timeout of the caller, only that of the route applies.
-        timeout = call.timeout if call.timeout is not None else 1e9
-        stream = _Stream(
-            call,
-            route,
-            self._pool.pick_service(route),
-            now,
-            now + min(timeout, route.timeout),
-            set(),
-        )
+        stream = self._begin(call, route)
+        if route.resumable:
+            refusal = await self._find_version(stream)
+            if refusal is not None:
+                return Error(refusal)
         lost_detail: str | None = None
         while True:
             target = self._choose_target(stream)
@@ -171,6 +182,63 @@
                     stream.crashes += crashed
                     lost_detail = detail
 
+    def _begin(self, call: dialect.Call, route: routes.Route) -> _Stream:
+        now = asyncio.get_running_loop().time()
+        # Without a timeout of the caller, only that of the route applies.
+        timeout = call.timeout if call.timeout is not None else 1e9
+        key = None
+        if route.resumable:
+            resumption = call.resumption
+            key = (resumption and resumption.first_id) or call.request_id
+        return _Stream(
+            call,
+            route,
+            self._pool.pick_service(route, key),
+            now,
+            now + min(timeout, route.timeout),
+            set(),
+        )
+
+    async def _find_version(self, stream: _Stream) -> outcomes.Refusal | None:
+        """Finds out which version may begin a stream or go on with it.
+
+        Returns why the stream must not go on, if so.
+        """
+        call = stream.call
+        resumption = call.resumption
+        if resumption is None:
+            stream.assigned = self._origins.assign(
+                stream.service, call.request_id
+            )
+            return None
+        if resumption.after is None:
+            return outcomes.Refusal(
+                outcomes.Reason.BAD_REQUEST,
+                'the number of the last event is not a whole number',
+            )
+        found = await self._origins.find(
+            call, resumption.first_id, stream.service
+        )
+        _LOG.info(
+            'stream-resumed',
+            extra={
+                'request': call.request_id,
+                'resumes': resumption.first_id,
+                'after_event': resumption.after,
+                'origin': (
+                    found.value
+                    if isinstance(found, origins.Unknown)
+                    else found.software
+                ),
+            },
+        )
+        if isinstance(found, origins.Unknown):
+            return _refuse_unknown(found)
+        stream.service = found.service
+        stream.software = found.software
+        stream.last_event = resumption.after
+        return None
+
     def _record_failure(
         self,
         stream: _Stream,
@@ -197,15 +265,24 @@
             stream.tried_instances,
             stream.route.priority,
             _compute_latest_start(stream),
+            self._get_required_version(stream),
         )
 
+    def _get_required_version(
+        self, stream: _Stream
+    ) -> ids.SoftwareVersion | None:
+        """Returns the only version that may run a stream, if there is one."""
+        if stream.software is not None or not stream.route.resumable:
+            return stream.software
+        return None if self._origins.may_deviate() else stream.assigned
+
     def _may_attempt(self, stream: _Stream) -> bool:
         """Returns whether the route allows a further attempt now."""
         route = stream.route
         now = asyncio.get_running_loop().time()
         if now >= stream.deadline or stream.runs >= route.max_attempts:
             return False
-        if stream.runs and not route.resumable:
+        if stream.runs and not route.resumable or stream.unsettled:
             return False
         if (
             stream.crashes >= attribution.MAX_CRASHES_PER_TRY
@@ -219,10 +296,24 @@
         if not self._may_attempt(stream):
             return None
         return self._pool.choose(
-            self._pool.find_untried(stream.service, stream.tried_instances),
+            self._find_candidates(stream),
             self._crash_watch.make_placement_key(stream.call.digest),
         )
 
+    def _find_candidates(self, stream: _Stream) -> list[fleet.Target]:
+        """Returns the targets that may run a stream and were not tried."""
+        untried = self._pool.find_untried(
+            stream.service, stream.tried_instances, stream.software
+        )
+        if stream.software is not None or not stream.route.resumable:
+            return untried
+        return versions.select(
+            untried,
+            stream.assigned,
+            self._origins.may_deviate(),
+            asyncio.get_running_loop().time(),
+        )
+
     async def _attempt(
         self,
         stream: _Stream,
@@ -345,6 +436,12 @@
                     health.HealthSignal.BROKEN, chunk.detail, closed
                 )
             stream.record_chunk(chunk)
+            if chunk is not None and resumable:
+                chunk = await self._take_events(stream, target, events, chunk)
+                if isinstance(chunk, attempts.Lost):
+                    return chunk
+                if stream.record_events(chunk):
+                    event_at = asyncio.get_running_loop().time()
             if not stream.head_sent:
                 stream.head_sent = True
                 header_fields = tuple(response.headers.get_all())
@@ -352,17 +449,44 @@
             if chunk is None:
                 health.record_success(target)
                 return None
-            if resumable:
-                chunk = events.feed(chunk)
-                if events.is_overlong():
-                    return attempts.Lost(
-                        health.HealthSignal.BROKEN, 'an event does not end'
-                    )
-                if stream.record_events(chunk):
-                    event_at = asyncio.get_running_loop().time()
             if chunk:
                 await write_body(chunk)
 
+    async def _take_events(
+        self,
+        stream: _Stream,
+        target: fleet.Target,
+        events: _CompleteEvents,
+        chunk: bytes,
+    ) -> bytes | attempts.Lost:
+        """Returns the events that a chunk completes and that may be sent."""
+        complete = events.feed(chunk)
+        if events.is_overlong():
+            return attempts.Lost(
+                health.HealthSignal.BROKEN, 'an event does not end'
+            )
+        if complete and not await self._settle(stream, target):
+            return attempts.Lost(
+                health.HealthSignal.WITHHELD,
+                'the version of the stream was not recorded',
+            )
+        return complete
+
+    async def _settle(self, stream: _Stream, target: fleet.Target) -> bool:
+        """Binds a stream to the version of the target of its first event.
+
+        Returns ``False`` if the event must not be sent, as other nodes could
+        not find out the version.
+        """
+        if stream.software is not None or stream.unsettled:
+            return not stream.unsettled
+        origin = stream_records.Origin(stream.service, target.entry.software)
+        if await self._origins.settle(stream.call, origin):
+            stream.software = origin.software
+        else:
+            stream.unsettled = True
+        return not stream.unsettled
+
     async def _read_chunk(
         self,
         stream: _Stream,
@@ -406,10 +530,7 @@
             return False
         now = asyncio.get_running_loop().time()
         return any(
-            target.count_turns(now)
-            for target in self._pool.find_untried(
-                stream.service, stream.tried_instances
-            )
+            target.count_turns(now) for target in self._find_candidates(stream)
         )
 
     def _make_failure(
@@ -427,6 +548,8 @@
             )
         if self._crash_watch.is_stopped(stream.call.digest):
             return attempts.make_stop(self._crash_watch, stream.call)
+        if stream.software is not None and not self._find_candidates(stream):
+            return _refuse_gone()
         return outcomes.Refusal(
             outcomes.Reason.NO_TARGET,
             'no target accepted the request',
@@ -436,6 +559,30 @@
         )
 
 
+def _refuse_gone() -> outcomes.Refusal:
+    """Returns the refusal of a stream whose version has no target left."""
+    return outcomes.Refusal(
+        outcomes.Reason.NOT_RESUMABLE,
+        'no target has the version that began the stream; begin a new one',
+        retry_after=_NEW_STREAM_RETRY_AFTER_S,
+    )
+
+
+def _refuse_unknown(reason: origins.Unknown) -> outcomes.Refusal:
+    """Returns the refusal of a stream whose version is not known."""
+    if reason is origins.Unknown.LOG_UNAVAILABLE:
+        return outcomes.Refusal(
+            outcomes.Reason.LOG_UNAVAILABLE,
+            'the version that began the stream could not be read',
+            retry_after=_LOG_RETRY_AFTER_S,
+        )
+    return outcomes.Refusal(
+        outcomes.Reason.NOT_RESUMABLE,
+        'the version that began the stream is not known; begin a new one',
+        retry_after=_NEW_STREAM_RETRY_AFTER_S,
+    )
+
+
 def _compute_latest_start(stream: _Stream) -> float:
     """Returns the loop time until which the stream may wait to be sent."""
     return hedging.compute_latest_start(stream.started_at, stream.deadline)
--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -10,6 +10,7 @@
 from expression import Ok
 from expression import Result
 
+from waxwingport import coalescing
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import dependency
@@ -60,6 +61,9 @@
         self.dependency = dependency.Dependency(f'log:{topic}')
         self.started = asyncio.Event()
         """Set once the whole topic has been read."""
+        self._advanced = asyncio.Event()
+        """Set and replaced at each change of the position."""
+        self._checks = coalescing.Coalescing(self._check_end)
 
     async def run(self) -> None:
         """Follows the topic until cancelled.
@@ -86,6 +90,34 @@
                     elapsed = loop.time() - started_at
                     await asyncio.sleep(reads.compute_retry_pause(elapsed))
 
+    async def catch_up(self) -> bool:
+        """Waits until the listener has all records that exist now.
+
+        Returns ``False`` if the log does not tell what these are.  Has to be
+        bounded by the caller, as ``run`` may not be able to read them.
+        """
+        return await self._checks.run()
+
+    async def _check_end(self) -> bool:
+        await self.started.wait()
+        position = self._position or ids.Offset(0)
+        match await self._log.read(self._partition, position):
+            case Result(tag='ok', ok=page):
+                end = page.end
+            case Result(error=fault) if fault.kind is base.FaultKind.EXPIRED:
+                # ``run`` reads the topic again.
+                end = ids.Offset((fault.oldest or position) + 1)
+            case Result():
+                return False
+        while self._position is None or self._position < end:
+            await self._advanced.wait()
+        return True
+
+    def _set_position(self, position: ids.Offset | None) -> None:
+        self._position = position
+        self._advanced.set()
+        self._advanced = asyncio.Event()
+
     async def _advance(self) -> Result[None, base.Fault]:
         if self._position is None:
             return await self._read_topic()
@@ -115,7 +147,7 @@
         self._listener.replace(
             [record for record in newest if record.value is not None]
         )
-        self._position = position
+        self._set_position(position)
         self.started.set()
         return Ok(None)
 
@@ -132,7 +164,7 @@
                             'reason': fault.detail,
                         },
                     )
-        self._position = ids.Offset(offset + len(page.records))
+        self._set_position(ids.Offset(offset + len(page.records)))
 
     def _forget_position(self, fault: base.Fault) -> None:
         _LOG.info(
@@ -145,4 +177,4 @@
         )
         self._expired_at = asyncio.get_running_loop().time()
         self._oldest = fault.oldest or self._oldest
-        self._position = None
+        self._set_position(None)
--- a/waxwingport/log/writers.py
+++ b/waxwingport/log/writers.py
@@ -13,10 +13,11 @@
 from waxwingport import ids
 from waxwingport.log import base
 
-__all__ = ['FencedWriter', 'append_with_retries']
+__all__ = ['FencedWriter', 'MemberWriter', 'append_with_retries']
 
-_NAME = 'holder'
+_HOLDER_NAME = 'holder'
 """Writer name that all holders share, so that each epoch fences lower ones."""
+_FIRST_MEMBER_EPOCH = base.Epoch(1)
 _MIN_ANSWER_TIMEOUT_S = 0.25
 """Shortest timeout of an append: twenty times its usual time.  A lost answer
 delays all later appends by this."""
@@ -58,8 +59,10 @@
         epoch: base.Epoch,
         sequence: int,
         call_size: int,
+        name: str = _HOLDER_NAME,
     ) -> None:
         self._log = log
+        self._name = name
         self._call_size = call_size
         self._sequence = sequence
         self._queue: collections.deque[_Pending] = collections.deque()
@@ -132,7 +135,7 @@
         self, batch: Sequence[_Pending]
     ) -> Result[base.AppendResult, base.Fault]:
         records = [record for pending in batch for record in pending.records]
-        writer = base.Writer(_NAME, self.epoch, self._sequence)
+        writer = base.Writer(self._name, self.epoch, self._sequence)
         delay = _MIN_RETRY_DELAY_S
         while True:
             answer = await self._try_append(records, writer)
@@ -169,6 +172,45 @@
         return answer
 
 
+class MemberWriter(FencedWriter):
+    """Appends records of one process, which fence no other one.
+
+    An append takes effect before all later ones or not at all, also if the
+    log executes it late.
+    """
+
+    def __init__(
+        self,
+        log: base.PartitionLog,
+        partition: base.Partition,
+        member: base.MemberName,
+        call_size: int,
+    ) -> None:
+        super().__init__(
+            log, partition, _FIRST_MEMBER_EPOCH, 0, call_size, member
+        )
+
+    async def run(self) -> base.Fault:
+        """Appends queued records until cancelled.
+
+        After a fault it goes on in the next epoch, which fences the append
+        that failed.
+        """
+        while True:
+            fault = await super().run()
+            _LOG.error(
+                'append-failed',
+                extra={
+                    'partition': str(self.partition),
+                    'reason': fault.detail,
+                },
+            )
+            self.epoch = base.Epoch(self.epoch + 1)
+            self._sequence = 0
+            self._wake.set()
+            await asyncio.sleep(_MAX_RETRY_DELAY_S)
+
+
 def _clamp_timeout(timeout: float) -> float:
     return min(max(timeout, _MIN_ANSWER_TIMEOUT_S), _MAX_ANSWER_TIMEOUT_S)
 
--- a/waxwingport/measure/gatewaylogs.py
+++ b/waxwingport/measure/gatewaylogs.py
@@ -19,9 +19,11 @@
 from waxwingport.gateway import configured
 from waxwingport.gateway import crashes
 from waxwingport.gateway import dialect
+from waxwingport.gateway import origins
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
 from waxwingport.gateway import server
+from waxwingport.gateway import stream_records
 from waxwingport.gateway import streams
 from waxwingport.http import client
 from waxwingport import ids
@@ -281,7 +283,18 @@
             self._dialect,
             _make_configuration(),
             calls.CallForwarder(sender, pool),
-            streams.StreamForwarder(sender, pool),
+            streams.StreamForwarder(
+                sender,
+                pool,
+                origins.StreamOrigins(
+                    memory_log,
+                    log_base.MemberName('n1'),
+                    target_registry,
+                    wall_clock,
+                    stream_records.StreamSettings(),
+                    _RECORD_BYTES,
+                ),
+            ),
             service.SubmissionService(
                 memory_log,
                 submission_view,
--- a/waxwingport/outcomes.py
+++ b/waxwingport/outcomes.py
@@ -33,6 +33,7 @@
     INTERRUPTED = 'interrupted'
     LOG_UNAVAILABLE = 'log-unavailable'
     NOT_FOUND = 'not-found'
+    NOT_RESUMABLE = 'not-resumable'
     NO_TARGET = 'no-target'
     OVERLOADED = 'overloaded'
     SHUTTING_DOWN = 'shutting-down'
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -28,6 +28,7 @@
 _INSTANCE_HEADER = 'Expect-Instance'
 _EXPECTED_VERSION_HEADER = 'Expect-Weight-Version'
 _LAST_EVENT_HEADER = 'Last-Event-Id'
+_RESUMES_HEADER = 'Resumes'
 _PRIORITY_HEADER = 'Request-Priority'
 _LENGTH_HINT_HEADER = 'length-hint'
 _NOT_RUN_HEADER = 'not-executed'
@@ -137,6 +138,7 @@
                 ),
                 body,
                 timeout,
+                _read_resumption(fields),
                 digests.compute_digest(
                     *(
                         text.encode(errors='surrogatepass')
@@ -350,6 +352,18 @@
     return Ok(dialect.BatchRead(submission_id, after, seconds))
 
 
+def _read_resumption(fields: dict[str, str]) -> dialect.Resumption | None:
+    """Returns which stream a call resumes, ``None`` if it begins one."""
+    text = fields.get(_LAST_EVENT_HEADER.lower(), '')
+    after = numerals.read_whole_number(text)
+    if not text or after == 0:
+        return None
+    first_id = fields.get(_RESUMES_HEADER.lower())
+    return dialect.Resumption(
+        after, ids.RequestId(first_id) if first_id else None
+    )
+
+
 def _read_submission(
     call: dialect.Call, now: float
 ) -> Result[dialect.BatchCall | None, str]:
--- /dev/null
+++ b/waxwingport/scheduling/versions.py
@@ -0,0 +1,122 @@
+"""Choice of the software version that begins a stream, as pure functions.
+
+A stream may go on only at the version that began it.  Its version is computed
+from its id and the weights of the versions, so that a node that has just
+started finds it again without a record of the stream.
+
+Load pattern: all nodes are killed while engines of two versions serve, and
+callers resume all streams at once.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+
+import xxhash
+
+from waxwingport.fleet import model as fleet
+from waxwingport import ids
+
+__all__ = [
+    'Weights',
+    'assign',
+    'compute_weights',
+    'should_replace',
+    'select',
+]
+
+Weights = Mapping[ids.SoftwareVersion, int]
+"""Slots of the engines of each version."""
+
+_MAX_DRIFT = 0.1
+"""Difference between a version's share of the weights and of the slots from
+which on the weights are replaced.  Each replacement makes the version of some
+streams ambiguous; a smaller difference costs little."""
+_HASH_BITS = 53
+"""Bits of a hash that a float represents exactly."""
+
+
+def compute_weights(
+    targets: Iterable[fleet.Target],
+) -> dict[ids.SoftwareVersion, int]:
+    """Returns the slots of each version's targets."""
+    weights: dict[ids.SoftwareVersion, int] = {}
+    for target in targets:
+        software = target.entry.software
+        weights[software] = weights.get(software, 0) + target.entry.slots
+    return dict(sorted(weights.items()))
+
+
+def should_replace(current: Weights, fresh: Weights) -> bool:
+    """Returns whether streams should be assigned by ``fresh`` from now on."""
+    if not fresh or current.keys() != fresh.keys():
+        return bool(fresh)
+    current_total = sum(current.values())
+    fresh_total = sum(fresh.values())
+    return any(
+        abs(current[software] / current_total - slots / fresh_total)
+        > _MAX_DRIFT
+        for software, slots in fresh.items()
+    )
+
+
+def assign(
+    request_id: ids.RequestId, weights: Weights
+) -> ids.SoftwareVersion | None:
+    """Returns the version that begins a stream, ``None`` without weights.
+
+    A change of the weights moves no more streams than it has to.
+    """
+    return max(
+        weights,
+        key=lambda software: (
+            _compute_rank(request_id, software, weights[software]),
+            software,
+        ),
+        default=None,
+    )
+
+
+def _compute_rank(
+    request_id: ids.RequestId, software: ids.SoftwareVersion, weight: int
+) -> float:
+    # Weighted rendezvous hashing: the highest rank goes to a version with a
+    # probability in proportion to its weight.
+    key = f'{request_id}\0{software}'.encode(errors='surrogatepass')
+    digest = xxhash.xxh3_64_intdigest(key) >> (64 - _HASH_BITS)
+    position = (digest + 0.25) / (1 << _HASH_BITS)
+    return -weight / math.log(position)
+
+
+def select(
+    candidates: Sequence[fleet.Target],
+    assigned: ids.SoftwareVersion | None,
+    may_deviate: bool,
+    now: float,
+) -> list[fleet.Target]:
+    """Returns the targets at which a new stream may begin.
+
+    Those of the ``assigned`` version, unless there are none or all are full
+    while others have free slots.  With ``may_deviate`` false, only those.
+
+    Load pattern: the engines of one version are full and those of another
+    are not.
+    """
+    own = [
+        target for target in candidates if target.entry.software == assigned
+    ]
+    if not may_deviate or any(_has_free_slot(target, now) for target in own):
+        return own
+    others = [
+        target for target in candidates if target.entry.software != assigned
+    ]
+    free = [target for target in others if _has_free_slot(target, now)]
+    return free or own or others
+
+
+def _has_free_slot(target: fleet.Target, now: float) -> bool:
+    return (
+        target.compute_load(now) < target.entry.slots
+        and target.avoided_until <= now
+    )
