Let the text of an item go on only at the version that began it

The text and its draft keep the service and the version of the engine that began them. A text waits for an engine of its version no longer than its events take to be generated anew and is discarded after that, or at once if no such engine serves. Drafts that an earlier release stored have no version and are not used.

--- a/tests/submissions/test_records.py
+++ b/tests/submissions/test_records.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from waxwingport.submissions import records
@@ -58,3 +59,12 @@
 def test_a_record_that_cannot_be_decompressed_is_a_fault(assembler):
     parts = records.encode(records.Ended('generated text ' * 100), 1 << 16)
     assert assembler.feed(parts[0][:-9] + b'x' * 9).is_error()
+
+
+def test_a_draft_of_an_earlier_release_is_taken_for_one_of_any_version():
+    # Its record ends before the origin, and must not make the rest unreadable.
+    draft = ['a', 3, [0, 5, 1, 99, 1.0], [1]]
+    data = msgspec.msgpack.encode(['drafted', 's1', [draft]])
+    found = records.Assembler().feed(data).ok
+    assert found.drafts[0].event_count == 3
+    assert found.drafts[0].origin is None
--- a/tests/submissions/test_selection.py
+++ b/tests/submissions/test_selection.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from waxwingport.fleet import model as fleet
@@ -92,7 +93,7 @@
 def test_a_text_is_kept_while_an_engine_is_probed(route, submission_run):
     """A text of one version waits for the engine that another job probes."""
     for job in submission_run.waiting.values():
-        job.text.add('event', 1)
+        job.text.add('event', 1, fleet.Origin(SERVICE, ''))
     target = make_target('i1')
     target.expect_load('m', 0.0)
     assert len(select([target], route, submission_run, now=0.8)) == 1
@@ -105,6 +106,65 @@
     route, submission_run
 ):
     job = submission_run.waiting['a']
-    job.text.add('event', 1)
+    job.text.add('event', 1, fleet.Origin(SERVICE, ''))
     select([make_target('i1', version=2)], route, submission_run)
     assert job.text.events == []
+
+
+def make_versioned_target(name, software, running=0):
+    made = make_target(name)
+    made.entry = msgspec.structs.replace(made.entry, software=software)
+    made.running = running
+    return made
+
+
+@pytest.fixture
+def job(submission_run):
+    """A job of a text of ten events that version v1 began."""
+    for name in ['b', 'c']:
+        del submission_run.waiting[name]
+    found = submission_run.waiting['a']
+    for _ in range(10):
+        found.text.add('event', 1, fleet.Origin(SERVICE, 'v1'))
+    return found
+
+
+def test_a_text_goes_on_at_an_engine_of_another_version(
+    route, submission_run, job
+):
+    targets = [
+        make_versioned_target('i1', 'v2'),
+        make_versioned_target('i2', 'v1', 3),
+    ]
+    assert select(targets, route, submission_run) == [('a', 'i2')]
+    assert len(job.text.events) == 10
+
+
+def test_a_text_is_discarded_while_an_engine_of_its_version_is_full(
+    route, submission_run, job
+):
+    targets = [
+        make_versioned_target('i1', 'v2'),
+        make_versioned_target('i2', 'v1', 4),
+    ]
+    assert not select(targets, route, submission_run, now=1.0)
+    assert len(job.text.events) == 10
+
+
+def test_a_text_waits_for_longer_than_it_takes_to_generate_it_anew(
+    route, submission_run, job
+):
+    targets = [
+        make_versioned_target('i1', 'v2'),
+        make_versioned_target('i2', 'v1', 4),
+    ]
+    select(targets, route, submission_run, now=1.0)
+    found = select(targets, route, submission_run, now=2.0)
+    assert found == [('a', 'i1')]
+    assert job.text.events == []
+
+
+def test_a_text_whose_version_has_left_waits(route, submission_run, job):
+    targets = [make_versioned_target('i1', 'v2')]
+    assert select(targets, route, submission_run) == [('a', 'i1')]
+    assert job.text.events == []
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -13,6 +13,7 @@
 __all__ = [
     'InstanceId',
     'LoadReport',
+    'Origin',
     'Stage',
     'Target',
     'TargetEntry',
@@ -44,6 +45,16 @@
     READY = 'ready'
 
 
+class Origin(msgspec.Struct, frozen=True, array_like=True):
+    """Service and software version of the target that began a text.
+
+    Only targets of the same origin may go on with it.
+    """
+
+    service: ids.ServiceName
+    software: ids.SoftwareVersion
+
+
 class TargetEntry(msgspec.Struct, frozen=True):
     """The entry that a target registered."""
 
@@ -129,6 +140,11 @@
     limit: limits.RateLimit | None = None
     """Limit that its last answer named, ``None`` if it named none."""
 
+    @property
+    def origin(self) -> Origin:
+        """Origin of the texts that begin here."""
+        return Origin(self.entry.service, self.entry.software)
+
     @property
     def stage(self) -> Stage:
         """Whether it accepts new work, by its entry and its answers.
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -11,6 +11,7 @@
 import logging
 
 from waxwingport import clocks
+from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import assignments
 from waxwingport.gateway import dialect
@@ -69,7 +70,7 @@
             lambda: self._assignments.node_count,
         )
         self._known: collections.OrderedDict[
-            stream_records.StreamKey, stream_records.Origin
+            stream_records.StreamKey, fleet.Origin
         ] = collections.OrderedDict()
 
     async def run(self) -> None:
@@ -101,9 +102,7 @@
         """Returns whether a stream may begin at another version."""
         return self._assignments.log_available
 
-    async def settle(
-        self, call: dialect.Call, origin: stream_records.Origin
-    ) -> bool:
+    async def settle(self, call: dialect.Call, origin: fleet.Origin) -> bool:
         """Settles the origin of a stream before its first event is sent.
 
         Returns whether other nodes can find it.  If not, the stream must not
@@ -137,7 +136,7 @@
         self,
         call: dialect.Call,
         first_id: ids.RequestId,
-        origin: stream_records.Origin,
+        origin: fleet.Origin,
     ) -> None:
         """Remembers the origin of a stream at this node."""
         key = make_key(call, first_id)
@@ -151,7 +150,7 @@
         call: dialect.Call,
         first_id: ids.RequestId | None,
         service: ids.ServiceName,
-    ) -> stream_records.Origin | Unknown:
+    ) -> fleet.Origin | Unknown:
         """Returns where a stream that a caller resumes began.
 
         ``first_id`` is the id of the try that brought its first event, if
@@ -184,7 +183,7 @@
                 },
             )
             return Unknown.LOG_UNAVAILABLE
-        if isinstance(found, stream_records.Origin) and first_id is not None:
+        if isinstance(found, fleet.Origin) and first_id is not None:
             self.remember(call, first_id, found)
         return found
 
@@ -193,7 +192,7 @@
         call: dialect.Call,
         first_id: ids.RequestId | None,
         service: ids.ServiceName,
-    ) -> stream_records.Origin | Unknown:
+    ) -> fleet.Origin | Unknown:
         if first_id is not None:
             recorded = await self._records.find(make_key(call, first_id))
             if recorded is not None:
@@ -204,7 +203,7 @@
         if len(candidates) > 1:
             return Unknown.AMBIGUOUS
         for software in candidates:
-            return stream_records.Origin(service, software)
+            return fleet.Origin(service, software)
         return Unknown.NEVER_BEGUN
 
     def _is_ambiguous(
--- a/waxwingport/gateway/stream_records.py
+++ b/waxwingport/gateway/stream_records.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from waxwingport import clocks
-from waxwingport import ids
+from waxwingport.fleet import model as fleet
 from waxwingport.log import base
 from waxwingport.log import followers
 from waxwingport.log import writers
@@ -23,7 +23,6 @@
 
 __all__ = [
     'ConflictError',
-    'Origin',
     'StreamKey',
     'StreamRecords',
     'StreamSettings',
@@ -70,16 +69,8 @@
     in which it may be resumed."""
 
 
-class Origin(msgspec.Struct, frozen=True):
-    """Where the first event of a stream was made."""
-
-    service: ids.ServiceName
-    software: ids.SoftwareVersion
-
-
 class _Record(msgspec.Struct, frozen=True, array_like=True):
-    service: ids.ServiceName
-    software: ids.SoftwareVersion
+    origin: fleet.Origin
     written_at: float
     """Seconds since 1970."""
 
@@ -115,7 +106,7 @@
             collections.defaultdict(dict)
         )
         """Records that were read, by the digest of the id and the key."""
-        self._pending: dict[StreamKey, Origin] = {}
+        self._pending: dict[StreamKey, fleet.Origin] = {}
         """Records to write at the next interval."""
         self._added = asyncio.Event()
         self._own: collections.deque[tuple[float, StreamKey]] = (
@@ -124,14 +115,14 @@
         """Time of writing, in seconds since 1970, and key of each own record
         that is still in the log."""
 
-    def add(self, key: StreamKey, origin: Origin) -> None:
+    def add(self, key: StreamKey, origin: fleet.Origin) -> None:
         """Writes a record soon, together with others."""
         self._pending[key] = origin
         if len(self._pending) > _MAX_PENDING:
             del self._pending[next(iter(self._pending))]
         self._added.set()
 
-    async def store(self, key: StreamKey, origin: Origin) -> bool:
+    async def store(self, key: StreamKey, origin: fleet.Origin) -> bool:
         """Writes a record; returns whether the log has acknowledged it.
 
         Takes as long as the log is unavailable.  A call that is cancelled may
@@ -140,7 +131,7 @@
         done = await self._writer.write([self._encode(key, origin)])
         return done.is_ok()
 
-    async def find(self, key: StreamKey) -> Origin | None:
+    async def find(self, key: StreamKey) -> fleet.Origin | None:
         """Returns the origin in the record of a stream, if it has one.
 
         Takes every record into account that was acknowledged before the call,
@@ -159,8 +150,7 @@
             return None
         if key not in same_id:
             raise ConflictError('the stream of this id was another request')
-        found = same_id[key]
-        return Origin(found.service, found.software)
+        return same_id[key].origin
 
     async def run(self) -> None:
         """Writes and reads records until cancelled."""
@@ -192,13 +182,11 @@
                 extra={'partition': str(TOPIC), 'reason': str(error)},
             )
 
-    def _encode(self, key: StreamKey, origin: Origin) -> bytes:
+    def _encode(self, key: StreamKey, origin: fleet.Origin) -> bytes:
         """Returns the record to append, which is removed after a while."""
         now = self._wall_clock.read()
         self._own.append((now, key))
-        value = msgspec.json.encode(
-            _Record(origin.service, origin.software, now)
-        )
+        value = msgspec.json.encode(_Record(origin, now))
         return self._log.make_keyed(base.KeyedRecord(key, value))
 
     async def _write_pending(self) -> None:
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -18,7 +18,6 @@
 from waxwingport.gateway import origins
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
-from waxwingport.gateway import stream_records
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport import numerals
@@ -480,9 +479,8 @@
         """
         if stream.software is not None or stream.unsettled:
             return not stream.unsettled
-        origin = stream_records.Origin(stream.service, target.entry.software)
-        if await self._origins.settle(stream.call, origin):
-            stream.software = origin.software
+        if await self._origins.settle(stream.call, target.origin):
+            stream.software = target.entry.software
         else:
             stream.unsettled = True
         return not stream.unsettled
--- a/waxwingport/scheduling/versions.py
+++ b/waxwingport/scheduling/versions.py
@@ -22,6 +22,7 @@
     'Weights',
     'assign',
     'compute_weights',
+    'may_wait',
     'should_replace',
     'select',
 ]
@@ -33,6 +34,8 @@
 """Difference between a version's share of the weights and of the slots from
 which on the weights are replaced.  Each replacement makes the version of some
 streams ambiguous; a smaller difference costs little."""
+_DEFAULT_EVENT_TIME_S = 0.02
+"""Time between two events while none is known."""
 _HASH_BITS = 53
 """Bits of a hash that a float represents exactly."""
 
@@ -115,6 +118,19 @@
     return free or own or others
 
 
+def may_wait(waited: float, events: int, event_time: float | None) -> bool:
+    """Returns whether a text should still wait for an engine of its version.
+
+    ``waited`` is in seconds, ``event_time`` the usual ones between events.  It
+    waits no longer than its events take to be generated anew, which costs at
+    most twice as much as the better choice.
+
+    Load pattern: most engines of a service are replaced, and texts that broke
+    off wait for slots of the few that are left.
+    """
+    return waited < events * (event_time or _DEFAULT_EVENT_TIME_S)
+
+
 def _has_free_slot(target: fleet.Target, now: float) -> bool:
     return (
         target.compute_load(now) < target.entry.slots
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -81,14 +81,20 @@
     """Data of the stream's events, in order."""
     versions: list[ids.WeightVersion]
     """Each weight version that generated an event, once, in order."""
+    origin: fleet.Origin | None = None
+    """Origin of the engine that began it, ``None`` without events."""
 
     def clear(self) -> None:
         """Discards all events and versions."""
         self.events.clear()
         self.versions.clear()
+        self.origin = None
 
-    def add(self, data: str, version: ids.WeightVersion) -> None:
-        """Appends an event's data and the version that generated it."""
+    def add(
+        self, data: str, version: ids.WeightVersion, origin: fleet.Origin
+    ) -> None:
+        """Appends an event's data; ``version`` and ``origin`` made it."""
+        self.origin = self.origin or origin
         self.events.append(data)
         if version not in self.versions:
             self.versions.append(version)
@@ -342,7 +348,7 @@
             early_end = _check_event(event, self._version, run)
             if early_end is not None:
                 return early_end
-            run.text.add(event.data, self._version)
+            run.text.add(event.data, self._version, run.target.origin)
             run.target.proven = True
             self._text_bytes += len(event.data)
         self._record_gaps(len(run.text.events) - count)
--- a/waxwingport/submissions/journal.py
+++ b/waxwingport/submissions/journal.py
@@ -86,6 +86,7 @@
                             len(draft.events),
                             text,
                             draft.versions,
+                            draft.origin,
                         )
                     )
                 case Result(error=fault):
--- a/waxwingport/submissions/model.py
+++ b/waxwingport/submissions/model.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from waxwingport.fleet import model as fleet
 from waxwingport import ids
 
 __all__ = [
@@ -91,6 +92,8 @@
     item_id: ItemId
     events: tuple[str, ...]
     versions: tuple[ids.WeightVersion, ...]
+    origin: fleet.Origin | None
+    """Origin of the engine that began it."""
 
 
 class TextReference(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -126,3 +129,6 @@
     """Number of events in the text."""
     text: TextReference
     versions: tuple[ids.WeightVersion, ...]
+    origin: fleet.Origin | None = None
+    """Origin of the engine that began it, ``None`` if an earlier release of
+    this project stored it."""
--- a/waxwingport/submissions/runner.py
+++ b/waxwingport/submissions/runner.py
@@ -212,7 +212,11 @@
         usable: dict[model.ItemId, model.StoredDraft] = {}
         for item_id in submission_run.waiting:
             draft = self._view.find_draft(item_id)
-            if draft and generation.is_usable(draft.versions, minimum, False):
+            if (
+                draft
+                and draft.origin
+                and generation.is_usable(draft.versions, minimum, False)
+            ):
                 usable[item_id] = draft
         if usable:
             jobs = [submission_run.waiting.pop(item_id) for item_id in usable]
@@ -236,6 +240,7 @@
                 case Result(tag='ok', ok=events):
                     job.text.events.extend(events)
                     job.text.versions.extend(draft.versions)
+                    job.text.origin = draft.origin
                     job.stored_events = len(events)
                 case Result(tag='error'):
                     # The item starts anew, which only costs time.
--- a/waxwingport/submissions/runs.py
+++ b/waxwingport/submissions/runs.py
@@ -31,11 +31,15 @@
     """Events of the text that are stored in the log as a draft."""
     not_before: float = 0.0
     """Loop time before which the item must not be started."""
+    waits_since: float | None = None
+    """Loop time since which it waits for an engine that may go on with its
+    text, ``None`` if it does not."""
 
     def start_over(self) -> None:
         """Discards the generated text, so that the next run begins anew."""
         self.text.clear()
         self.stored_events = 0
+        self.waits_since = None
 
 
 class EngineSlot:
@@ -88,6 +92,7 @@
                 job.item.item_id,
                 tuple(job.text.events),
                 tuple(job.text.versions),
+                job.text.origin,
             )
             for job in grown
         ]
--- a/waxwingport/submissions/selection.py
+++ b/waxwingport/submissions/selection.py
@@ -18,6 +18,7 @@
 from waxwingport.scheduling import lengths
 from waxwingport.scheduling import order
 from waxwingport.scheduling import placement
+from waxwingport.scheduling import versions
 from waxwingport.submissions import model
 from waxwingport.submissions import runs
 from waxwingport.submissions import scores
@@ -110,7 +111,11 @@
             return False
         now = asyncio.get_running_loop().time()
         eligible = placement.find_eligible(
-            self._find_ready(route),
+            [
+                ready
+                for ready in self._find_ready(route)
+                if ready.origin == target.origin
+            ],
             submission.model,
             submission.minimum_version,
             now,
@@ -210,7 +215,10 @@
         )
         if not eligible:
             return None
-        if route.single_version:
+        eligible = self._select_same_origin(
+            submission_run, job, route, eligible, now
+        )
+        if route.single_version and eligible:
             eligible = _select_or_start_over(job, eligible, submission.model)
         engines_with_prompt = self._prompt_caches.setdefault(
             job.item.group, set()
@@ -226,6 +234,54 @@
             submission_run, job, target, route, len(eligible), pool.ready_count
         )
 
+    def _select_same_origin(
+        self,
+        submission_run: runs.SubmissionRun,
+        job: runs.Job,
+        route: routes.Route,
+        eligible: list[fleet.Target],
+        now: float,
+    ) -> list[fleet.Target]:
+        """Returns the engines that may go on with the text of a job.
+
+        Returns none while the job should wait for one of them, and all of
+        ``eligible`` after its text was discarded.
+        """
+        origin = job.text.origin
+        if origin is None:
+            return eligible
+        same = [target for target in eligible if target.origin == origin]
+        if any(
+            self._placement.count_free_slots(target, now) >= 1
+            for target in same
+        ):
+            job.waits_since = None
+            return same
+        if job.waits_since is None:
+            job.waits_since = now
+        serves = any(
+            target.origin == origin for target in self._find_ready(route)
+        )
+        gaps = [gap for target in eligible if (gap := target.pace.seconds)]
+        if serves and versions.may_wait(
+            now - job.waits_since,
+            len(job.text.events),
+            min(gaps, default=None),
+        ):
+            return []
+        _LOG.info(
+            'text-discarded',
+            extra={
+                'submission': submission_run.entry.submission.submission_id,
+                'item': job.item.item_id,
+                'software': origin.software,
+                'events': len(job.text.events),
+                'waited_s': round(now - job.waits_since, 3),
+            },
+        )
+        job.start_over()
+        return eligible
+
     def _log_start(self, choice: Choice, remaining: float, now: float) -> None:
         submission = choice.submission_run.entry.submission
         target = choice.target
