Let completions of waxwingport serve go on at one software version only

Engines state the version of their software in their state and in each event. Only engines of the version that began an answer get its further attempts, and a chunk of another version is a fault, which also holds for an engine that started anew before it said so. Engines that state none count as of one version.

--- a/tests/raw_engine.py
+++ b/tests/raw_engine.py
@@ -38,6 +38,7 @@
         self.position = position
         self.failures = failures
         self.version = 1
+        self.software = ''
         self.cancels = []
         self.starts = []
         self.parameters = []
@@ -142,6 +143,7 @@
             'position': position,
             'tokens': STEP,
             'weight_version': self.version,
+            'software': self.software,
         }
         data = b'data: ' + json.dumps(event).encode() + b'\n\n'
         with contextlib.suppress(ConnectionError):
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -13,6 +13,7 @@
 from tests import lone_node
 from tests import raw_engine
 from waxwingport.http import client
+from waxwingport.targets import base
 
 FAULT = raw_engine.StreamFault
 PATH = '/v1/completions'
@@ -106,6 +107,54 @@
     assert (silent.starts, other.starts) == ([0], [4])
 
 
+async def start_engines_of_versions(served, make_engine, *versions):
+    """Starts engines, of which the first breaks off, and states versions."""
+    engines = []
+    for software in versions:
+        fault = FAULT.NONE if engines else FAULT.RESET
+        engine = await make_engine(fault, failures=99)
+        engine.software = software
+        engines.append(engine)
+        served.add_engines(engine.address)
+    for target, engine in zip(served.node.targets, engines, strict=True):
+        target.engine_state = base.EngineState(1, software=engine.software)
+    for target in list(served.node.targets)[1:]:
+        # The first engine gets the request.
+        target.start_request()
+    return engines
+
+
+async def test_an_answer_goes_on_at_another_software_version(
+    served, make_engine
+):
+    engines = await start_engines_of_versions(
+        served, make_engine, 'v1', 'v2', 'v1'
+    )
+    answer = json.loads((await served.fetch('POST', PATH, write_body())).body)
+    assert answer['choices'][0]['text'] == FULL_TEXT
+    assert [engine.starts for engine in engines[1:]] == [[], [4]]
+
+
+async def test_an_answer_without_an_engine_of_its_version_goes_on(
+    served, make_engine
+):
+    _, other = await start_engines_of_versions(served, make_engine, 'v1', 'v2')
+    response = await served.fetch('POST', PATH, write_body())
+    assert response.status == 502
+    assert other.starts == []
+
+
+async def test_an_engine_of_another_version_than_it_stated_goes_on(
+    served, make_engine
+):
+    # An engine that starts anew may have another version before it says so.
+    _, other = await start_engines_of_versions(served, make_engine, 'v1', 'v1')
+    other.software = 'v2'
+    response = await served.fetch('POST', PATH, write_body())
+    assert response.status == 502
+    assert set(other.starts) == {4}
+
+
 async def test_idle_connections_are_closed_after_one_stalls(
     served, make_engine
 ):
--- a/waxwingport/requests/assembly.py
+++ b/waxwingport/requests/assembly.py
@@ -18,6 +18,9 @@
     def __init__(self) -> None:
         self.position = 0
         self.finished = False
+        self.software: ids.SoftwareVersion | None = None
+        """Version of the engines' software that began the answer, ``None``
+        without a chunk.  No other one may go on with it."""
         self._parts: list[str] = []
 
     @property
@@ -31,9 +34,13 @@
         """Returns the new part of ``chunk``, ``None`` if nothing is new.
 
         Returns a fault if the chunk leaves a gap or overlaps only partly
-        with the tokens received: text can't be split inside a chunk.
+        with the tokens received: text can't be split inside a chunk.  The
+        same if another version of the software than the first one made it.
         """
+        if self.software not in (None, chunk.software):
+            return _make_version_fault(self.software, chunk)
         if chunk.position == self.position and _has_valid_token_count(chunk):
+            self.software = chunk.software
             self.position += chunk.tokens
             self._parts.append(chunk.text)
             self.finished = chunk.finish_reason is not None
@@ -56,6 +63,16 @@
         return base.TargetFault(base.TargetFaultKind.BROKEN, detail, sent=True)
 
 
+def _make_version_fault(
+    begun_at: ids.SoftwareVersion | None, chunk: base.Chunk
+) -> base.TargetFault:
+    detail = (
+        f'software version {chunk.software!r} does not go on with an answer '
+        f'of {begun_at!r}'
+    )
+    return base.TargetFault(base.TargetFaultKind.BROKEN, detail, sent=True)
+
+
 class AnswerVersions:
     """The distinct weight versions of an answer, in order."""
 
--- a/waxwingport/requests/completions.py
+++ b/waxwingport/requests/completions.py
@@ -85,6 +85,8 @@
         work = request.work
         self._retry_policy.record_request(work.group)
         while True:
+            if answer.software is not None:
+                work = msgspec.structs.replace(work, software=answer.software)
             match await self._retry_policy.acquire(work, history):
                 case Result(tag='ok', ok=grant):
                     pass
--- a/waxwingport/routing/choice.py
+++ b/waxwingport/routing/choice.py
@@ -24,7 +24,7 @@
 """Obstacle of a target whose limit is reached, until one of its requests ends.
 
 The other obstacles are the state of the target, 'version',
-'minimum-version' and 'excluded'."""
+'minimum-version', 'software' and 'excluded'."""
 _REMOTE_COST = 0.25
 """Cost added for a target in another data centre."""
 _LATENCY_COST = 50.0
@@ -120,6 +120,8 @@
         or target.weight_version < work.minimum_version
     ):
         return 'minimum-version'
+    if work.software not in (None, target.software):
+        return 'software'
     return 'excluded' if target.name in work.excluded else None
 
 
--- a/waxwingport/routing/model.py
+++ b/waxwingport/routing/model.py
@@ -60,6 +60,8 @@
     blocks: tuple[int, ...] = ()
     minimum_version: ids.WeightVersion | None = None
     excluded: frozenset[ids.TargetName] = frozenset()
+    software: ids.SoftwareVersion | None = None
+    """Version of the engines' software that may run it, ``None`` for any."""
 
 
 class GroupRules(msgspec.Struct, frozen=True):
@@ -107,6 +109,8 @@
     matched_blocks: int = 0
     live_allowance: int = 0
     """Number of live calls that may exceed ``limit``."""
+    software: ids.SoftwareVersion = ids.SoftwareVersion('')
+    """Empty for a target that has not stated it."""
 
 
 class Decision(msgspec.Struct, frozen=True):
--- a/waxwingport/routing/pools.py
+++ b/waxwingport/routing/pools.py
@@ -29,7 +29,7 @@
 
 
 class _Bucket:
-    """Targets of one data centre at one weight version.
+    """Targets of one data centre at one version of weights and software.
 
     ``available`` can take work, ``full`` have reached their limit, and
     ``live_only`` are the full ones that still take live calls.
@@ -40,10 +40,12 @@
         remote: bool,
         network_latency: float,
         version: ids.WeightVersion | None,
+        software: ids.SoftwareVersion,
     ) -> None:
         self.remote = remote
         self.cost = choice.compute_remote_cost(remote, network_latency)
         self.version = version
+        self.software = software
         self.available: sets.RandomSet[table.Target] = sets.RandomSet()
         self.full: sets.RandomSet[table.Target] = sets.RandomSet()
         self.live_only: sets.RandomSet[table.Target] = sets.RandomSet()
@@ -51,12 +53,20 @@
     def __bool__(self) -> bool:
         return bool(self.available or self.full)
 
-    def meets_version(self, work: model.Work) -> bool:
-        """Returns whether the version is new enough for ``work``."""
+    def meets_versions(self, work: model.Work) -> bool:
+        """Returns whether ``work`` may run at both versions."""
+        return self.find_obstacle(work) is None
+
+    def find_obstacle(self, work: model.Work) -> str | None:
+        """Returns which of the versions ``work`` must not run at, if any."""
         minimum = work.minimum_version
-        return minimum is None or (
-            self.version is not None and self.version >= minimum
-        )
+        if minimum is not None and (
+            self.version is None or self.version < minimum
+        ):
+            return 'minimum-version'
+        if work.software not in (None, self.software):
+            return 'software'
+        return None
 
     def count_available(self, work: model.Work) -> int:
         """Returns how many targets can take work of this class now."""
@@ -135,7 +145,7 @@
         self._positions: dict[table.Target, _Position] = {}
         self._targets_by_name: dict[ids.TargetName, table.Target] = {}
         self._rejected: collections.Counter[str] = collections.Counter()
-        self._buckets: dict[tuple[str, object], _Bucket] = {}
+        self._buckets: dict[tuple[str, object, str], _Bucket] = {}
         self._buckets_by_cost: list[_Bucket] = []
 
     def __len__(self) -> int:
@@ -187,7 +197,7 @@
         Does not check which targets ``work`` excludes.
         """
         return any(
-            bucket.count_available(work) and bucket.meets_version(work)
+            bucket.count_available(work) and bucket.meets_versions(work)
             for bucket in self._buckets_by_cost
         )
 
@@ -197,14 +207,14 @@
         return (
             position is not None
             and position.bucket is not None
-            and position.bucket.meets_version(work)
+            and position.bucket.meets_versions(work)
             and target.name not in work.excluded
         )
 
     def has_usable(self, work: model.Work) -> bool:
         """Returns whether any target may take ``work``, full or not."""
         return any(
-            bucket.meets_version(work) and bucket.count_usable(work) > 0
+            bucket.meets_versions(work) and bucket.count_usable(work) > 0
             for bucket in self._buckets_by_cost
         )
 
@@ -265,7 +275,7 @@
         for bucket in self._buckets_by_cost:
             if bucket.remote and best.is_at_most(bucket.cost):
                 break
-            if not bucket.meets_version(work):
+            if not bucket.meets_versions(work):
                 continue
             for target in bucket.draw(work, over_limit, rng):
                 if target.name not in matches:
@@ -286,7 +296,7 @@
             bucket is not None
             and target
             in (bucket.live_only if over_limit else bucket.available)
-            and bucket.meets_version(work)
+            and bucket.meets_versions(work)
             and target.name not in work.excluded
         )
 
@@ -302,14 +312,11 @@
         }
         if work.work_class is model.WorkClass.LIVE:
             self._subtract_live_only(rejected)
-        if work.minimum_version is not None:
-            old = sum(
-                bucket.count_available(work)
-                for bucket in self._buckets_by_cost
-                if not bucket.meets_version(work)
-            )
-            if old:
-                rejected['minimum-version'] = old
+        for bucket in self._buckets_by_cost:
+            obstacle = bucket.find_obstacle(work)
+            count = bucket.count_available(work)
+            if obstacle is not None and count:
+                rejected[obstacle] = rejected.get(obstacle, 0) + count
         if work.excluded:
             named = map(self._targets_by_name.get, work.excluded)
             excluded = sum(
@@ -336,7 +343,7 @@
     ) -> bool:
         """Returns whether ``work`` could get ``target`` but for exclusion."""
         bucket = self._positions[target].bucket
-        if bucket is None or not bucket.meets_version(work):
+        if bucket is None or not bucket.meets_versions(work):
             return False
         return target in bucket.available or (
             work.work_class is model.WorkClass.LIVE
@@ -379,12 +386,15 @@
         position.bucket = None
 
     def _get_or_create_bucket(self, target: table.Target) -> _Bucket:
-        key = (target.data_centre, target.weight_version)
+        key = (target.data_centre, target.weight_version, target.software)
         bucket = self._buckets.get(key)
         if bucket is None:
             self._prune()
             bucket = _Bucket(
-                target.remote, target.network_latency, target.weight_version
+                target.remote,
+                target.network_latency,
+                target.weight_version,
+                target.software,
             )
             self._buckets[key] = bucket
             bisect.insort(
--- a/waxwingport/standins/engine.py
+++ b/waxwingport/standins/engine.py
@@ -61,6 +61,8 @@
     length_sigma: float = 0.6
     """Standard deviation of the natural logarithm of the lengths."""
     seed: int = 0
+    software: ids.SoftwareVersion = ids.SoftwareVersion('')
+    """Version of the software that the engine states."""
 
 
 class _Slot:
@@ -95,6 +97,7 @@
         self.state = base.EngineState(
             weight_version=ids.WeightVersion(1),
             checks_fencing=self.settings.checks_fencing,
+            software=self.settings.software,
         )
         self.started = 0
         self.generated_tokens = 0
@@ -263,6 +266,7 @@
         self.state = base.EngineState(
             weight_version=ids.WeightVersion(1),
             checks_fencing=self.settings.checks_fencing,
+            software=self.settings.software,
         )
 
     def _find_refusal(
@@ -350,6 +354,7 @@
                     text=text,
                     weight_version=None if self.omit_versions else version,
                     finish_reason=finish if last else None,
+                    software=self.state.software,
                 )
             )
             if last:
--- a/waxwingport/standins/servers.py
+++ b/waxwingport/standins/servers.py
@@ -158,6 +158,7 @@
         position=chunk.position,
         tokens=chunk.tokens,
         weight_version=chunk.weight_version,
+        software=chunk.software,
     )
 
 
--- a/waxwingport/targets/base.py
+++ b/waxwingport/targets/base.py
@@ -97,7 +97,8 @@
     """A part of a generation.
 
     ``position`` is the number of tokens before it.  ``weight_version`` is
-    ``None`` when the engine did not name one.
+    ``None`` when the engine did not name one.  ``software`` is empty at an
+    engine that does not state the version of its software.
     """
 
     position: int
@@ -105,6 +106,7 @@
     text: str
     weight_version: ids.WeightVersion | None
     finish_reason: FinishReason | None = None
+    software: ids.SoftwareVersion = ids.SoftwareVersion('')
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -184,7 +186,8 @@
     """State that an engine reports of itself.
 
     ``loading`` is the version being loaded.  ``fencing_number`` is the
-    highest number seen, ``None`` at an engine that ignores them.
+    highest number seen, ``None`` at an engine that ignores them.  ``software``
+    is empty at an engine that does not state the version of its software.
     """
 
     weight_version: ids.WeightVersion
@@ -195,6 +198,7 @@
     fencing_number: ids.FencingNumber | None = None
     checks_fencing: bool = True
     last_error: str | None = None
+    software: ids.SoftwareVersion = ids.SoftwareVersion('')
 
 
 class Engine(abc.ABC):
--- a/waxwingport/targets/streams.py
+++ b/waxwingport/targets/streams.py
@@ -75,6 +75,7 @@
             '',
             chunk.weight_version,
             chunk.finish_reason,
+            chunk.software,
         )
     _join_text(merged, parts)
     return merged
@@ -89,6 +90,7 @@
     return (
         chunk.position == last.position + last.tokens
         and chunk.weight_version == last.weight_version
+        and chunk.software == last.software
         and last.finish_reason is None
         and last.tokens > 0
         and chunk.tokens > 0
@@ -129,6 +131,7 @@
         choice.text,
         body.weight_version,
         _FINISH_REASONS[finish] if finish else None,
+        body.software,
     )
 
 
--- a/waxwingport/targets/table.py
+++ b/waxwingport/targets/table.py
@@ -79,6 +79,8 @@
         self.report: base.LoadReport | None = None
         self.reported_at: float | None = None
         self.weight_version: ids.WeightVersion | None = None
+        self.software = ids.SoftwareVersion('')
+        """Version of its software, empty while it has not stated it."""
         self.in_progress = 0
         self.limit = _INITIAL_LIMIT
         self.live_allowance = 0
@@ -110,8 +112,10 @@
     def engine_state(self, found: base.EngineState | None) -> None:
         self._engine_state = found
         version = found.weight_version if found else None
-        if version != self.weight_version:
+        software = found.software if found else ids.SoftwareVersion('')
+        if (version, software) != (self.weight_version, self.software):
             self.weight_version = version
+            self.software = software
             self._notify()
 
     def start_request(self, expected: float = 0.0) -> None:
@@ -228,6 +232,7 @@
             self._slowness.read(self.in_progress > 0, when),
             matched_blocks,
             self.live_allowance,
+            self.software,
         )
 
     def update_limit(self) -> None:
--- a/waxwingport/targets/wire.py
+++ b/waxwingport/targets/wire.py
@@ -54,6 +54,7 @@
     tokens: int = 0
     weight_version: ids.WeightVersion | None = None
     error: StreamFault | None = None
+    software: ids.SoftwareVersion = ids.SoftwareVersion('')
 
 
 class KvBody(msgspec.Struct):
