Check that a target is the start of its entry before its events are passed on

An engine may start anew under its id with another version of its software while a node still has the entry of the start before; Expect-Instance names the id alone. Streams were then recorded and resumed under the wrong version.

All that arrives over a connection comes from one start. A node asks an engine for its start once for each connection over which a stream or an item's text begins to arrive, after the connection was opened. What another start sent is dropped and the engine gets nothing until its entry tells of that start; an engine that does not know the question counts as the start of its entry.

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -40,7 +40,7 @@
         """Whether each event names the software that made it."""
         self.born = 1
         """Number of the engine's start."""
-        self._started_at_ms = read_wall_clock_ms()
+        self.started_at_ms = read_wall_clock_ms()
         self.leaving = False
         """Whether all answers say that the engine leaves."""
         self.limit = None
@@ -83,6 +83,8 @@
         """Called after a restart that follows a crash."""
         self.crashes = []
         """Loop time of each crash and the body that caused it, if one did."""
+        self.next_software = None
+        """Version from the next start on, if it changes."""
         self.up = True
         self.streams = weakref.WeakSet()
         """Connections on which requests have arrived."""
@@ -129,9 +131,7 @@
     def begin_start(self):
         """Makes the engine the next start under its name."""
         self.born += 1
-        self._started_at_ms = max(
-            self._started_at_ms + 1, read_wall_clock_ms()
-        )
+        self.started_at_ms = max(self.started_at_ms + 1, read_wall_clock_ms())
 
     async def _restart(self):
         await asyncio.sleep(self.down_time)
@@ -140,6 +140,7 @@
         self.begin_start()
         self.leaving = False
         self.limit = None
+        self.software = self.next_software or self.software
         self.on_restart()
 
     @property
@@ -158,7 +159,7 @@
                 'slots': 8,
                 'state': state,
                 'models': [{'name': 'm', 'version': self.version}],
-                'born': self._started_at_ms,
+                'born': self.started_at_ms,
                 'seq': 1,
             }
         )
@@ -215,7 +216,12 @@
     def get(self):
         models = [{'name': 'm', 'version': self.engine.version}]
         self.write(
-            {'models': models, 'busy': False, 'seq': self.engine.accepted}
+            {
+                'models': models,
+                'busy': False,
+                'seq': self.engine.accepted,
+                'born': self.engine.started_at_ms,
+            }
         )
 
 
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -203,6 +203,20 @@
     assert counts.went_on >= 0.5 * counts.taken_up
 
 
+async def test_an_engine_with_an_old_entry_goes_on_at_another_version(site):
+    # An engine may start anew under its id before its entry tells of it.
+    await site.start()
+    streams = site.start_streams()
+    await asyncio.sleep(FIRST_EVENTS_S)
+    for engine in site.find_engines('v1'):
+        engine.down_time = 0.1
+        engine.next_software = 'v3'
+        await engine.crash()
+    counts, _ = await gather([*streams, *site.start_streams(leave_after=5)])
+    assert counts.joined == 0
+    assert counts.begun >= 0.9 * counts.streams
+
+
 async def read_texts(site, items):
     """Returns the software versions in the text of each finished item."""
     results = await site.deployment.read_all(site.nodes[0], items)
--- /dev/null
+++ b/tests/gateway/test_starts.py
@@ -0,0 +1,86 @@
+"""A target has to be the start that its entry tells of."""
+
+import msgspec
+import pytest
+
+from tests.gateway import test_streams
+from waxwingport.gateway import routes
+
+start_streams = test_streams.start_streams
+TEXT = test_streams.make_text(test_streams.EVENTS + 1)
+
+
+class AskedServer(test_streams.StreamServer):
+    """Answers the question when it started with ``report``.
+
+    Closes each connection after one answer.
+    """
+
+    def __init__(self, report, **options):
+        super().__init__(**options)
+        self.report = report
+        self.questions = 0
+
+    async def _serve(self, reader, writer):
+        await super()._serve(reader, writer)
+        writer.close()
+
+    def answer_report(self, writer):
+        self.questions += 1
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s'
+            % (len(self.report), self.report)
+        )
+
+
+def make_report(**fields):
+    return msgspec.json.encode(fields)
+
+
+def configure(harness):
+    harness.configure(
+        kind=routes.RouteKind.STREAMING, timeout=5.0, resumable=True
+    )
+
+
+# The entries that the harness writes name this start.
+CURRENT = make_report(born=1)
+
+
+@pytest.mark.parametrize(
+    'report', [make_report(born=2), b'garbage', make_report(born='soon')]
+)
+async def test_a_stream_of_another_start_than_registered_is_forwarded(
+    harness, start_streams, report
+):
+    configure(harness)
+    other, current = AskedServer(report), AskedServer(CURRENT)
+    await start_streams(other, current)
+    harness.targets.find('i1').running = 3
+    response = (await harness.call(timeout_ms=4000)).ok
+    assert response.body == TEXT
+    assert (other.starts, current.starts) == ([0], [0])
+
+
+async def test_a_target_of_another_start_gets_further_streams(
+    harness, start_streams
+):
+    configure(harness)
+    other, current = AskedServer(make_report(born=2)), AskedServer(CURRENT)
+    await start_streams(other, current)
+    harness.targets.find('i1').running = 3
+    for _ in range(3):
+        assert (await harness.call(timeout_ms=4000)).ok.body == TEXT
+    assert other.starts == [0]
+
+
+async def test_a_target_that_does_not_tell_its_start_gets_no_streams(
+    harness, start_streams
+):
+    configure(harness)
+    silent = AskedServer(make_report(models=[]))
+    await start_streams(silent)
+    for _ in range(3):
+        response = (await harness.call(timeout_ms=4000)).ok
+        assert response.status == 200
+    assert silent.questions == 1
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -47,11 +47,17 @@
 
     async def _serve(self, reader, writer):
         head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        if head.startswith('get /report '):
+            self.answer_report(writer)
+            return
         fields = dict(line.split(': ', 1) for line in head.split('\r\n')[1:-2])
         await reader.readexactly(int(fields.get('content-length', 0)))
         with contextlib.suppress(ConnectionError):
             await self._send_events(reader, writer, fields)
 
+    def answer_report(self, writer):
+        writer.write(b'HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n')
+
     async def _send_events(self, reader, writer, fields):
         start = int(fields.get('last-event-id', 0))
         self.starts.append(start)
--- a/waxwingport/fleet/model.py
+++ b/waxwingport/fleet/model.py
@@ -108,7 +108,7 @@
     """Length of the pause in seconds."""
 
 
-class Target(msgspec.Struct, eq=False):
+class Target(msgspec.Struct, eq=False, weakref=True):
     """A registered target and what this node has observed of it."""
 
     entry: TargetEntry
@@ -137,6 +137,11 @@
     leaving: bool = False
     """Whether nothing new may be sent to it until it starts anew: an answer
     said that it leaves, or it is no longer registered."""
+    confirmed_at: float = float('-inf')
+    """Loop time at which it was asked last whether it is the start that its
+    entry tells of, and was."""
+    outdated: bool = False
+    """Whether it is a later start than its entry tells of."""
     limit: limits.RateLimit | None = None
     """Limit that its last answer named, ``None`` if it named none."""
 
@@ -152,7 +157,9 @@
         The entry of a target that leaves may say ``ready`` for long, as while
         the log is unavailable.
         """
-        return Stage.DRAINING if self.leaving else self.entry.stage
+        if self.leaving or self.outdated:
+            return Stage.DRAINING
+        return self.entry.stage
 
     def record_version(self, model: str, version: ids.WeightVersion) -> None:
         """Records a version that the target reported, if it is newer."""
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -23,7 +23,6 @@
 from waxwingport.log import followers
 from waxwingport.log import writers
 from waxwingport.scheduling import versions
-from waxwingport import tasks
 
 __all__ = ['Assignments']
 
@@ -183,11 +182,10 @@
         Idle until there are services whose streams may be resumed.
         """
         await self._needed.wait()
-        following = asyncio.gather(self._follower.run(), self._writer.run())
-        try:
-            await self._publish_changes()
-        finally:
-            await tasks.cancel_all([following])
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follower.run())
+            group.create_task(self._writer.run())
+            group.create_task(self._publish_changes())
 
     def replace(self, records: Sequence[base.KeyedRecord]) -> None:
         """Replaces the records of all members."""
--- a/waxwingport/gateway/attempts.py
+++ b/waxwingport/gateway/attempts.py
@@ -11,6 +11,7 @@
 from waxwingport.gateway import conditions
 from waxwingport.gateway import crashes
 from waxwingport.gateway import dialect
+from waxwingport.gateway import starts
 from waxwingport.http import client
 from waxwingport import outcomes
 
@@ -68,6 +69,7 @@
         self.http = http
         self.dialect = dialect_
         self.crash_watch = crash_watch
+        self.starts = starts.StartCheck(http, dialect_, conditions_)
         self._conditions = conditions_
 
     async def send(
--- a/waxwingport/gateway/dialect.py
+++ b/waxwingport/gateway/dialect.py
@@ -161,6 +161,20 @@
         ``fresh`` asks for a connection of its own; ``peer`` is the target.
         """
 
+    @abc.abstractmethod
+    def make_start_request(
+        self, instance: fleet.InstanceId, peer: messages.Peer
+    ) -> messages.Request:
+        """Returns the request that asks a target when it started."""
+
+    @abc.abstractmethod
+    def read_start(self, body: bytes) -> Result[int | None, str]:
+        """Returns when a target started, in milliseconds since 1970.
+
+        Returns ``None`` if its answer does not tell; fails with what is wrong
+        with the answer.
+        """
+
     @abc.abstractmethod
     def make_item_call(self, item: submissions.Item, host: str) -> Call:
         """Returns the request that generates an item."""
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -436,7 +436,9 @@
                 )
             stream.record_chunk(chunk)
             if chunk is not None and resumable:
-                chunk = await self._take_events(stream, target, events, chunk)
+                chunk = await self._take_events(
+                    stream, target, response, events, chunk
+                )
                 if isinstance(chunk, attempts.Lost):
                     return chunk
                 if stream.record_events(chunk):
@@ -455,16 +457,26 @@
         self,
         stream: _Stream,
         target: fleet.Target,
+        response: client.Response,
         events: _CompleteEvents,
         chunk: bytes,
     ) -> bytes | attempts.Lost:
-        """Returns the events that a chunk completes and that may be sent."""
+        """Returns the events that a chunk completes if they may be sent.
+
+        The version of the target that made them has to be certain.
+        """
         complete = events.feed(chunk)
         if events.is_overlong():
             return attempts.Lost(
                 health.HealthSignal.BROKEN, 'an event does not end'
             )
-        if complete and not await self._settle(stream, target):
+        if not complete:
+            return complete
+        if not await self._sender.starts.confirm(target, response):
+            return attempts.Lost(
+                health.HealthSignal.MOVED, 'the target may have started anew'
+            )
+        if not await self._settle(stream, target):
             return attempts.Lost(
                 health.HealthSignal.WITHHELD,
                 'the version of the stream was not recorded',
--- a/waxwingport/http/client.py
+++ b/waxwingport/http/client.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator
 import functools
 import socket
+import weakref
 
 from expression import Error
 from expression import Ok
@@ -54,8 +55,12 @@
 class Response:
     """A response whose head was received and whose body can be read."""
 
-    def __init__(self, exchange: http_exchange.Exchange) -> None:
+    def __init__(
+        self, exchange: http_exchange.Exchange, connected_at: float
+    ) -> None:
         self._exchange = exchange
+        self.connected_at = connected_at
+        """Loop time before which its connection was opened."""
 
     @property
     def status(self) -> int:
@@ -110,6 +115,10 @@
         self._idle: dict[
             str, collections.deque[tuple[float, iostream.IOStream]]
         ] = {}
+        self._connected_at: weakref.WeakKeyDictionary[
+            iostream.IOStream, float
+        ] = weakref.WeakKeyDictionary()
+        """Loop time at which each connection was open."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._whole_bytes = 0
         """Bytes of the responses that are being read as a whole."""
@@ -147,7 +156,7 @@
             raise
         if exchange.fault is not None and not exchange.status:
             return Error(exchange.fault)
-        return Ok(Response(exchange))
+        return Ok(Response(exchange, self._connected_at[stream]))
 
     async def fetch(
         self, address: str, request: Request, timeout: float
@@ -217,6 +226,7 @@
                     sent=False,
                 )
             )
+        self._connected_at[stream] = asyncio.get_running_loop().time()
         stream.set_nodelay(True)
         stream.read_chunk_size = _READ_BYTES
         return Ok(stream)
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -12,6 +12,7 @@
 import msgspec
 from tornado import httputil
 
+from waxwingport.fleet import model as fleet
 from waxwingport.gateway import dialect
 from waxwingport.gateway import digests
 from waxwingport.gateway import routes
@@ -91,6 +92,10 @@
     target_groups: int = 0
 
 
+class _Start(msgspec.Struct, frozen=True):
+    born: int | None = None
+
+
 class _Result(msgspec.Struct, frozen=True):
     id: str
     state: str
@@ -207,6 +212,21 @@
             peer,
         )
 
+    def make_start_request(
+        self, instance: fleet.InstanceId, peer: messages.Peer
+    ) -> messages.Request:
+        """Returns the request that asks a target when it started."""
+        return messages.Request(
+            'GET', '/report', ((_INSTANCE_HEADER, instance),), peer=peer
+        )
+
+    def read_start(self, body: bytes) -> Result[int | None, str]:
+        """Returns when a target started, ``None`` if it does not tell."""
+        try:
+            return Ok(msgspec.json.decode(body, type=_Start).born)
+        except (msgspec.DecodeError, UnicodeError) as error:
+            return Error(f'malformed report: {error}')
+
     def make_item_call(self, item: model.Item, host: str) -> dialect.Call:
         """Returns the request that generates an item."""
         header_fields = [
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -266,6 +266,10 @@
                     run.target, health.HealthSignal.BROKEN, now
                 )
                 return Error((_classify_end(piece), piece.detail))
+            if not await self._sender.starts.confirm(run.target, response):
+                return Error(
+                    (RunEnd.BROKEN, 'the engine may have started anew')
+                )
             early_end = recorder.feed(piece)
             if early_end is not None:
                 return Error(early_end)
