Do not pass on events of a target that was replaced before the first one

Its first node had routed it by an entry of v1; the entry of the engine's next start arrived before the first event, which marks the earlier start as leaving, and a leaving target was not asked for its start. That exception holds now only for a target that still has its entry.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -112,8 +112,8 @@
     def _decode(self, key, value):
         return Ok(self._entries[key])
 
-    def register(self, name, address):
-        """Registers a target of the service."""
+    def register(self, name, address, born=1):
+        """Registers a target of the service, or its next start."""
         instance = fleet.InstanceId(name)
         self._entries[name] = fleet.TargetEntry(
             instance,
@@ -122,7 +122,7 @@
             ids.DataCentre('here'),
             4,
             fleet.Stage.READY,
-            1,
+            born,
             {},
         )
         self.targets.update(base.KeyedRecord(name, b'x'))
--- a/tests/gateway/test_starts.py
+++ b/tests/gateway/test_starts.py
@@ -1,5 +1,7 @@
 """A target has to be the start that its entry tells of."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -20,6 +22,12 @@
         super().__init__(**options)
         self.report = report
         self.questions = 0
+        self.delay = 0.0
+        """Time before a stream in seconds."""
+
+    async def _send_events(self, reader, writer, fields):
+        await asyncio.sleep(self.delay)
+        await super()._send_events(reader, writer, fields)
 
     async def _serve(self, reader, writer):
         await super()._serve(reader, writer)
@@ -84,3 +92,19 @@
         response = (await harness.call(timeout_ms=4000)).ok
         assert response.status == 200
     assert silent.questions == 1
+
+
+async def test_a_stream_is_forwarded_whose_target_was_replaced_meanwhile(
+    harness, start_streams
+):
+    # The entry of the next start may arrive before the first event of it.
+    configure(harness)
+    other, current = AskedServer(make_report(born=2)), AskedServer(CURRENT)
+    other.delay = 0.2
+    await start_streams(other, current)
+    harness.targets.find('i1').running = 3
+    asyncio.get_running_loop().call_later(
+        0.1, harness.register, 'i0', other.address, 2
+    )
+    assert (await harness.call(timeout_ms=4000)).ok.body == TEXT
+    assert (other.starts, current.starts) == ([0], [0])
--- a/waxwingport/gateway/conditions.py
+++ b/waxwingport/gateway/conditions.py
@@ -65,6 +65,10 @@
         """
         return _TargetPeer(self, target, is_stopped)
 
+    def is_registered(self, target: fleet.Target) -> bool:
+        """Returns whether this start of a target still has its entry."""
+        return self._targets.find(target.entry.instance) is target
+
     def make_control_peer(self, target: fleet.Target) -> client.Peer:
         """Returns the peer of a report or an order.
 
--- a/waxwingport/gateway/starts.py
+++ b/waxwingport/gateway/starts.py
@@ -53,9 +53,10 @@
         Part of its body must have arrived.  Returns ``False`` also if the
         target does not tell in time.
         """
-        if target.entry.started_at_ms is None or target.leaving:
-            # A target that leaves gets no new requests; one that has just
-            # started does not leave.
+        if target.entry.started_at_ms is None:
+            return True
+        if target.leaving and self._conditions.is_registered(target):
+            # It must not be asked; one that has just started does not leave.
             return True
         if response.connected_at <= target.confirmed_at:
             return True
