Record streams that a change of the weights makes ambiguous

A node checks the streams that it knows after each change of any node's weights and records those that have become ambiguous.

Also: a node is ready once it has read the others' weights; it refuses to resume at once if the log has been away for a second, and otherwise waits up to a second for it, as after a freeze the first read fails.

--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -170,6 +170,24 @@
     assert counts.begun >= 0.9 * STREAMS
 
 
+async def test_a_stream_waits_in_vain_while_the_log_is_away(site):
+    # What no node can know meanwhile is refused at once.
+    await site.start()
+    for engine in site.deployment.engines:
+        engine.events = 10 * EVENTS
+    streams = site.start_streams(tries=2)
+    await asyncio.sleep(FIRST_EVENTS_S)
+    site.deployment.log.down = True
+    await asyncio.sleep(4 * SETTLING_S)
+    for engine in site.deployment.engines:
+        engine.down_time = 60.0
+        await engine.crash()
+    _, outcomes = await gather(streams)
+    times = [time for each in outcomes for time in each.refusal_times]
+    assert len(times) >= STREAMS / 2
+    assert max(times) < MAX_REFUSAL_S / 4
+
+
 async def test_streams_begun_while_a_version_is_added_are_joined(site):
     await site.remove_engines('v2')
     await site.start()
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import logging
 import random
@@ -103,6 +104,12 @@
             tuple[ids.ServiceName, ids.SoftwareVersion], float
         ] = {}
         """Loop time at which a version last had a target."""
+        self._weights: dict[
+            ids.ServiceName, tuple[float, list[versions.Weights]]
+        ] = {}
+        """Different weights of all nodes by service, and until when, in loop
+        time, they need not be compared again."""
+        self._weights_changed = asyncio.Event()
         self._changed = asyncio.Event()
         self._needed = asyncio.Event()
         """Set once there are services whose streams may be resumed."""
@@ -115,11 +122,23 @@
         if self._services:
             self._needed.set()
 
+    @property
+    def ready(self) -> bool:
+        """Whether the records of all nodes have been read if needed."""
+        return not self._services or self._follower.started.is_set()
+
     @property
     def log_available(self) -> bool:
         """Whether the last read of the log succeeded."""
         return self._follower.dependency.available
 
+    def compute_log_absence(self) -> float:
+        """Returns the seconds since reads of the log began to fail, else 0."""
+        lost_at = self._follower.dependency.lost_at
+        if lost_at is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - lost_at
+
     @property
     def node_count(self) -> int:
         """How many members have a record."""
@@ -146,8 +165,9 @@
         software: ids.SoftwareVersion,
     ) -> bool:
         """Returns whether this node's record tells where a stream began."""
-        return self._is_trusted() and software in self._find_implied(
-            self._published, service, request_id
+        return self._is_trusted() and any(
+            software in _find_implied(weights, request_id)
+            for weights in self._list_weights(self._published, service)
         )
 
     def find_candidates(
@@ -165,10 +185,15 @@
                 for target in self._targets
                 if target.entry.service == service
             }
-        for record in [self._published, *self._records.values()]:
-            found |= self._find_implied(record, service, request_id)
+        for weights in self._find_weights(service):
+            found |= _find_implied(weights, request_id)
         return found
 
+    async def wait_for_change(self) -> None:
+        """Waits until weights of any node have changed."""
+        await self._weights_changed.wait()
+        self._weights_changed.clear()
+
     async def catch_up(self) -> bool:
         """Reads the records that exist now; returns whether that is certain.
 
@@ -190,12 +215,14 @@
     def replace(self, records: Sequence[base.KeyedRecord]) -> None:
         """Replaces the records of all members."""
         self._records.clear()
+        self._record_change()
         for record in records:
             self.update(record)
 
     def update(self, record: base.KeyedRecord) -> None:
         """Applies the record of a member."""
         self._records.pop(record.key, None)
+        self._record_change()
         if record.value is None:
             return
         try:
@@ -212,27 +239,39 @@
         now = asyncio.get_running_loop().time()
         return now - self._published_at <= _TRUST_TIME_S
 
-    def _find_implied(
-        self,
-        record: _Record,
-        service: ids.ServiceName,
-        request_id: ids.RequestId | None,
-    ) -> set[ids.SoftwareVersion]:
-        now = self._wall_clock.read()
-        if now - record.written_at > _RECORD_LIFETIME_S:
-            return set()
-        found: set[ids.SoftwareVersion] = set()
-        for span in record.services.get(service, ()):
-            if not self._is_in_use(span, now):
-                continue
-            if request_id is None:
-                found.update(span.weights)
-                continue
-            software = versions.assign(request_id, span.weights)
-            if software is not None:
-                found.add(software)
+    def _find_weights(
+        self, service: ids.ServiceName
+    ) -> list[versions.Weights]:
+        """Returns the different weights by which any node assigns streams.
+
+        Those of hundreds of nodes are mostly the same; they are compared
+        again after each change, and as they expire.
+        """
+        now = asyncio.get_running_loop().time()
+        cached = self._weights.get(service)
+        if cached is not None and now < cached[0]:
+            return cached[1]
+        found: list[versions.Weights] = []
+        for record in [self._published, *self._records.values()]:
+            for weights in self._list_weights(record, service):
+                if weights not in found:
+                    found.append(weights)
+        self._weights[service] = now + _CHECK_INTERVAL_S, found
         return found
 
+    def _list_weights(
+        self, record: _Record, service: ids.ServiceName
+    ) -> Iterator[versions.Weights]:
+        now = self._wall_clock.read()
+        if now - record.written_at <= _RECORD_LIFETIME_S:
+            for span in record.services.get(service, ()):
+                if self._is_in_use(span, now):
+                    yield span.weights
+
+    def _record_change(self) -> None:
+        self._weights.clear()
+        self._weights_changed.set()
+
     def _is_in_use(self, span: _Span, now: float) -> bool:
         """Returns whether streams that began in a span may be resumed."""
         return (
@@ -325,6 +364,7 @@
         self._ended_late = now - record.written_at > _MAX_WRITE_TIME_S
         self._published = _end_spans_at(now, record)
         self._published_at = started_at
+        self._record_change()
         _LOG.info(
             'stream-weights',
             extra={
@@ -362,3 +402,16 @@
         for service, spans in record.services.items()
     }
     return msgspec.structs.replace(record, services=services)
+
+
+def _find_implied(
+    weights: versions.Weights, request_id: ids.RequestId | None
+) -> set[ids.SoftwareVersion]:
+    """Returns the versions at which weights let a stream begin.
+
+    Without a ``request_id`` these are all that they let any stream begin at.
+    """
+    if request_id is None:
+        return set(weights)
+    software = versions.assign(request_id, weights)
+    return set() if software is None else {software}
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -243,6 +243,7 @@
             self.request_tracker.ready
             and self.configuration.current is not None
             and self._target_follower.started.is_set()
+            and self.stream_origins.ready
         )
 
     def start(self) -> None:
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -10,6 +10,8 @@
 import enum
 import logging
 
+import msgspec
+
 from waxwingport import clocks
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
@@ -23,9 +25,14 @@
 
 __all__ = ['StreamOrigins', 'Unknown']
 
-_FIND_TIMEOUT_S = 0.5
+_FIND_TIMEOUT_S = 1.0
 """Bounds the search for an origin: a log that is 50 times slower than usual
 answers in time.  The caller is better off with a new stream after that."""
+_SETTLING_TIME_S = 0.05
+"""Time after a change of the weights at any node before streams are checked,
+as those of other nodes follow."""
+_CHECK_BATCH = 500
+"""Streams that are checked at once, which takes some milliseconds."""
 _STORE_TIMEOUT_S = 1.0
 """Bounds the write of a record that the first event waits for."""
 _MAX_REMEMBERED = 20_000
@@ -46,6 +53,17 @@
     """No node can have begun it within the lifetime of a stream."""
 
 
+class _Known(msgspec.Struct, eq=False):
+    """A stream whose origin this node knows."""
+
+    first_id: ids.RequestId
+    origin: fleet.Origin
+    known_at: float
+    """Loop time."""
+    recorded: bool = False
+    """Whether it has a record, or was resumed and so left to its caller."""
+
+
 class StreamOrigins:
     """Where the streams that callers resume began."""
 
@@ -69,15 +87,22 @@
             call_size,
             lambda: self._assignments.node_count,
         )
+        self._lifetime = settings.lifetime
         self._known: collections.OrderedDict[
-            stream_records.StreamKey, fleet.Origin
+            stream_records.StreamKey, _Known
         ] = collections.OrderedDict()
 
+    @property
+    def ready(self) -> bool:
+        """Whether origins can be found."""
+        return self._assignments.ready
+
     async def run(self) -> None:
         """Exchanges with other nodes what they need until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._assignments.run())
             group.create_task(self._records.run())
+            group.create_task(self._record_ambiguous_streams())
 
     def set_configuration(self, configuration: routes.Configuration) -> None:
         """Sets the routes, some of whose streams callers may resume."""
@@ -109,6 +134,7 @@
         go on at all: the record may still take effect.
         """
         key = make_key(call, call.request_id)
+        known = self._remember(key, call.request_id, origin)
         implied = self._assignments.implies(
             origin.service, call.request_id, origin.software
         )
@@ -127,23 +153,23 @@
                     },
                 )
                 return False
-        elif self._is_ambiguous(origin.service, call.request_id):
-            self._records.add(key, origin)
-        self.remember(call, call.request_id, origin)
+            known.recorded = True
+        else:
+            self._record_if_ambiguous(key, known)
         return True
 
-    def remember(
+    def _remember(
         self,
-        call: dialect.Call,
+        key: stream_records.StreamKey,
         first_id: ids.RequestId,
         origin: fleet.Origin,
-    ) -> None:
-        """Remembers the origin of a stream at this node."""
-        key = make_key(call, first_id)
-        self._known[key] = origin
+    ) -> _Known:
+        now = asyncio.get_running_loop().time()
+        known = self._known[key] = _Known(first_id, origin, now)
         self._known.move_to_end(key)
         if len(self._known) > _MAX_REMEMBERED:
             self._known.popitem(last=False)
+        return known
 
     async def find(
         self,
@@ -159,7 +185,9 @@
         if first_id is not None:
             known = self._known.get(make_key(call, first_id))
             if known is not None:
-                return known
+                return known.origin
+        if self._assignments.compute_log_absence() > _FIND_TIMEOUT_S:
+            return Unknown.LOG_UNAVAILABLE
         try:
             async with asyncio.timeout(_FIND_TIMEOUT_S):
                 found = await self._search(call, first_id, service)
@@ -184,7 +212,8 @@
             )
             return Unknown.LOG_UNAVAILABLE
         if isinstance(found, fleet.Origin) and first_id is not None:
-            self.remember(call, first_id, found)
+            key = make_key(call, first_id)
+            self._remember(key, first_id, found).recorded = True
         return found
 
     async def _search(
@@ -206,11 +235,35 @@
             return fleet.Origin(service, software)
         return Unknown.NEVER_BEGUN
 
-    def _is_ambiguous(
-        self, service: ids.ServiceName, request_id: ids.RequestId
-    ) -> bool:
-        candidates = self._assignments.find_candidates(service, request_id)
-        return len(candidates) > 1
+    def _record_if_ambiguous(
+        self, key: stream_records.StreamKey, known: _Known
+    ) -> None:
+        candidates = self._assignments.find_candidates(
+            known.origin.service, known.first_id
+        )
+        if len(candidates) > 1:
+            known.recorded = True
+            self._records.add(key, known.origin)
+
+    async def _record_ambiguous_streams(self) -> None:
+        """Records streams that new weights of any node make ambiguous.
+
+        Load pattern: all nodes are killed soon after a version was added.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._assignments.wait_for_change()
+            await asyncio.sleep(_SETTLING_TIME_S)
+            earliest = loop.time() - self._lifetime
+            unrecorded = [
+                (key, known)
+                for key, known in self._known.items()
+                if not known.recorded and known.known_at > earliest
+            ]
+            for number, (key, known) in enumerate(unrecorded, start=1):
+                self._record_if_ambiguous(key, known)
+                if number % _CHECK_BATCH == 0:
+                    await asyncio.sleep(0)
 
 
 def make_key(
