--- /dev/null
+++ b/tests/scheduling/test_versions.py
@@ -0,0 +1,112 @@
+"""Tests the choice of the software version that begins a stream."""
+
+import collections
+import random
+
+import pytest
+
+from waxwingport.fleet import model as fleet
+from waxwingport.scheduling import versions
+
+
+def make_target(software, running=0, slots=4):
+    entry = fleet.TargetEntry(
+        f'{software}-{running}',
+        's',
+        '',
+        'here',
+        slots,
+        fleet.Stage.READY,
+        1,
+        {},
+        software,
+    )
+    return fleet.Target(entry, running=running)
+
+
+def count_assigned(weights, streams=4000):
+    return collections.Counter(
+        versions.assign(f'q{number}', weights) for number in range(streams)
+    )
+
+
+def test_streams_are_not_spread_by_the_slots_of_the_versions():
+    counts = count_assigned({'v1': 24, 'v2': 8})
+    assert 0.7 * 4000 < counts['v1'] < 0.8 * 4000
+
+
+@pytest.mark.parametrize('share', [4, 8, 16])
+def test_a_new_version_moves_streams_between_the_others(share):
+    before = {'v1': 16, 'v2': 16}
+    after = before | {'v3': share}
+    for number in range(500):
+        name = f'q{number}'
+        assert versions.assign(name, after) in (
+            versions.assign(name, before),
+            'v3',
+        )
+
+
+def test_nodes_that_list_versions_in_another_order_assign_differently():
+    weights = {'v1': 16, 'v2': 16}
+    turned = dict(reversed(weights.items()))
+    assert count_assigned(weights) == count_assigned(turned)
+
+
+def test_no_weights_assign_nothing():
+    assert versions.assign('q', {}) is None
+
+
+@pytest.mark.parametrize(
+    ('current', 'fresh', 'replaces'),
+    [
+        ({}, {}, False),
+        ({}, {'v1': 8}, True),
+        ({'v1': 8}, {}, False),
+        ({'v1': 8}, {'v1': 40}, False),
+        ({'v1': 8, 'v2': 8}, {'v1': 8}, True),
+        ({'v1': 40, 'v2': 40}, {'v1': 40, 'v2': 36}, False),
+        ({'v1': 40, 'v2': 40}, {'v1': 40, 'v2': 20}, True),
+    ],
+)
+def test_weights_are_replaced_for_small_differences(current, fresh, replaces):
+    assert versions.should_replace(current, fresh) is replaces
+
+
+def test_a_stream_goes_to_another_version_while_its_own_has_free_slots():
+    own, other = make_target('v1', 3), make_target('v2')
+    assert versions.select([own, other], 'v1', True, 0.0) == [own]
+
+
+def test_a_stream_waits_for_a_full_version_beside_a_free_one():
+    own, other = make_target('v1', 4), make_target('v2')
+    assert versions.select([own, other], 'v1', True, 0.0) == [other]
+    assert versions.select([own, other], 'v1', False, 0.0) == [own]
+
+
+def test_a_stream_deviates_where_all_are_full():
+    own, other = make_target('v1', 4), make_target('v2', 4)
+    assert versions.select([own, other], 'v1', True, 0.0) == [own]
+
+
+def test_a_stream_of_a_version_that_left_has_no_target():
+    other = make_target('v2')
+    assert versions.select([other], 'v1', True, 0.0) == [other]
+    assert versions.select([other], 'v1', False, 0.0) == []
+
+
+def test_most_streams_wait_at_full_engines_beside_free_ones():
+    # Load pattern: bursts at versions of different size.
+    rng = random.Random(1)
+    targets = [make_target('v1', 0, 24), make_target('v2', 0, 8)]
+    weights = versions.compute_weights(targets)
+    over = 0
+    for number in range(2000):
+        assigned = versions.assign(f'q{number}', weights)
+        for target in versions.select(targets, assigned, True, 0.0)[:1]:
+            target.running += 1
+            over += target.running > target.entry.slots
+        if number >= 24:
+            busy = [target for target in targets if target.running]
+            rng.choices(busy, [t.running for t in busy])[0].running -= 1
+    assert over < 0.02 * 2000
