Run the soak's log and the nodes' links to it in a process of its own

The log can't be held up by the callers and engines any more, and reports how long its own loop was at most.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -295,13 +295,13 @@
             partitions.LogFailure.NONE,
         ]
         for _ in range(self._rng.randint(1, MAX_FAILED_APPENDS)):
-            self._soak_run.log.failures.append(self._rng.choice(failures))
+            self._soak_run.log.fail_append(self._rng.choice(failures))
         self._soak_run.record_log_trouble()
         await asyncio.sleep(duration)
         self._soak_run.log.execute_late_appends()
 
     async def _take_log_away(self, duration):
         with self._disturbances.disturb(self._soak_run.nodes):
-            self._soak_run.log.down = True
+            self._soak_run.log.set_down(True)
             await asyncio.sleep(duration)
-            self._soak_run.log.down = False
+            self._soak_run.log.set_down(False)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -13,12 +13,11 @@
 from tests.gateway import standin_engine
 from tests.soak import checks
 from tests.soak import faults
+from tests.soak import log_site
 from tests.soak import proxy
 from tests.soak import streams
 from waxwingport.http import client
 from waxwingport.log import base
-from waxwingport.platform import standin
-from waxwingport.standins import partitions
 
 OPERATOR = base.Topic('keyed.op')
 TARGETS = base.Topic('keyed.servers')
@@ -80,8 +79,7 @@
         self._rng = random.Random(seed)
         self._folder = folder
         self.releases_rng = random.Random(f'releases {seed}')
-        self.log = partitions.MemoryLog()
-        self._store = standin.StoreStandin(self.log)
+        self.log = log_site.LogSite()
         self.http = client.HttpClient()
         self._scale = choose_scale(seed)
         self.engines = [
@@ -132,13 +130,15 @@
         """Node, times and id of each probe without an answer."""
         self._watches = set()
         self.longest_lag = 0.0
-        """Longest time in seconds for which the log, the engines and the
-        callers, which share a loop, were held up."""
+        """Longest time in seconds for which the engines and the callers, which
+        share a loop, were held up."""
+        self.log_lag = 0.0
+        """The same for the log and the links to it."""
 
     async def start(self):
+        await self.log.start()
         for number in range(self._scale.nodes):
-            link = proxy.Proxy(self._store.address)
-            await link.start()
+            link = await self.log.add_link()
             self.links.append(link)
             node = processes.NodeProcess(
                 self._folder, f'n{number}', link.address
@@ -164,7 +164,7 @@
         self.http.close()
         for member in self.engines:
             await member.stop()
-        await self._store.stop()
+        await self.log.stop()
 
     async def run(self, seconds):
         """Injects faults for ``seconds``, then checks the outcome.
@@ -174,6 +174,7 @@
         watch = asyncio.ensure_future(self._watch_lag())
         callers = asyncio.ensure_future(self._run_callers())
         await self.faults.run(seconds)
+        self.log_lag = await self.log.ask('get_longest_lag')
         callers.cancel()
         await self.streams.finish()
         watch.cancel()
@@ -287,7 +288,7 @@
         started_at = checks.read_clock()
 
         async def wait():
-            while self.log.failures:
+            while await self.log.ask('count_failures'):
                 await asyncio.sleep(0.05)
             span = started_at, checks.read_clock() + faults.MAX_DURATION_S
             self.crashes.log_troubles.append(span)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,7 @@
     assert not violations, (
         violations,
         soak.longest_lag,
+        soak.log_lag,
         soak.faults.injected,
     )
     assert len(soak.accepted) >= 3
