Wait for a turn only at targets that a stream may be sent to

While the log is away such a node has no weights and may begin no stream; the search for a target found none, but the wait for one counted the targets of all versions and returned at once, so that both went on without a pause until the deadline. The wait now asks for the same candidates as the search, and the stream is refused at once. The test held up the loop for 1.8 s before.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -284,3 +284,22 @@
     response = (await call_patiently(harness)).ok
     assert response.body == make_text(EVENTS + 1)
     assert (endless.starts, whole.starts) == ([0], [2])
+
+
+async def test_a_stream_that_no_target_may_begin_holds_up_the_node(
+    harness, start_streams
+):
+    # Without the log a node that has just started can't settle any version.
+    harness.log.down = True
+    await start_streams(StreamServer())
+    configure(harness, resumable=True)
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(0.3)
+    called_at = loop.time()
+    call = asyncio.ensure_future(harness.call())
+    while not call.done():
+        before = loop.time()
+        await asyncio.sleep(0.01)
+        assert loop.time() - before < 0.5
+    assert call.result().ok.status == 503
+    assert loop.time() - called_at < 0.5
--- a/waxwingport/gateway/calls.py
+++ b/waxwingport/gateway/calls.py
@@ -160,7 +160,7 @@
         waits_since = loop.time()
         has_turn = await self._pool.wait_for_turn(
             state.service,
-            state.tried,
+            lambda: self._pool.find_untried(state.service, state.tried),
             state.route.priority,
             self._compute_latest_start(state),
         )
--- a/waxwingport/gateway/pools.py
+++ b/waxwingport/gateway/pools.py
@@ -1,6 +1,7 @@
 """Choice of a target among those of a service."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Collection
 import itertools
 import random
@@ -104,14 +105,13 @@
     async def wait_for_turn(
         self,
         service: ids.ServiceName,
-        tried_instances: Collection[fleet.InstanceId],
+        find_candidates: Callable[[], list[fleet.Target]],
         priority: int,
         deadline: float,
-        software: ids.SoftwareVersion | None = None,
     ) -> bool:
-        """Waits until a target that was not tried yet takes a request.
+        """Waits until one of the candidates takes a request.
 
-        With ``software`` only those of this version count.
+        ``find_candidates`` returns what ``choose`` would choose among now.
 
         Returns ``False`` at once if none will before the loop time
         ``deadline``.  Of the requests that wait for the targets of a service
@@ -125,9 +125,7 @@
         waiting.add(ticket)
         try:
             while True:
-                candidates = self.find_untried(
-                    service, tried_instances, software
-                )
+                candidates = find_candidates()
                 wait = hedging.compute_turn_wait(
                     candidates, waiting.index(ticket), loop.time()
                 )
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -261,20 +261,11 @@
         """Waits until an attempt is possible; ``False`` if none will be."""
         return self._may_attempt(stream) and await self._pool.wait_for_turn(
             stream.service,
-            stream.tried_instances,
+            lambda: self._find_candidates(stream),
             stream.route.priority,
             _compute_latest_start(stream),
-            self._get_required_version(stream),
         )
 
-    def _get_required_version(
-        self, stream: _Stream
-    ) -> ids.SoftwareVersion | None:
-        """Returns the only version that may run a stream, if there is one."""
-        if stream.software is not None or not stream.route.resumable:
-            return stream.software
-        return None if self._origins.may_deviate() else stream.assigned
-
     def _may_attempt(self, stream: _Stream) -> bool:
         """Returns whether the route allows a further attempt now."""
         route = stream.route
