Tell a version whose engines are full from one that has left

A stream that was resumed while all engines of its version rejected it as full was told to begin anew, with a hint of 0.05 s; it gets no-target now, with the time until one has a free slot. Tests of resumed streams and of unreadable numbers and ids; that of the full version failed before.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from tests.gateway import conftest
 from waxwingport.gateway import routes
 from waxwingport.gateway import streams
 from waxwingport.http import client
+from waxwingport.log import base
 from waxwingport.scheduling import timeouts
 
 EVENTS = 6
@@ -46,7 +48,7 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
-        head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin1').lower()
         if head.startswith('get /report '):
             self.answer_report(writer)
             return
@@ -303,3 +305,71 @@
         assert loop.time() - before < 0.5
     assert call.result().ok.status == 503
     assert loop.time() - called_at < 0.5
+
+
+class ClosingServer(StreamServer):
+    """Closes each connection after one answer."""
+
+    async def _serve(self, reader, writer):
+        await super()._serve(reader, writer)
+        writer.close()
+
+
+async def resume(harness, after='3', first_id='q1'):
+    """Resumes a stream that this node has begun."""
+    header_fields = (
+        ('Host', 'shop.example'),
+        ('Request-Id', 'q1'),
+        ('Last-Event-Id', after),
+        ('Resumes', first_id),
+    )
+    request = client.Request('POST', '/a/b', header_fields, b'x' * 10)
+    return (await harness.caller_http.fetch(harness.address, request, 5.0)).ok
+
+
+@pytest.fixture
+async def begun(harness, start_streams):
+    """A server of a stream that has begun, and could go on."""
+    configure(harness, resumable=True)
+    server = ClosingServer()
+    await start_streams(server)
+    async with asyncio.timeout(2.0):
+        while harness.origins.assign(conftest.SERVICE, 'q1') is None:
+            await asyncio.sleep(0.01)
+    assert (await harness.call()).ok.body == make_text(EVENTS + 1)
+    return server
+
+
+async def test_a_stream_is_resumed_from_its_start(harness, begun):
+    assert (await resume(harness)).body == make_text(EVENTS + 1)[-48:]
+    assert begun.starts == [0, 3]
+
+
+async def test_a_full_version_counts_as_one_that_left(harness, begun):
+    begun.end = 'full'
+    response = await resume(harness)
+    assert response.status == 503
+    assert b'no-target' in response.body
+
+
+async def test_a_stream_waits_for_a_version_that_left(harness, begun):
+    harness.targets.update(base.KeyedRecord('i0', None))
+    response = await resume(harness)
+    assert response.status == 503
+    assert b'not-resumable' in response.body
+    assert float(dict(response.headers)['Retry-After']) < 0.1
+
+
+@pytest.mark.parametrize('after', ['-1', 'three', '9' * 5000])
+async def test_an_unreadable_event_number_reaches_a_target(
+    harness, begun, after
+):
+    assert (await resume(harness, after)).status == 400
+    assert begun.starts == [0]
+
+
+@pytest.mark.parametrize('first_id', ['', 'q\xff', 'q' * 5000])
+async def test_an_unknown_first_try_breaks_a_node(harness, begun, first_id):
+    # All targets have one version, so that any stream may go on.
+    response = await resume(harness, first_id=first_id)
+    assert response.status == 200
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -323,9 +323,10 @@
                     for span in spans
                 ]
                 spans.append(_Span(fresh))
-            services[service] = spans
+            if spans:
+                services[service] = spans
         due = loop.time() - self._published_at > _REPEAT_INTERVAL_S
-        if changed or due or self._ended_late:
+        if services and (changed or due or self._ended_late):
             return _Record(now, services)
         return None
 
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -272,7 +272,7 @@
         now = asyncio.get_running_loop().time()
         if now >= stream.deadline or stream.runs >= route.max_attempts:
             return False
-        if stream.runs and not route.resumable or stream.unsettled:
+        if stream.unsettled or (stream.runs and not route.resumable):
             return False
         if (
             stream.crashes >= attribution.MAX_CRASHES_PER_TRY
@@ -549,7 +549,9 @@
             )
         if self._crash_watch.is_stopped(stream.call.digest):
             return attempts.make_stop(self._crash_watch, stream.call)
-        if stream.software is not None and not self._find_candidates(stream):
+        if stream.software is not None and not self._pool.find_untried(
+            stream.service, (), stream.software
+        ):
             return _refuse_gone()
         return outcomes.Refusal(
             outcomes.Reason.NO_TARGET,
