Write records of streams in as many appends as their size asks for

The records of one interval were passed on as one, which the log rejects as invalid if it exceeds a call, and which was then repeated for ever.

--- a/waxwingport/gateway/stream_records.py
+++ b/waxwingport/gateway/stream_records.py
@@ -200,8 +200,7 @@
             pending, self._pending = self._pending, {}
             records = [self._encode(*item) for item in pending.items()]
             records += self._pop_expired()
-            if records:
-                await self._writer.write(records)
+            await self._write_each(records)
             await asyncio.sleep(
                 max(
                     _MIN_WRITE_INTERVAL_S,
@@ -209,6 +208,12 @@
                 )
             )
 
+    async def _write_each(self, records: Sequence[bytes]) -> None:
+        """Writes records, in as many calls as their size asks for."""
+        await asyncio.gather(
+            *(self._writer.write([record]) for record in records)
+        )
+
     def _pop_expired(self) -> list[bytes]:
         """Returns records that remove those that this node wrote long ago."""
         earliest = self._wall_clock.read() - self._retention
@@ -249,8 +254,7 @@
             for key, record in same_id.items()
             if record.written_at < earliest
         ]
-        if expired:
-            await self._writer.write(expired[:_MAX_REMOVED])
+        await self._write_each(expired[:_MAX_REMOVED])
 
 
 def _get_id_part(key: StreamKey) -> str:
