Judge the age of a process's own weights by the time of day, as others do

The loop's clock stands still while a VM is suspended, so that a process could rely on a record that the others had dropped.

--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -96,8 +96,6 @@
         self._records: dict[str, _Record] = {}
         """Records by the name of the member that wrote them."""
         self._published = _Record(0.0, {})
-        self._published_at = float('-inf')
-        """Loop time at which the write of ``_published`` began."""
         self._ended_late = False
         """Whether weights were in use for longer than ``_published`` tells."""
         self._seen_at: dict[
@@ -236,8 +234,10 @@
         self._records[record.key] = found
 
     def _is_trusted(self) -> bool:
-        now = asyncio.get_running_loop().time()
-        return now - self._published_at <= _TRUST_TIME_S
+        # Others judge the age of the record by the time of day as well, which
+        # goes on while this VM is suspended.
+        age = self._wall_clock.read() - self._published.written_at
+        return age <= _TRUST_TIME_S
 
     def _find_weights(
         self, service: ids.ServiceName
@@ -296,7 +296,6 @@
 
     def _plan(self) -> _Record | None:
         """Returns the record to write, ``None`` if there is nothing new."""
-        loop = asyncio.get_running_loop()
         now = self._wall_clock.read()
         services: dict[ids.ServiceName, list[_Span]] = {}
         changed = False
@@ -325,7 +324,7 @@
                 spans.append(_Span(fresh))
             if spans:
                 services[service] = spans
-        due = loop.time() - self._published_at > _REPEAT_INTERVAL_S
+        due = now - self._published.written_at > _REPEAT_INTERVAL_S
         if services and (changed or due or self._ended_late):
             return _Record(now, services)
         return None
@@ -357,14 +356,12 @@
 
         Until then the record before stays in use, whose weights are in both.
         """
-        started_at = asyncio.get_running_loop().time()
         value = msgspec.json.encode(record)
         encoded = self._log.make_keyed(base.KeyedRecord(self._member, value))
         await self._writer.write([encoded])
         now = self._wall_clock.read()
         self._ended_late = now - record.written_at > _MAX_WRITE_TIME_S
         self._published = _end_spans_at(now, record)
-        self._published_at = started_at
         self._record_change()
         _LOG.info(
             'stream-weights',
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -133,30 +133,36 @@
         Returns whether other nodes can find it.  If not, the stream must not
         go on at all: the record may still take effect.
         """
-        key = make_key(call, call.request_id)
+        key = _make_key(call, call.request_id)
         known = self._remember(key, call.request_id, origin)
-        implied = self._assignments.implies(
+        if self._assignments.implies(
             origin.service, call.request_id, origin.software
-        )
-        if not implied:
-            try:
-                async with asyncio.timeout(_STORE_TIMEOUT_S):
-                    if not await self._records.store(key, origin):
-                        return False
-            except TimeoutError:
-                _LOG.warning(
-                    'stream-not-recorded',
-                    extra={
-                        'request': call.request_id,
-                        'software': origin.software,
-                        'reason': f'no answer within {_STORE_TIMEOUT_S:g} s',
-                    },
-                )
-                return False
-            known.recorded = True
-        else:
+        ):
             self._record_if_ambiguous(key, known)
-        return True
+            return True
+        known.recorded = await self._store(call, key, origin)
+        return known.recorded
+
+    async def _store(
+        self,
+        call: dialect.Call,
+        key: stream_records.StreamKey,
+        origin: fleet.Origin,
+    ) -> bool:
+        """Writes a record that the first event waits for."""
+        try:
+            async with asyncio.timeout(_STORE_TIMEOUT_S):
+                return await self._records.store(key, origin)
+        except TimeoutError:
+            _LOG.warning(
+                'stream-not-recorded',
+                extra={
+                    'request': call.request_id,
+                    'software': origin.software,
+                    'reason': f'no answer within {_STORE_TIMEOUT_S:g} s',
+                },
+            )
+            return False
 
     def _remember(
         self,
@@ -183,7 +189,7 @@
         the caller names it; ``service`` is that of streams without a record.
         """
         if first_id is not None:
-            known = self._known.get(make_key(call, first_id))
+            known = self._known.get(_make_key(call, first_id))
             if known is not None:
                 return known.origin
         if self._assignments.compute_log_absence() > _FIND_TIMEOUT_S:
@@ -192,27 +198,16 @@
             async with asyncio.timeout(_FIND_TIMEOUT_S):
                 found = await self._search(call, first_id, service)
         except stream_records.ConflictError as error:
-            _LOG.info(
-                'stream-origin-unread',
-                extra={
-                    'request': call.request_id,
-                    'resumes': first_id,
-                    'reason': str(error),
-                },
-            )
+            _log_unread(call, first_id, str(error))
             return Unknown.AMBIGUOUS
-        except (LookupError, TimeoutError) as error:
-            _LOG.info(
-                'stream-origin-unread',
-                extra={
-                    'request': call.request_id,
-                    'resumes': first_id,
-                    'reason': str(error) or 'no answer of the log in time',
-                },
-            )
+        except LookupError as error:
+            _log_unread(call, first_id, str(error))
+            return Unknown.LOG_UNAVAILABLE
+        except TimeoutError:
+            _log_unread(call, first_id, 'no answer of the log in time')
             return Unknown.LOG_UNAVAILABLE
         if isinstance(found, fleet.Origin) and first_id is not None:
-            key = make_key(call, first_id)
+            key = _make_key(call, first_id)
             self._remember(key, first_id, found).recorded = True
         return found
 
@@ -223,7 +218,7 @@
         service: ids.ServiceName,
     ) -> fleet.Origin | Unknown:
         if first_id is not None:
-            recorded = await self._records.find(make_key(call, first_id))
+            recorded = await self._records.find(_make_key(call, first_id))
             if recorded is not None:
                 return recorded
         if not await self._assignments.catch_up():
@@ -266,7 +261,20 @@
                     await asyncio.sleep(0)
 
 
-def make_key(
+def _log_unread(
+    call: dialect.Call, first_id: ids.RequestId | None, reason: str
+) -> None:
+    _LOG.info(
+        'stream-origin-unread',
+        extra={
+            'request': call.request_id,
+            'resumes': first_id,
+            'reason': reason,
+        },
+    )
+
+
+def _make_key(
     call: dialect.Call, first_id: ids.RequestId
 ) -> stream_records.StreamKey:
     """Returns a stream's key, by the id of its first try and any try."""
