Bound the time for which a text waits for an engine of its version

A text of a thousand events could wait for 20 s while engines of another version were free, longer than a step lasts. Found by reading the change again; the case of the test failed before.

--- a/tests/scheduling/test_versions.py
+++ b/tests/scheduling/test_versions.py
@@ -110,3 +110,22 @@
             busy = [target for target in targets if target.running]
             rng.choices(busy, [t.running for t in busy])[0].running -= 1
     assert over < 0.02 * 2000
+
+
+@pytest.mark.parametrize(
+    ('waited', 'events', 'event_time', 'waits'),
+    [
+        (0.0, 10, 0.1, True),
+        (0.9, 10, 0.1, True),
+        (1.1, 10, 0.1, False),
+        (1.9, 1000, 0.1, True),
+        (2.1, 1000, 0.1, False),
+        (0.1, 10, None, True),
+        (0.3, 10, None, False),
+        (0.0, 0, 0.1, False),
+    ],
+)
+def test_a_text_waits_for_its_version_while_its_step_runs_late(
+    waited, events, event_time, waits
+):
+    assert versions.may_wait(waited, events, event_time) is waits
--- a/waxwingport/scheduling/versions.py
+++ b/waxwingport/scheduling/versions.py
@@ -36,6 +36,9 @@
 streams ambiguous; a smaller difference costs little."""
 _DEFAULT_EVENT_TIME_S = 0.02
 """Time between two events while none is known."""
+_MAX_WAIT_S = 2.0
+"""Longest wait of a text for an engine of its version: steps are due some
+seconds after they began."""
 _HASH_BITS = 53
 """Bits of a hash that a float represents exactly."""
 
@@ -123,12 +126,14 @@
 
     ``waited`` is in seconds, ``event_time`` the usual ones between events.  It
     waits no longer than its events take to be generated anew, which costs at
-    most twice as much as the better choice.
+    most twice as much as the better choice, and in no case for so long that
+    its step is late for that.
 
     Load pattern: most engines of a service are replaced, and texts that broke
     off wait for slots of the few that are left.
     """
-    return waited < events * (event_time or _DEFAULT_EVENT_TIME_S)
+    anew = events * (event_time or _DEFAULT_EVENT_TIME_S)
+    return waited < min(anew, _MAX_WAIT_S)
 
 
 def _has_free_slot(target: fleet.Target, now: float) -> bool:
