Let a follower catch up after all records of its topic have expired

The check for the end waited for a record beyond the oldest one, which may not come: streams could not be resumed within a second after the log had forgotten its history. Found by reading the change again; the test failed before.

--- a/waxwingport/coalescing.py
+++ b/waxwingport/coalescing.py
@@ -37,10 +37,3 @@
             await asyncio.wait([previous])
         self._running, self._next = self._next, None
         return await self._operation()
-
-    def cancel(self) -> None:
-        """Cancels all runs."""
-        for task in (self._running, self._next):
-            if task is not None:
-                task.cancel()
-        self._running = self._next = None
--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -99,18 +99,22 @@
         return await self._checks.run()
 
     async def _check_end(self) -> bool:
-        await self.started.wait()
-        position = self._position or ids.Offset(0)
-        match await self._log.read(self._partition, position):
-            case Result(tag='ok', ok=page):
-                end = page.end
-            case Result(error=fault) if fault.kind is base.FaultKind.EXPIRED:
+        end: ids.Offset | None = None
+        while end is None or self._position is None or self._position < end:
+            if end is None and self._position is not None:
+                advanced = self._advanced
+                match await self._log.read(self._partition, self._position):
+                    case Result(tag='ok', ok=page):
+                        end = page.end
+                        continue
+                    case Result(error=fault) if (
+                        fault.kind is not base.FaultKind.EXPIRED
+                    ):
+                        return False
                 # ``run`` reads the topic again.
-                end = ids.Offset((fault.oldest or position) + 1)
-            case Result():
-                return False
-        while self._position is None or self._position < end:
-            await self._advanced.wait()
+                await advanced.wait()
+            else:
+                await self._advanced.wait()
         return True
 
     def _set_position(self, position: ids.Offset | None) -> None:
