--- a/tests/gateway/test_assignments.py
+++ b/tests/gateway/test_assignments.py
@@ -1,4 +1,4 @@
-"""Weights that processes publish, and what others compute from them."""
+"""SlotCounts that processes publish, and what others compute from them."""
 
 import asyncio
 import contextlib
@@ -22,7 +22,7 @@
 
 
 class Process:
-    """The weights of one process and the targets that it knows."""
+    """The slots of one process and the targets that it knows."""
 
     def __init__(self, log, name):
         self.targets = registry.Registry(self._decode)
@@ -90,16 +90,16 @@
         await process.stop()
 
 
-def find_moved(weights, software):
-    """Returns a request that ``weights`` assign to a version."""
+def find_moved(slots, software):
+    """Returns a request that ``slots`` assign to a version."""
     return next(
         name
         for name in map(str, range(1000))
-        if versions.assign(name, weights) == software
+        if versions.assign(name, slots) == software
     )
 
 
-async def test_a_process_that_has_just_started_does_not_know_the_weights(
+async def test_a_process_that_has_just_started_does_not_know_the_counts(
     start,
 ):
     first = start('a')
@@ -109,7 +109,7 @@
     assert await start('b').find() == {'v1'}
 
 
-async def test_weights_of_the_past_are_forgotten_too_soon(start):
+async def test_counts_of_the_past_are_forgotten_too_soon(start):
     first = start('a')
     first.register('i1', 'v1')
     await asyncio.sleep(1.0)
@@ -125,7 +125,7 @@
 @pytest.mark.parametrize(
     'failure', [partitions.LogFailure.LATE, partitions.LogFailure.LOST]
 )
-async def test_weights_are_used_before_the_log_has_them(start, log, failure):
+async def test_counts_are_used_before_the_log_has_them(start, log, failure):
     first, second = start('a'), start('b')
     first.register('i1', 'v1')
     await asyncio.sleep(1.0)
@@ -138,7 +138,7 @@
     assert first.assign(moved) == 'v2'
 
 
-async def test_a_late_write_replaces_later_weights(start, log):
+async def test_a_late_write_replaces_later_counts(start, log):
     first, second = start('a'), start('b')
     first.register('i1', 'v1')
     await asyncio.sleep(1.0)
@@ -188,7 +188,7 @@
     assert await start('b').find() == {'v1'}
 
 
-async def test_garbage_hides_the_weights_of_others(start, log):
+async def test_garbage_hides_the_counts_of_others(start, log):
     first = start('a')
     first.register('i1', 'v1')
     for value in (b'\xff', b'{}', b'{"written_at":1e999,"services":{}}'):
--- a/tests/scheduling/test_version_replay.py
+++ b/tests/scheduling/test_version_replay.py
@@ -18,7 +18,7 @@
 RECORD_DELAY_S = 0.1
 """Time from a first event to its record, where nobody waits for it."""
 CHECK_DELAY_S = 0.25
-"""Time from a change of the weights to the records of ambiguous streams."""
+"""Time from a change of the slots to the records of ambiguous streams."""
 LIFETIME_S = 120.0
 STEP_S = 0.05
 
@@ -30,10 +30,10 @@
     ends_at: float
 
 
-def make_weights(share, slots=40):
-    """Returns the weights while the new version has a share of the slots."""
-    weights = {'v1': round((1 - share) * slots), 'v2': round(share * slots)}
-    return {name: count for name, count in weights.items() if count}
+def make_slots(share, slots=40):
+    """Returns the slots while the new version has a share of the slots."""
+    slots = {'v1': round((1 - share) * slots), 'v2': round(share * slots)}
+    return {name: count for name, count in slots.items() if count}
 
 
 # The share of the new version by time, and when all nodes are killed.
@@ -54,25 +54,25 @@
         self.lags = [rng.uniform(0.02, 0.3) for _ in range(NODES)]
         self.records = 0
         self.changes = self._list_changes()
-        """Times and weights within the lifetime of a stream."""
+        """Times and slots within the lifetime of a stream."""
 
     def _list_changes(self):
         changes = []
         first = max(0.0, self.killed_at - LIFETIME_S)
         for step in range(round((self.killed_at - first) / STEP_S) + 1):
             at = first + step * STEP_S
-            weights = self.get_weights(at)
-            if not changes or changes[-1][1] != weights:
-                changes.append((at, weights))
+            slots = self.get_slots(at)
+            if not changes or changes[-1][1] != slots:
+                changes.append((at, slots))
         return changes
 
-    def get_weights(self, at):
-        return make_weights(self.share(at))
+    def get_slots(self, at):
+        return make_slots(self.share(at))
 
     def begin(self, stream):
         """Returns the version at which a stream begins."""
         seen_at = stream.began_at - self.lags[stream.node]
-        return versions.assign(stream.name, self.get_weights(seen_at))
+        return versions.assign(stream.name, self.get_slots(seen_at))
 
     @abc.abstractmethod
     def find(self, stream, software):
@@ -84,7 +84,7 @@
 
     def find(self, stream, software):
         return versions.assign(
-            stream.name, self.get_weights(self.killed_at + 1.0)
+            stream.name, self.get_slots(self.killed_at + 1.0)
         )
 
 
@@ -98,17 +98,17 @@
 
 
 class Published(Way):
-    """Computes it from the weights that nodes publish; records the rest."""
+    """Computes it from the slots that nodes publish; records the rest."""
 
     def find(self, stream, software):
         candidates = {}
-        for at, weights in self.changes:
-            assigned = versions.assign(stream.name, weights)
+        for at, slots in self.changes:
+            assigned = versions.assign(stream.name, slots)
             candidates.setdefault(assigned, at)
         if len(candidates) == 1:
             return next(iter(candidates))
         self.records += 1
-        # Known once the first node has published the weights.
+        # Known once the first node has published the slots.
         ambiguous_at = sorted(candidates.values())[1] + min(self.lags)
         due = max(
             stream.began_at + RECORD_DELAY_S, ambiguous_at + CHECK_DELAY_S
@@ -142,7 +142,7 @@
 
 @pytest.mark.parametrize('name', PATTERNS)
 @pytest.mark.parametrize('seed', range(3))
-def test_published_weights_join_streams_or_lose_most(name, seed):
+def test_published_counts_join_streams_or_lose_most(name, seed):
     taken_up, joined, went_on, _ = replay(Published, name, seed)
     assert taken_up >= 100
     assert joined == 0
@@ -151,7 +151,7 @@
 
 @pytest.mark.parametrize('name', ['one-by-one', 'at-once', 'first-engine'])
 def test_a_version_that_is_computed_from_the_id_alone_joins_streams(name):
-    # Why the weights of the past are published.
+    # Why the slots of the past are published.
     _, joined, _, _ = replay(ComputedNow, name, 1)
     assert joined >= 10
 
--- a/tests/scheduling/test_versions.py
+++ b/tests/scheduling/test_versions.py
@@ -24,9 +24,9 @@
     return fleet.Target(entry, running=running)
 
 
-def count_assigned(weights, streams=4000):
+def count_assigned(slots, streams=4000):
     return collections.Counter(
-        versions.assign(f'q{number}', weights) for number in range(streams)
+        versions.assign(f'q{number}', slots) for number in range(streams)
     )
 
 
@@ -48,12 +48,12 @@
 
 
 def test_nodes_that_list_versions_in_another_order_assign_differently():
-    weights = {'v1': 16, 'v2': 16}
-    turned = dict(reversed(weights.items()))
-    assert count_assigned(weights) == count_assigned(turned)
+    slots = {'v1': 16, 'v2': 16}
+    turned = dict(reversed(slots.items()))
+    assert count_assigned(slots) == count_assigned(turned)
 
 
-def test_no_weights_assign_nothing():
+def test_no_slots_assign_nothing():
     assert versions.assign('q', {}) is None
 
 
@@ -69,7 +69,7 @@
         ({'v1': 40, 'v2': 40}, {'v1': 40, 'v2': 20}, True),
     ],
 )
-def test_weights_are_replaced_for_small_differences(current, fresh, replaces):
+def test_counts_are_replaced_for_small_differences(current, fresh, replaces):
     assert versions.should_replace(current, fresh) is replaces
 
 
@@ -99,10 +99,10 @@
     # Load pattern: bursts at versions of different size.
     rng = random.Random(1)
     targets = [make_target('v1', 0, 24), make_target('v2', 0, 8)]
-    weights = versions.compute_weights(targets)
+    slots = versions.count_slots(targets)
     over = 0
     for number in range(2000):
-        assigned = versions.assign(f'q{number}', weights)
+        assigned = versions.assign(f'q{number}', slots)
         for target in versions.select(targets, assigned, True, 0.0)[:1]:
             target.running += 1
             over += target.running > target.entry.slots
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -1,8 +1,8 @@
-"""Weights by which each node assigns new streams to software versions.
+"""SlotCounts by which each node assigns new streams to software versions.
 
 A node begins streams without a record of each only at versions that its
 record on a keyed topic implies.  The record is acknowledged before the node
-uses new weights and keeps the earlier ones for as long as a stream may last,
+uses new counts and keeps the earlier ones for as long as a stream may last,
 so that every node can compute which versions may have begun a stream, also if
 its own process has just started or the first node is lost or cut off.
 """
@@ -29,12 +29,12 @@
 
 TOPIC = base.Topic('keyed.stream-assignments')
 _CHECK_INTERVAL_S = 0.5
-"""Time after which the weights are compared with the targets again, also
+"""Time after which the slots are counted again, also
 without a change of these."""
 _WRITE_INTERVAL_S = 0.2
 """Least time between two writes, as targets register one after the other."""
 _GONE_TIME_S = 2.0
-"""Time without a target of a version after which it gets no weight: targets
+"""Time without a target of a version after which it no longer counts: targets
 that crash and start anew are back before."""
 _RECORD_LIFETIME_S = 3600.0
 """Time after which a record that was not repeated tells nothing.  Until then
@@ -44,7 +44,7 @@
 """Time after its last acknowledged write for which a node relies on its own
 record; the difference to its lifetime allows for clocks that differ."""
 _MAX_WRITE_TIME_S = 5.0
-"""Time of a write from which on the record is written again, as weights that
+"""Time of a write from which on the record is written again, as counts that
 it ended were in use meanwhile; small against the lifetime of a stream."""
 _REMOVAL_PROBABILITY = 0.01
 """Probability with which a node removes an expired record at a check: of 690
@@ -55,9 +55,9 @@
 
 
 class _Span(msgspec.Struct, frozen=True):
-    """A time in which a node used the same weights for a service."""
+    """A time in which a node used the same counts for a service."""
 
-    weights: dict[ids.SoftwareVersion, int]
+    slots: dict[ids.SoftwareVersion, int]
     ended_at: float | None = None
     """Seconds since 1970, ``None`` if they are in use."""
 
@@ -71,7 +71,7 @@
 
 
 class Assignments(followers.KeyedListener):
-    """Publishes this node's weights and reads those of all nodes."""
+    """Publishes the counts of this node and reads those of all nodes."""
 
     def __init__(
         self,
@@ -97,17 +97,17 @@
         """Records by the name of the member that wrote them."""
         self._published = _Record(0.0, {})
         self._ended_late = False
-        """Whether weights were in use for longer than ``_published`` tells."""
+        """Whether counts were in use for longer than ``_published`` tells."""
         self._seen_at: dict[
             tuple[ids.ServiceName, ids.SoftwareVersion], float
         ] = {}
         """Loop time at which a version last had a target."""
-        self._weights: dict[
-            ids.ServiceName, tuple[float, list[versions.Weights]]
+        self._slot_counts: dict[
+            ids.ServiceName, tuple[float, list[versions.SlotCounts]]
         ] = {}
-        """Different weights of all nodes by service, and until when, in loop
+        """Different counts of all nodes by service, and until when, in loop
         time, they need not be compared again."""
-        self._weights_changed = asyncio.Event()
+        self._counts_changed = asyncio.Event()
         self._changed = asyncio.Event()
         self._needed = asyncio.Event()
         """Set once there are services whose streams may be resumed."""
@@ -153,7 +153,7 @@
             return None
         for span in self._published.services.get(service, ()):
             if span.ended_at is None:
-                return versions.assign(request_id, span.weights)
+                return versions.assign(request_id, span.slots)
         return None
 
     def implies(
@@ -164,8 +164,8 @@
     ) -> bool:
         """Returns whether this node's record tells where a stream began."""
         return self._is_trusted() and any(
-            software in _find_implied(weights, request_id)
-            for weights in self._list_weights(self._published, service)
+            software in _find_implied(slots, request_id)
+            for slots in self._list_slot_counts(self._published, service)
         )
 
     def find_candidates(
@@ -183,14 +183,14 @@
                 for target in self._targets
                 if target.entry.service == service
             }
-        for weights in self._find_weights(service):
-            found |= _find_implied(weights, request_id)
+        for slots in self._find_slot_counts(service):
+            found |= _find_implied(slots, request_id)
         return found
 
     async def wait_for_change(self) -> None:
-        """Waits until weights of any node have changed."""
-        await self._weights_changed.wait()
-        self._weights_changed.clear()
+        """Waits until the counts of any node have changed."""
+        await self._counts_changed.wait()
+        self._counts_changed.clear()
 
     async def catch_up(self) -> bool:
         """Reads the records that exist now; returns whether that is certain.
@@ -239,38 +239,38 @@
         age = self._wall_clock.read() - self._published.written_at
         return age <= _TRUST_TIME_S
 
-    def _find_weights(
+    def _find_slot_counts(
         self, service: ids.ServiceName
-    ) -> list[versions.Weights]:
-        """Returns the different weights by which any node assigns streams.
+    ) -> list[versions.SlotCounts]:
+        """Returns the different counts by which any node assigns streams.
 
         Those of hundreds of nodes are mostly the same; they are compared
         again after each change, and as they expire.
         """
         now = asyncio.get_running_loop().time()
-        cached = self._weights.get(service)
+        cached = self._slot_counts.get(service)
         if cached is not None and now < cached[0]:
             return cached[1]
-        found: list[versions.Weights] = []
+        found: list[versions.SlotCounts] = []
         for record in [self._published, *self._records.values()]:
-            for weights in self._list_weights(record, service):
-                if weights not in found:
-                    found.append(weights)
-        self._weights[service] = now + _CHECK_INTERVAL_S, found
+            for slots in self._list_slot_counts(record, service):
+                if slots not in found:
+                    found.append(slots)
+        self._slot_counts[service] = now + _CHECK_INTERVAL_S, found
         return found
 
-    def _list_weights(
+    def _list_slot_counts(
         self, record: _Record, service: ids.ServiceName
-    ) -> Iterator[versions.Weights]:
+    ) -> Iterator[versions.SlotCounts]:
         now = self._wall_clock.read()
         if now - record.written_at <= _RECORD_LIFETIME_S:
             for span in record.services.get(service, ()):
                 if self._is_in_use(span, now):
-                    yield span.weights
+                    yield span.slots
 
     def _record_change(self) -> None:
-        self._weights.clear()
-        self._weights_changed.set()
+        self._slot_counts.clear()
+        self._counts_changed.set()
 
     def _is_in_use(self, span: _Span, now: float) -> bool:
         """Returns whether streams that began in a span may be resumed."""
@@ -310,15 +310,15 @@
             current = next(
                 (span for span in spans if span.ended_at is None), None
             )
-            fresh = self._compute_weights(service)
+            fresh = self._count_slots(service)
             if versions.should_replace(
-                current.weights if current else {}, fresh
+                current.slots if current else {}, fresh
             ):
                 changed = True
                 spans = [
                     span
                     if span.ended_at is not None
-                    else _Span(span.weights, now)
+                    else _Span(span.slots, now)
                     for span in spans
                 ]
                 spans.append(_Span(fresh))
@@ -329,23 +329,23 @@
             return _Record(now, services)
         return None
 
-    def _compute_weights(
+    def _count_slots(
         self, service: ids.ServiceName
     ) -> dict[ids.SoftwareVersion, int]:
-        """Returns the weights of a service by its targets.
+        """Returns the slots of each version of a service.
 
-        A version whose targets have left just now keeps its weight.
+        A version whose targets have left just now still counts.
         """
         if service not in self._services:
             return {}
         now = asyncio.get_running_loop().time()
-        fresh = versions.compute_weights(self._targets.find_ready(service))
+        fresh = versions.count_slots(self._targets.find_ready(service))
         for software in fresh:
             self._seen_at[service, software] = now
         for span in self._published.services.get(service, ()):
             if span.ended_at is not None:
                 continue
-            for software, slots in span.weights.items():
+            for software, slots in span.slots.items():
                 gone_at = self._seen_at.get((service, software), now)
                 if software not in fresh and now - gone_at < _GONE_TIME_S:
                     fresh[software] = slots
@@ -354,7 +354,7 @@
     async def _publish(self, record: _Record) -> None:
         """Writes this node's record and uses it once it is acknowledged.
 
-        Until then the record before stays in use, whose weights are in both.
+        Until then the record before stays in use, whose counts are in both.
         """
         value = msgspec.json.encode(record)
         encoded = self._log.make_keyed(base.KeyedRecord(self._member, value))
@@ -364,11 +364,11 @@
         self._published = _end_spans_at(now, record)
         self._record_change()
         _LOG.info(
-            'stream-weights',
+            'stream-slots',
             extra={
                 'node': self._member,
-                'weights': {
-                    service: span.weights
+                'slots': {
+                    service: span.slots
                     for service, spans in record.services.items()
                     for span in spans
                     if span.ended_at is None
@@ -392,7 +392,7 @@
     """Returns a record whose spans that it has just ended end at ``now``."""
     services = {
         service: [
-            _Span(span.weights, now)
+            _Span(span.slots, now)
             if span.ended_at == record.written_at
             else span
             for span in spans
@@ -403,13 +403,13 @@
 
 
 def _find_implied(
-    weights: versions.Weights, request_id: ids.RequestId | None
+    slots: versions.SlotCounts, request_id: ids.RequestId | None
 ) -> set[ids.SoftwareVersion]:
-    """Returns the versions at which weights let a stream begin.
+    """Returns the versions at which counts let a stream begin.
 
     Without a ``request_id`` these are all that they let any stream begin at.
     """
     if request_id is None:
-        return set(weights)
-    software = versions.assign(request_id, weights)
+        return set(slots)
+    software = versions.assign(request_id, slots)
     return set() if software is None else {software}
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -1,6 +1,7 @@
 """Finds out at which software version a stream began.
 
-Most streams begin at the version that their id and the weights of the node
+Most streams begin at the version that their id and the slots that the node
+counts
 imply; every node can compute it.  The others have a record.  What can't be
 shown is unknown: a stream whose origin is unknown must not go on.
 """
@@ -29,7 +30,7 @@
 """Bounds the search for an origin: a log that is 50 times slower than usual
 answers in time.  The caller is better off with a new stream after that."""
 _SETTLING_TIME_S = 0.05
-"""Time after a change of the weights at any node before streams are checked,
+"""Time after a change of the counts at any node before streams are checked,
 as those of other nodes follow."""
 _CHECK_BATCH = 500
 """Streams that are checked at once, which takes some milliseconds."""
@@ -241,7 +242,7 @@
             self._records.add(key, known.origin)
 
     async def _record_ambiguous_streams(self) -> None:
-        """Records streams that new weights of any node make ambiguous.
+        """Records streams that new counts of any node make ambiguous.
 
         Load pattern: all nodes are killed soon after a version was added.
         """
--- a/waxwingport/scheduling/versions.py
+++ b/waxwingport/scheduling/versions.py
@@ -1,7 +1,7 @@
 """Choice of the software version that begins a stream, as pure functions.
 
 A stream may go on only at the version that began it.  Its version is computed
-from its id and the weights of the versions, so that a node that has just
+from its id and the slots of the versions, so that a node that has just
 started finds it again without a record of the stream.
 
 Load pattern: all nodes are killed while engines of two versions serve, and
@@ -19,21 +19,21 @@
 from waxwingport import ids
 
 __all__ = [
-    'Weights',
+    'SlotCounts',
     'assign',
-    'compute_weights',
+    'count_slots',
     'may_wait',
     'should_replace',
     'select',
 ]
 
-Weights = Mapping[ids.SoftwareVersion, int]
+SlotCounts = Mapping[ids.SoftwareVersion, int]
 """Slots of the engines of each version."""
 
 _MAX_DRIFT = 0.1
-"""Difference between a version's share of the weights and of the slots from
-which on the weights are replaced.  Each replacement makes the version of some
-streams ambiguous; a smaller difference costs little."""
+"""Difference between a version's share of the counts in use and of the slots
+from which on the counts are replaced.  Each replacement makes the version of
+some streams ambiguous; a smaller difference costs little."""
 _DEFAULT_EVENT_TIME_S = 0.02
 """Time between two events while none is known."""
 _MAX_WAIT_S = 2.0
@@ -43,18 +43,18 @@
 """Bits of a hash that a float represents exactly."""
 
 
-def compute_weights(
+def count_slots(
     targets: Iterable[fleet.Target],
 ) -> dict[ids.SoftwareVersion, int]:
     """Returns the slots of each version's targets."""
-    weights: dict[ids.SoftwareVersion, int] = {}
+    slots: dict[ids.SoftwareVersion, int] = {}
     for target in targets:
         software = target.entry.software
-        weights[software] = weights.get(software, 0) + target.entry.slots
-    return dict(sorted(weights.items()))
+        slots[software] = slots.get(software, 0) + target.entry.slots
+    return dict(sorted(slots.items()))
 
 
-def should_replace(current: Weights, fresh: Weights) -> bool:
+def should_replace(current: SlotCounts, fresh: SlotCounts) -> bool:
     """Returns whether streams should be assigned by ``fresh`` from now on."""
     if not fresh or current.keys() != fresh.keys():
         return bool(fresh)
@@ -68,16 +68,16 @@
 
 
 def assign(
-    request_id: ids.RequestId, weights: Weights
+    request_id: ids.RequestId, slots: SlotCounts
 ) -> ids.SoftwareVersion | None:
-    """Returns the version that begins a stream, ``None`` without weights.
+    """Returns the version that begins a stream, ``None`` without slots.
 
-    A change of the weights moves no more streams than it has to.
+    A change of the counts moves no more streams than it has to.
     """
     return max(
-        weights,
+        slots,
         key=lambda software: (
-            _compute_rank(request_id, software, weights[software]),
+            _compute_rank(request_id, software, slots[software]),
             software,
         ),
         default=None,
