Let a stream go on that is resumed with another body

A try with the id of a stream that has a record, and another body, was refused although only one version can have begun it. Now the record of the same request counts, then any, if all with this id agree. The test failed before.

--- a/waxwingport/gateway/stream_records.py
+++ b/waxwingport/gateway/stream_records.py
@@ -58,7 +58,7 @@
 
 
 class ConflictError(Exception):
-    """The id of a stream belongs to another request."""
+    """Several other requests had the id of a stream."""
 
 
 class StreamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -135,8 +135,9 @@
         """Returns the origin in the record of a stream, if it has one.
 
         Takes every record into account that was acknowledged before the call,
-        and as long as the log is unavailable.  Raises ``ConflictError`` if
-        only another request with the same id has one, and ``LookupError`` if
+        and as long as the log is unavailable.  Without a record of this
+        request, one of another with the same id tells as well.  Raises
+        ``ConflictError`` if several of these differ, and ``LookupError`` if
         the log does not tell.
         """
         self._searched_at = asyncio.get_running_loop().time()
@@ -148,9 +149,12 @@
         same_id = self._read.get(_get_id_part(key))
         if not same_id:
             return None
-        if key not in same_id:
-            raise ConflictError('the stream of this id was another request')
-        return same_id[key].origin
+        if key in same_id:
+            return same_id[key].origin
+        first, *others = {record.origin for record in same_id.values()}
+        if others:
+            raise ConflictError('several requests had the id of the stream')
+        return first
 
     async def run(self) -> None:
         """Writes and reads records until cancelled."""
