Do not resume a stream at a service that its route has left

The origin of a stream names its service; a stream went on there although the configuration in force sends the route elsewhere, or at the new service if its origin was computed. The origin's service has to be one of the route's, and a change of the services of a route makes nodes record the streams that they know. Found by reading; two tests failed before.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -9,6 +9,7 @@
 from waxwingport.gateway import routes
 from waxwingport.gateway import streams
 from waxwingport.http import client
+from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.scheduling import timeouts
 
@@ -373,3 +374,34 @@
     # All targets have one version, so that any stream may go on.
     response = await resume(harness, first_id=first_id)
     assert response.status == 200
+
+
+async def test_a_stream_goes_on_at_a_service_that_its_route_left(
+    harness, begun
+):
+    other = ids.ServiceName('other')
+    harness.configure(
+        version=2,
+        kind=routes.RouteKind.STREAMING,
+        resumable=True,
+        shares=(routes.Share(other, 1),),
+    )
+    response = await resume(harness)
+    assert response.status == 503
+    assert b'not-resumable' in response.body
+    assert begun.starts == [0]
+
+
+async def test_a_moved_route_hides_where_its_streams_began(harness, begun):
+    # Another node would compute the service from the route as it is now.
+    harness.configure(
+        version=2,
+        kind=routes.RouteKind.STREAMING,
+        resumable=True,
+        shares=(routes.Share(ids.ServiceName('other'), 1),),
+    )
+    topic = base.Partition(base.Topic('keyed.streams'), 0)
+    async with asyncio.timeout(2.0):
+        while not harness.log.get_records(topic):
+            await asyncio.sleep(0.02)
+    assert b'"booking"' in harness.log.get_records(topic)[-1]
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -89,6 +89,9 @@
             lambda: self._assignments.node_count,
         )
         self._lifetime = settings.lifetime
+        self._shares: dict[tuple[str, str], tuple[routes.Share, ...]] = {}
+        """Services of the routes whose streams may be resumed, by host and
+        prefix."""
         self._known: collections.OrderedDict[
             stream_records.StreamKey, _Known
         ] = collections.OrderedDict()
@@ -107,13 +110,22 @@
 
     def set_configuration(self, configuration: routes.Configuration) -> None:
         """Sets the routes, some of whose streams callers may resume."""
-        self._assignments.set_services(
-            share.service
+        shares = {
+            (route.host, route.prefix): route.shares
             for route in configuration.routes
             if route.kind is routes.RouteKind.STREAMING and route.resumable
-            for share in route.shares
+        }
+        self._assignments.set_services(
+            share.service
+            for of_route in shares.values()
+            for share in of_route
             if share.weight > 0
         )
+        if self._shares and shares != self._shares:
+            # The service of a stream can't be computed from its id any more.
+            for key, known in self._list_unrecorded():
+                self._record(key, known)
+        self._shares = shares
 
     def assign(
         self, service: ids.ServiceName, request_id: ids.RequestId
@@ -238,24 +250,32 @@
             known.origin.service, known.first_id
         )
         if len(candidates) > 1:
-            known.recorded = True
-            self._records.add(key, known.origin)
+            self._record(key, known)
+
+    def _record(self, key: stream_records.StreamKey, known: _Known) -> None:
+        known.recorded = True
+        self._records.add(key, known.origin)
+
+    def _list_unrecorded(
+        self,
+    ) -> list[tuple[stream_records.StreamKey, _Known]]:
+        """Returns the streams without a record that may still be resumed."""
+        earliest = asyncio.get_running_loop().time() - self._lifetime
+        return [
+            (key, known)
+            for key, known in self._known.items()
+            if not known.recorded and known.known_at > earliest
+        ]
 
     async def _record_ambiguous_streams(self) -> None:
         """Records streams that new counts of any node make ambiguous.
 
         Load pattern: all nodes are killed soon after a version was added.
         """
-        loop = asyncio.get_running_loop()
         while True:
             await self._assignments.wait_for_change()
             await asyncio.sleep(_SETTLING_TIME_S)
-            earliest = loop.time() - self._lifetime
-            unrecorded = [
-                (key, known)
-                for key, known in self._known.items()
-                if not known.recorded and known.known_at > earliest
-            ]
+            unrecorded = self._list_unrecorded()
             for number, (key, known) in enumerate(unrecorded, start=1):
                 self._record_if_ambiguous(key, known)
                 if number % _CHECK_BATCH == 0:
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -233,6 +233,8 @@
         )
         if isinstance(found, origins.Unknown):
             return _refuse_unknown(found)
+        if not _uses_service(stream.route, found.service):
+            return _refuse_gone()
         stream.service = found.service
         stream.software = found.software
         stream.last_event = resumption.after
@@ -586,6 +588,13 @@
     )
 
 
+def _uses_service(route: routes.Route, service: ids.ServiceName) -> bool:
+    """Returns whether a route still sends requests to a service."""
+    return any(
+        share.service == service and share.weight > 0 for share in route.shares
+    )
+
+
 def _compute_latest_start(stream: _Stream) -> float:
     """Returns the loop time until which the stream may wait to be sent."""
     return hedging.compute_latest_start(stream.started_at, stream.deadline)
