--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -12,6 +12,7 @@
 from tests.gateway import processes
 from tests.gateway import resuming_callers
 from tests.gateway import test_node
+from tests.soak import proxy
 
 STREAMS = 48
 EVENTS = 30
@@ -32,12 +33,10 @@
         self.deployment = test_node.Deployment()
         self.deployment.configure(**{'timeout-ms': 4000})
         self._numbers = itertools.count()
-        self.nodes = [
-            processes.NodeProcess(
-                folder, f'n{number}', self.deployment.store.address
-            )
-            for number in range(3)
-        ]
+        self._folder = folder
+        self.nodes = []
+        self.links = []
+        """The link of each node to the log."""
         self._prepare(self.deployment.engine, 'v1')
         for number, software in enumerate(['v1', 'v2', 'v2'], start=2):
             self.add_engine(f'i{number}', software)
@@ -68,6 +67,14 @@
             engine.down_time = 60.0
             await engine.crash()
 
+    async def add_node(self):
+        link = proxy.Proxy(self.deployment.store.address)
+        await link.start()
+        self.links.append(link)
+        name = f'n{len(self.nodes)}'
+        node = processes.NodeProcess(self._folder, name, link.address)
+        self.nodes.append(node)
+
     async def start(self):
         http = self.deployment.http
         await asyncio.gather(*(node.start(http) for node in self.nodes))
@@ -95,12 +102,16 @@
         for node in self.nodes:
             node.send_signal(signal.SIGCONT)
             await node.kill()
+        for link in self.links:
+            await link.stop()
         await self.deployment.stop()
 
 
 @pytest.fixture
 async def site(tmp_path):
     found = Site(tmp_path)
+    for _ in range(3):
+        await found.add_node()
     yield found
     await found.stop()
 
@@ -223,6 +234,21 @@
     assert counts.went_on >= 0.5 * counts.taken_up
 
 
+async def test_streams_of_a_node_without_the_log_are_joined_at_others(site):
+    await site.remove_engines('v2')
+    await site.start()
+    site.links[0].set_impairment(proxy.Impairment.CUT)
+    site.add_engine('i7', 'v3')
+    site.add_engine('i8', 'v3')
+    await asyncio.sleep(2.0)
+    streams = site.start_streams(leave_after=3)
+    counts, outcomes = await gather(streams)
+    assert counts.joined == 0
+    assert counts.begun >= 0.9 * STREAMS
+    # Of those that began at the other nodes all go on that reach the log.
+    assert counts.went_on >= 0.5 * counts.taken_up
+
+
 async def test_an_engine_with_an_old_entry_goes_on_at_another_version(site):
     # An engine may start anew under its id before its entry tells of it.
     await site.start()
