Connect late in the test of a call that is not sent yet

With a delay of 0.3 s it fails so each time; the first connection is told by its own flag now, and the delay stays, so that the second attempt is there in every run.

--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -112,9 +112,12 @@
     connected_to = []
 
     async def connect_late(address, timeout):
+        is_first = not connected_to
         connected_to.append(address)
+        # A second attempt may start before this one is connected.
+        await asyncio.sleep(0.3)
         found = await connect(address, timeout)
-        if len(connected_to) == 1:
+        if is_first:
             for target in harness.targets.find_at(address):
                 harness.targets.record_leaving(target)
         return found
