--- a/waxwingport/gateway/crashes.py
+++ b/waxwingport/gateway/crashes.py
@@ -34,8 +34,8 @@
 _LATE_TIMEOUT_S = 0.02
 """Delay of a timeout from which on this process counts as busy: the answer may
 have arrived, unread, and gets the time again."""
-_MAX_CHECK_PERIODS = 5
-"""How often at most it gets that time."""
+_MAX_CHECK_PERIODS = 3
+"""How often at most it gets that time: the request waits meanwhile."""
 _SECOND_CHECK_S = 0.02
 """Time after which a target is checked again.  Its connections may close a
 little before it refuses new ones."""
