Pause an engine whose start was not confirmed to an item

A run whose engine did not tell its start in time was repeated at the same engine after 0.02 s, again and again. The engine is avoided for 2 s now, as for a stream. Found by reading; the test failed before (at most two runs in 1.5 s).

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -64,6 +64,8 @@
         self.break_probability = 0.0
         """Share of the events after which the connection is closed."""
         self._rng = random.Random(name)
+        self.failing_reports = False
+        """Whether reports are answered with an error."""
         self.early_head = False
         """Whether the head of a text is sent before its first event."""
         self.stall_after = {}
@@ -214,6 +216,9 @@
 
 class _Report(_Handler):
     def get(self):
+        if self.engine.failing_reports:
+            self.set_status(500)
+            return
         models = [{'name': 'm', 'version': self.engine.version}]
         self.write(
             {
--- a/tests/gateway/test_starts.py
+++ b/tests/gateway/test_starts.py
@@ -5,9 +5,11 @@
 import msgspec
 import pytest
 
+from tests.gateway import test_node
 from tests.gateway import test_streams
 from waxwingport.gateway import routes
 
+deployment = test_node.deployment
 start_streams = test_streams.start_streams
 TEXT = test_streams.make_text(test_streams.EVENTS + 1)
 
@@ -108,3 +110,15 @@
     )
     assert (await harness.call(timeout_ms=4000)).ok.body == TEXT
     assert (other.starts, current.starts) == ([0], [0])
+
+
+async def test_an_item_is_sent_again_and_again_to_an_unconfirmed_target(
+    deployment,
+):
+    deployment.engine.failing_reports = True
+    served = await deployment.start_node()
+    assert (await deployment.submit(served, 1)).status == 202
+    await asyncio.sleep(1.5)
+    assert 1 <= len(deployment.engine.runs) <= 2
+    deployment.engine.failing_reports = False
+    assert len(await deployment.read_all(served, 1)) == 1
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -267,6 +267,10 @@
                 )
                 return Error((_classify_end(piece), piece.detail))
             if not await self._sender.starts.confirm(run.target, response):
+                now = asyncio.get_running_loop().time()
+                health.record_failure(
+                    run.target, health.HealthSignal.MOVED, now
+                )
                 return Error(
                     (RunEnd.BROKEN, 'the engine may have started anew')
                 )
