Keep a digest of a stream's first request id, not the id

A node remembers 20,000 streams; an id may be as long as a header, 16 KB and more, which callers can choose: 320 MB. The digest, which is in the key of a stream anyway, decides on the version too. Found by reading. The key is a struct now, its string is in one place.

--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -11,6 +11,7 @@
 from waxwingport.log import base
 from waxwingport.standins import partitions
 
+parse_key = stream_records.parse_key
 pytestmark = pytest.mark.looptime
 NOW = 1_700_000_000.0
 CALL_SIZE = 400
@@ -57,57 +58,57 @@
 
 async def test_a_record_is_unknown_to_a_process_that_has_just_started(start):
     first = start('a')
-    assert await first.store('id.digest', ORIGIN)
-    assert await start('b').find('id.digest') == ORIGIN
+    assert await first.store(parse_key('id.digest'), ORIGIN)
+    assert await start('b').find(parse_key('id.digest')) == ORIGIN
 
 
 async def test_a_record_is_missed_that_was_written_during_a_search(start):
     first, second = start('a'), start('b')
-    assert await second.find('id.digest') is None
-    assert await first.store('id.digest', ORIGIN)
-    assert await second.find('id.digest') == ORIGIN
+    assert await second.find(parse_key('id.digest')) is None
+    assert await first.store(parse_key('id.digest'), ORIGIN)
+    assert await second.find(parse_key('id.digest')) == ORIGIN
 
 
 async def test_many_records_together_exceed_an_append(start):
     first = start('a')
     for number in range(50):
-        first.add(f'{number}.digest', ORIGIN)
+        first.add(parse_key(f'{number}.digest'), ORIGIN)
     await asyncio.sleep(1.0)
     second = start('b')
     for number in range(50):
-        assert await second.find(f'{number}.digest') == ORIGIN
+        assert await second.find(parse_key(f'{number}.digest')) == ORIGIN
 
 
 async def test_another_request_takes_the_id_of_a_stream(start):
     first, second = start('a'), start('b')
-    assert await first.store('id.digest', ORIGIN)
-    assert await first.store('id.other', fleet.Origin('s', 'v2'))
-    assert await second.find('id.digest') == ORIGIN
+    assert await first.store(parse_key('id.digest'), ORIGIN)
+    assert await first.store(parse_key('id.other'), fleet.Origin('s', 'v2'))
+    assert await second.find(parse_key('id.digest')) == ORIGIN
     with pytest.raises(stream_records.ConflictError):
-        await second.find('id.third')
+        await second.find(parse_key('id.third'))
 
 
 async def test_a_stream_is_lost_that_is_resumed_with_another_body(start):
     first, second = start('a'), start('b')
-    assert await first.store('id.digest', ORIGIN)
-    assert await second.find('id.other') == ORIGIN
+    assert await first.store(parse_key('id.digest'), ORIGIN)
+    assert await second.find(parse_key('id.other')) == ORIGIN
 
 
 async def test_records_are_kept_for_ever(start, log):
     first = start('a')
-    first.add('id.digest', ORIGIN)
+    first.add(parse_key('id.digest'), ORIGIN)
     await asyncio.sleep(200.0)
-    assert await start('b').find('id.digest') == ORIGIN
+    assert await start('b').find(parse_key('id.digest')) == ORIGIN
     await asyncio.sleep(100.0)
-    assert await start('c').find('id.digest') is None
+    assert await start('c').find(parse_key('id.digest')) is None
 
 
 async def test_a_garbage_record_hides_the_others(start, log):
     first = start('a')
-    assert await first.store('id.digest', ORIGIN)
+    assert await first.store(parse_key('id.digest'), ORIGIN)
     for value in (b'\xff', b'[]', b'{"a":1}', b'[["s","v"],1e999]'):
         log.write_keyed(stream_records.TOPIC, 'garbage', value)
-    assert await start('b').find('id.digest') == ORIGIN
+    assert await start('b').find(parse_key('id.digest')) == ORIGIN
 
 
 async def test_a_search_ends_without_the_log(start, log):
@@ -115,6 +116,6 @@
     log.down = True
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(5.0):
-            await first.find('id.digest')
+            await first.find(parse_key('id.digest'))
     log.down = False
-    assert await first.find('id.digest') is None
+    assert await first.find(parse_key('id.digest')) is None
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -6,6 +6,8 @@
 import pytest
 
 from tests.gateway import conftest
+from waxwingport.fleet import model as fleet
+from waxwingport.gateway import dialect
 from waxwingport.gateway import routes
 from waxwingport.gateway import streams
 from waxwingport.http import client
@@ -405,3 +407,14 @@
         while not harness.log.get_records(topic):
             await asyncio.sleep(0.02)
     assert b'"booking"' in harness.log.get_records(topic)[-1]
+
+
+async def test_long_ids_fill_the_memory(harness, begun):
+    # A node keeps the origin of thousands of streams.
+    origin = fleet.Origin(conftest.SERVICE, '')
+    for number in range(100):
+        call = dialect.Call(
+            f'{number:0>9000}', 'POST', '/', '', (), b'', 1.0, None, 'd'
+        )
+        assert await harness.origins.settle(call, origin)
+    assert sum(len(str(key)) for key in harness.origins._known) < 10_000
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -1,4 +1,4 @@
-"""SlotCounts by which each node assigns new streams to software versions.
+"""Slots by which each node assigns new streams to software versions.
 
 A node begins streams without a record of each only at versions that its
 record on a keyed topic implies.  The record is acknowledged before the node
@@ -17,6 +17,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import stream_records
 from waxwingport import ids
@@ -29,8 +30,7 @@
 
 TOPIC = base.Topic('keyed.stream-assignments')
 _CHECK_INTERVAL_S = 0.5
-"""Time after which the slots are counted again, also
-without a change of these."""
+"""Time after which the slots are counted again without a change of targets."""
 _WRITE_INTERVAL_S = 0.2
 """Least time between two writes, as targets register one after the other."""
 _GONE_TIME_S = 2.0
@@ -143,7 +143,7 @@
         return len(self._records)
 
     def assign(
-        self, service: ids.ServiceName, request_id: ids.RequestId
+        self, service: ids.ServiceName, stream_id: stream_records.StreamId
     ) -> ids.SoftwareVersion | None:
         """Returns the version at which this node should begin a stream.
 
@@ -153,38 +153,39 @@
             return None
         for span in self._published.services.get(service, ()):
             if span.ended_at is None:
-                return versions.assign(request_id, span.slots)
+                return versions.assign(stream_id, span.slots)
         return None
 
     def implies(
-        self,
-        service: ids.ServiceName,
-        request_id: ids.RequestId,
-        software: ids.SoftwareVersion,
+        self, origin: fleet.Origin, stream_id: stream_records.StreamId
     ) -> bool:
         """Returns whether this node's record tells where a stream began."""
         return self._is_trusted() and any(
-            software in _find_implied(slots, request_id)
-            for slots in self._list_slot_counts(self._published, service)
+            origin.software == versions.assign(stream_id, slots)
+            for slots in self._list_slot_counts(
+                self._published, origin.service
+            )
         )
 
     def find_candidates(
-        self, service: ids.ServiceName, request_id: ids.RequestId | None
+        self,
+        service: ids.ServiceName,
+        stream_id: stream_records.StreamId | None,
     ) -> set[ids.SoftwareVersion]:
         """Returns all versions that may have begun a stream without a record.
 
-        Without a ``request_id`` these are all that any stream may have begun
+        Without a ``stream_id`` these are all that any stream may have begun
         at.  The result is complete after ``catch_up``.
         """
         found: set[ids.SoftwareVersion] = set()
-        if request_id is None:
+        if stream_id is None:
             found = {
                 target.entry.software
                 for target in self._targets
                 if target.entry.service == service
             }
         for slots in self._find_slot_counts(service):
-            found |= _find_implied(slots, request_id)
+            found |= _find_implied(slots, stream_id)
         return found
 
     async def wait_for_change(self) -> None:
@@ -403,13 +404,13 @@
 
 
 def _find_implied(
-    slots: versions.SlotCounts, request_id: ids.RequestId | None
+    slots: versions.SlotCounts, stream_id: stream_records.StreamId | None
 ) -> set[ids.SoftwareVersion]:
     """Returns the versions at which counts let a stream begin.
 
-    Without a ``request_id`` these are all that they let any stream begin at.
+    Without a ``stream_id`` these are all that they let any stream begin at.
     """
-    if request_id is None:
+    if stream_id is None:
         return set(slots)
-    software = versions.assign(request_id, slots)
+    software = versions.assign(stream_id, slots)
     return set() if software is None else {software}
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -1,9 +1,9 @@
 """Finds out at which software version a stream began.
 
-Most streams begin at the version that their id and the slots that the node
-counts
-imply; every node can compute it.  The others have a record.  What can't be
-shown is unknown: a stream whose origin is unknown must not go on.
+Most streams begin at the version that follows from their id and the slots that
+the node has counted, so that every node can compute it.  The others have a
+record.  What can't be shown is unknown: a stream whose origin is unknown must
+not go on.
 """
 
 import asyncio
@@ -57,7 +57,6 @@
 class _Known(msgspec.Struct, eq=False):
     """A stream whose origin this node knows."""
 
-    first_id: ids.RequestId
     origin: fleet.Origin
     known_at: float
     """Loop time."""
@@ -134,7 +133,7 @@
 
         ``None`` if the node can't tell the others of any.
         """
-        return self._assignments.assign(service, request_id)
+        return self._assignments.assign(service, _make_id(request_id))
 
     def may_deviate(self) -> bool:
         """Returns whether a stream may begin at another version."""
@@ -147,10 +146,8 @@
         go on at all: the record may still take effect.
         """
         key = _make_key(call, call.request_id)
-        known = self._remember(key, call.request_id, origin)
-        if self._assignments.implies(
-            origin.service, call.request_id, origin.software
-        ):
+        known = self._remember(key, origin)
+        if self._assignments.implies(origin, key.stream_id):
             self._record_if_ambiguous(key, known)
             return True
         known.recorded = await self._store(call, key, origin)
@@ -178,13 +175,10 @@
             return False
 
     def _remember(
-        self,
-        key: stream_records.StreamKey,
-        first_id: ids.RequestId,
-        origin: fleet.Origin,
+        self, key: stream_records.StreamKey, origin: fleet.Origin
     ) -> _Known:
         now = asyncio.get_running_loop().time()
-        known = self._known[key] = _Known(first_id, origin, now)
+        known = self._known[key] = _Known(origin, now)
         self._known.move_to_end(key)
         if len(self._known) > _MAX_REMEMBERED:
             self._known.popitem(last=False)
@@ -201,15 +195,14 @@
         ``first_id`` is the id of the try that brought its first event, if
         the caller names it; ``service`` is that of streams without a record.
         """
-        if first_id is not None:
-            known = self._known.get(_make_key(call, first_id))
-            if known is not None:
-                return known.origin
+        key = None if first_id is None else _make_key(call, first_id)
+        if key in self._known:
+            return self._known[key].origin
         if self._assignments.compute_log_absence() > _FIND_TIMEOUT_S:
             return Unknown.LOG_UNAVAILABLE
         try:
             async with asyncio.timeout(_FIND_TIMEOUT_S):
-                found = await self._search(call, first_id, service)
+                found = await self._search(key, service)
         except stream_records.ConflictError as error:
             _log_unread(call, first_id, str(error))
             return Unknown.AMBIGUOUS
@@ -219,24 +212,24 @@
         except TimeoutError:
             _log_unread(call, first_id, 'no answer of the log in time')
             return Unknown.LOG_UNAVAILABLE
-        if isinstance(found, fleet.Origin) and first_id is not None:
-            key = _make_key(call, first_id)
-            self._remember(key, first_id, found).recorded = True
+        if isinstance(found, fleet.Origin) and key is not None:
+            self._remember(key, found).recorded = True
         return found
 
     async def _search(
         self,
-        call: dialect.Call,
-        first_id: ids.RequestId | None,
+        key: stream_records.StreamKey | None,
         service: ids.ServiceName,
     ) -> fleet.Origin | Unknown:
-        if first_id is not None:
-            recorded = await self._records.find(_make_key(call, first_id))
+        if key is not None:
+            recorded = await self._records.find(key)
             if recorded is not None:
                 return recorded
         if not await self._assignments.catch_up():
             return Unknown.LOG_UNAVAILABLE
-        candidates = self._assignments.find_candidates(service, first_id)
+        candidates = self._assignments.find_candidates(
+            service, key.stream_id if key else None
+        )
         if len(candidates) > 1:
             return Unknown.AMBIGUOUS
         for software in candidates:
@@ -247,7 +240,7 @@
         self, key: stream_records.StreamKey, known: _Known
     ) -> None:
         candidates = self._assignments.find_candidates(
-            known.origin.service, known.first_id
+            known.origin.service, key.stream_id
         )
         if len(candidates) > 1:
             self._record(key, known)
@@ -295,9 +288,15 @@
     )
 
 
+def _make_id(first_id: ids.RequestId) -> stream_records.StreamId:
+    return stream_records.StreamId(
+        digests.compute_digest(first_id.encode(errors='surrogatepass'))
+    )
+
+
 def _make_key(
     call: dialect.Call, first_id: ids.RequestId
 ) -> stream_records.StreamKey:
     """Returns a stream's key, by the id of its first try and any try."""
-    id_digest = digests.compute_digest(first_id.encode(errors='surrogatepass'))
-    return stream_records.StreamKey(f'{id_digest}.{call.digest}')
+    digest = call.digest or ids.RequestDigest('')
+    return stream_records.StreamKey(_make_id(first_id), digest)
--- a/waxwingport/gateway/stream_records.py
+++ b/waxwingport/gateway/stream_records.py
@@ -16,6 +16,7 @@
 
 from waxwingport import clocks
 from waxwingport.fleet import model as fleet
+from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import followers
 from waxwingport.log import writers
@@ -23,14 +24,32 @@
 
 __all__ = [
     'ConflictError',
+    'StreamId',
     'StreamKey',
     'StreamRecords',
     'StreamSettings',
 ]
 
-StreamKey = NewType('StreamKey', str)
-"""Names a stream: the digest of its first try's id, a dot and the digest of
-what its tries have in common.  Other callers can't make the same."""
+StreamId = NewType('StreamId', str)
+"""Digest of the request id of a stream's first try, which may be long."""
+
+
+class StreamKey(msgspec.Struct, frozen=True):
+    """Names a stream; other callers can't make the same."""
+
+    stream_id: StreamId
+    digest: ids.RequestDigest
+    """Digest of what its tries have in common."""
+
+    def __str__(self) -> str:
+        return f'{self.stream_id}.{self.digest}'
+
+
+def parse_key(text: str) -> StreamKey:
+    """Returns the key of which ``text`` is the string."""
+    stream_id, _, digest = text.partition('.')
+    return StreamKey(StreamId(stream_id), ids.RequestDigest(digest))
+
 
 TOPIC = base.Topic('keyed.streams')
 _MIN_WRITE_INTERVAL_S = 0.1
@@ -43,7 +62,6 @@
 _MAX_PENDING = 10_000
 """Records that wait for a write, as while the log is unavailable; some 100
 bytes each.  Older ones are dropped."""
-
 _RETENTION_FACTOR = 2.0
 """Time for which a record is kept, as a multiple of the time in which a
 stream may be resumed: clocks of nodes differ."""
@@ -102,10 +120,10 @@
         """Set while the records are read."""
         self._searched_at = float('-inf')
         self._searched = asyncio.Event()
-        self._read: collections.defaultdict[str, dict[StreamKey, _Record]] = (
-            collections.defaultdict(dict)
-        )
-        """Records that were read, by the digest of the id and the key."""
+        self._read: collections.defaultdict[
+            StreamId, dict[StreamKey, _Record]
+        ] = collections.defaultdict(dict)
+        """Records that were read, by id and key of their streams."""
         self._pending: dict[StreamKey, fleet.Origin] = {}
         """Records to write at the next interval."""
         self._added = asyncio.Event()
@@ -146,7 +164,7 @@
         self._searched.set()
         if not await self._follower.catch_up():
             raise LookupError('the end of the records was not read')
-        same_id = self._read.get(_get_id_part(key))
+        same_id = self._read.get(key.stream_id)
         if not same_id:
             return None
         if key in same_id:
@@ -171,12 +189,12 @@
 
     def update(self, record: base.KeyedRecord) -> None:
         """Applies one record, removed if its value is ``None``."""
-        key = StreamKey(record.key)
-        same_id = self._read[_get_id_part(key)]
+        key = parse_key(record.key)
+        same_id = self._read[key.stream_id]
         same_id.pop(key, None)
         if record.value is None:
             if not same_id:
-                del self._read[_get_id_part(key)]
+                del self._read[key.stream_id]
             return
         try:
             same_id[key] = msgspec.json.decode(record.value, type=_Record)
@@ -191,15 +209,11 @@
         now = self._wall_clock.read()
         self._own.append((now, key))
         value = msgspec.json.encode(_Record(origin, now))
-        return self._log.make_keyed(base.KeyedRecord(key, value))
+        return self._log.make_keyed(base.KeyedRecord(str(key), value))
 
     async def _write_pending(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(_REMOVAL_INTERVAL_S):
-                    await self._added.wait()
-            except TimeoutError:
-                pass
+            await self._wait_for_work()
             self._added.clear()
             pending, self._pending = self._pending, {}
             records = [self._encode(*item) for item in pending.items()]
@@ -212,6 +226,14 @@
                 )
             )
 
+    async def _wait_for_work(self) -> None:
+        """Waits until a record is added, or until some may have expired."""
+        try:
+            async with asyncio.timeout(_REMOVAL_INTERVAL_S):
+                await self._added.wait()
+        except TimeoutError:
+            return
+
     async def _write_each(self, records: Sequence[bytes]) -> None:
         """Writes records, in as many calls as their size asks for."""
         await asyncio.gather(
@@ -224,7 +246,9 @@
         expired: list[bytes] = []
         while self._own and self._own[0][0] < earliest:
             _, key = self._own.popleft()
-            expired.append(self._log.make_keyed(base.KeyedRecord(key, None)))
+            expired.append(
+                self._log.make_keyed(base.KeyedRecord(str(key), None))
+            )
         return expired
 
     async def _read_on_demand(self) -> None:
@@ -253,13 +277,9 @@
             return
         earliest = self._wall_clock.read() - 2 * self._retention
         expired = [
-            self._log.make_keyed(base.KeyedRecord(key, None))
+            self._log.make_keyed(base.KeyedRecord(str(key), None))
             for same_id in self._read.values()
             for key, record in same_id.items()
             if record.written_at < earliest
         ]
         await self._write_each(expired[:_MAX_REMOVED])
-
-
-def _get_id_part(key: StreamKey) -> str:
-    return key.partition('.')[0]
--- a/waxwingport/scheduling/versions.py
+++ b/waxwingport/scheduling/versions.py
@@ -67,17 +67,17 @@
     )
 
 
-def assign(
-    request_id: ids.RequestId, slots: SlotCounts
-) -> ids.SoftwareVersion | None:
+def assign(key: str, slots: SlotCounts) -> ids.SoftwareVersion | None:
     """Returns the version that begins a stream, ``None`` without slots.
 
+    All tries of the stream have the same ``key``.
+
     A change of the counts moves no more streams than it has to.
     """
     return max(
         slots,
         key=lambda software: (
-            _compute_rank(request_id, software, slots[software]),
+            _compute_rank(key, software, slots[software]),
             software,
         ),
         default=None,
@@ -85,12 +85,12 @@
 
 
 def _compute_rank(
-    request_id: ids.RequestId, software: ids.SoftwareVersion, weight: int
+    key: str, software: ids.SoftwareVersion, weight: int
 ) -> float:
     # Weighted rendezvous hashing: the highest rank goes to a version with a
     # probability in proportion to its weight.
-    key = f'{request_id}\0{software}'.encode(errors='surrogatepass')
-    digest = xxhash.xxh3_64_intdigest(key) >> (64 - _HASH_BITS)
+    hashed = xxhash.xxh3_64_intdigest(f'{key}\0{software}'.encode())
+    digest = hashed >> (64 - _HASH_BITS)
     position = (digest + 0.25) / (1 << _HASH_BITS)
     return -weight / math.log(position)
 
