Check streams for ambiguity only when a node has new slot counts

Now once for each new set of counts: one check in 1,300 s of repeats in the test.

The records are read by log.node_records, as those of limits and crashes are; what was written again for them is removed. Writes stay numbered appends: a late one must not replace a later record.

--- a/tests/gateway/test_assignments.py
+++ b/tests/gateway/test_assignments.py
@@ -195,3 +195,27 @@
         log.write_keyed(assignments.TOPIC, 'garbage', value)
     await asyncio.sleep(1.0)
     assert await start('b').find() == {'v1'}
+
+
+async def test_records_that_are_repeated_wake_all_nodes(start):
+    first, second = start('a'), start('b')
+    for process in (first, second):
+        process.register('i1', 'v1')
+    checks = 0
+
+    async def count_checks():
+        nonlocal checks
+        while True:
+            await first.assignments.wait_for_new_counts()
+            checks += 1
+
+    counting = asyncio.ensure_future(count_checks())
+    await asyncio.sleep(1300.0)
+    assert checks == 1
+    second.register('i2', 'v2')
+    await asyncio.sleep(1.0)
+    assert checks == 2
+    first.register('i2', 'v2')
+    await asyncio.sleep(1.0)
+    assert checks == 2
+    counting.cancel()
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -10,7 +10,6 @@
 import asyncio
 from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Sequence
 import logging
 import random
 
@@ -22,7 +21,7 @@
 from waxwingport.gateway import stream_records
 from waxwingport import ids
 from waxwingport.log import base
-from waxwingport.log import followers
+from waxwingport.log import node_records
 from waxwingport.log import writers
 from waxwingport.scheduling import versions
 
@@ -46,10 +45,11 @@
 _MAX_WRITE_TIME_S = 5.0
 """Time of a write from which on the record is written again, as counts that
 it ended were in use meanwhile; small against the lifetime of a stream."""
+_SETTLING_TIME_S = 0.05
+"""Time after a change at one node in which the others follow."""
 _REMOVAL_PROBABILITY = 0.01
 """Probability with which a node removes an expired record at a check: of 690
 nodes some do so each second."""
-_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
 
 _LOG = logging.getLogger(__name__)
 
@@ -70,7 +70,7 @@
     services: dict[ids.ServiceName, list[_Span]]
 
 
-class Assignments(followers.KeyedListener):
+class Assignments:
     """Publishes the counts of this node and reads those of all nodes."""
 
     def __init__(
@@ -88,13 +88,14 @@
         self._wall_clock = wall_clock
         self._settings = settings
         self._rng = random.Random()
-        self._follower = followers.KeyedFollower(log, TOPIC, self)
+        self._records = node_records.NodeRecords(
+            log, TOPIC, _Record, self._record_change
+        )
+        """What each member has published."""
         self._writer = writers.MemberWriter(
             log, base.Partition(TOPIC, 0), member, call_size
         )
         self._services: frozenset[ids.ServiceName] = frozenset()
-        self._records: dict[str, _Record] = {}
-        """Records by the name of the member that wrote them."""
         self._published = _Record(0.0, {})
         self._ended_late = False
         """Whether counts were in use for longer than ``_published`` tells."""
@@ -107,6 +108,10 @@
         ] = {}
         """Different counts of all nodes by service, and until when, in loop
         time, they need not be compared again."""
+        self._checked: dict[ids.ServiceName, list[versions.SlotCounts]] = {}
+        """Those that ``wait_for_new_counts`` has found."""
+        self._started = asyncio.Event()
+        """Set once all records have been read."""
         self._counts_changed = asyncio.Event()
         self._changed = asyncio.Event()
         self._needed = asyncio.Event()
@@ -123,16 +128,16 @@
     @property
     def ready(self) -> bool:
         """Whether the records of all nodes have been read if needed."""
-        return not self._services or self._follower.started.is_set()
+        return not self._services or self._started.is_set()
 
     @property
     def log_available(self) -> bool:
         """Whether the last read of the log succeeded."""
-        return self._follower.dependency.available
+        return self._records.available
 
     def compute_log_absence(self) -> float:
         """Returns the seconds since reads of the log began to fail, else 0."""
-        lost_at = self._follower.dependency.lost_at
+        lost_at = self._records.dependency.lost_at
         if lost_at is None:
             return 0.0
         return asyncio.get_running_loop().time() - lost_at
@@ -140,7 +145,7 @@
     @property
     def node_count(self) -> int:
         """How many members have a record."""
-        return len(self._records)
+        return len(self._records.by_node)
 
     def assign(
         self, service: ids.ServiceName, stream_id: stream_records.StreamId
@@ -188,17 +193,36 @@
             found |= _find_implied(slots, stream_id)
         return found
 
-    async def wait_for_change(self) -> None:
-        """Waits until the counts of any node have changed."""
-        await self._counts_changed.wait()
-        self._counts_changed.clear()
+    async def wait_for_new_counts(self) -> None:
+        """Waits until any node has counts that no node had before.
+
+        Load pattern: hundreds of nodes repeat their records, or publish the
+        same new counts within a second.
+        """
+        while True:
+            await self._counts_changed.wait()
+            self._counts_changed.clear()
+            await asyncio.sleep(_SETTLING_TIME_S)
+            before, self._checked = (
+                self._checked,
+                {
+                    service: self._find_slot_counts(service)
+                    for service in self._services
+                },
+            )
+            if any(
+                slots not in before.get(service, ())
+                for service, found in self._checked.items()
+                for slots in found
+            ):
+                return
 
     async def catch_up(self) -> bool:
         """Reads the records that exist now; returns whether that is certain.
 
         May take as long as the log is unavailable.
         """
-        return await self._follower.catch_up()
+        return await self._records.catch_up()
 
     async def run(self) -> None:
         """Follows the records and publishes this node's until cancelled.
@@ -207,33 +231,10 @@
         """
         await self._needed.wait()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follower.run())
+            group.create_task(self._records.follow(self._started))
             group.create_task(self._writer.run())
             group.create_task(self._publish_changes())
 
-    def replace(self, records: Sequence[base.KeyedRecord]) -> None:
-        """Replaces the records of all members."""
-        self._records.clear()
-        self._record_change()
-        for record in records:
-            self.update(record)
-
-    def update(self, record: base.KeyedRecord) -> None:
-        """Applies the record of a member."""
-        self._records.pop(record.key, None)
-        self._record_change()
-        if record.value is None:
-            return
-        try:
-            found = msgspec.json.decode(record.value, type=_Record)
-        except _DECODE_ERRORS as error:
-            _LOG.warning(
-                'record-skipped',
-                extra={'partition': str(TOPIC), 'reason': str(error)},
-            )
-            return
-        self._records[record.key] = found
-
     def _is_trusted(self) -> bool:
         # Others judge the age of the record by the time of day as well, which
         # goes on while this VM is suspended.
@@ -253,7 +254,8 @@
         if cached is not None and now < cached[0]:
             return cached[1]
         found: list[versions.SlotCounts] = []
-        for record in [self._published, *self._records.values()]:
+        others = (record.content for record in self._records.by_node.values())
+        for record in (self._published, *others):
             for slots in self._list_slot_counts(record, service):
                 if slots not in found:
                     found.append(slots)
@@ -382,8 +384,8 @@
         if self._rng.random() > _REMOVAL_PROBABILITY:
             return
         earliest = self._wall_clock.read() - 2 * _RECORD_LIFETIME_S
-        for member, record in self._records.items():
-            if record.written_at < earliest:
+        for member, record in self._records.by_node.items():
+            if record.content.written_at < earliest:
                 removed = self._log.make_keyed(base.KeyedRecord(member, None))
                 await self._writer.write([removed])
                 return
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -29,9 +29,6 @@
 _FIND_TIMEOUT_S = 1.0
 """Bounds the search for an origin: a log that is 50 times slower than usual
 answers in time.  The caller is better off with a new stream after that."""
-_SETTLING_TIME_S = 0.05
-"""Time after a change of the counts at any node before streams are checked,
-as those of other nodes follow."""
 _CHECK_BATCH = 500
 """Streams that are checked at once, which takes some milliseconds."""
 _STORE_TIMEOUT_S = 1.0
@@ -266,8 +263,7 @@
         Load pattern: all nodes are killed soon after a version was added.
         """
         while True:
-            await self._assignments.wait_for_change()
-            await asyncio.sleep(_SETTLING_TIME_S)
+            await self._assignments.wait_for_new_counts()
             unrecorded = self._list_unrecorded()
             for number, (key, known) in enumerate(unrecorded, start=1):
                 self._record_if_ambiguous(key, known)
--- a/waxwingport/log/node_records.py
+++ b/waxwingport/log/node_records.py
@@ -56,7 +56,9 @@
         self._partition = base.Partition(topic, 0)
         self._content_type = content_type
         self._on_change = on_change
-        self._dependency: dependency.Dependency | None = None
+        self._follower = self._make_follower()
+        self._followed = False
+        """Whether the records are or were followed."""
         self.by_node: dict[ids.NodeName, NodeRecord[Content]] = {}
 
     async def follow(self, started: asyncio.Event | None = None) -> None:
@@ -64,10 +66,11 @@
 
         Sets ``started`` once the whole topic has been read.
         """
-        follower = followers.KeyedFollower(
-            self._log, self._partition.topic, self
-        )
-        self._dependency = follower.dependency
+        if self._followed:
+            # The next one reads the whole topic again.
+            self._follower = self._make_follower()
+        self._followed = True
+        follower = self._follower
         async with asyncio.TaskGroup() as group:
             group.create_task(follower.run())
             if started is not None:
@@ -77,12 +80,27 @@
     @property
     def available(self) -> bool:
         """Whether the last read succeeded."""
-        return self._dependency is not None and self._dependency.available
+        return self._followed and self.dependency.available
 
     @property
     def recovered_at(self) -> float | None:
         """Loop time at which reads succeeded again after a failure, if so."""
-        return self._dependency.recovered_at if self._dependency else None
+        return self.dependency.recovered_at
+
+    @property
+    def dependency(self) -> dependency.Dependency:
+        """Availability of the log, judged by the reads of the records."""
+        return self._follower.dependency
+
+    async def catch_up(self) -> bool:
+        """Reads the records that exist now; returns whether that is certain.
+
+        May take as long as the log is unavailable.
+        """
+        return await self._follower.catch_up()
+
+    def _make_follower(self) -> followers.KeyedFollower:
+        return followers.KeyedFollower(self._log, self._partition.topic, self)
 
     async def write(self, node: ids.NodeName, value: bytes | None) -> bool:
         """Writes or removes the record of a node; returns whether it did.
