--- a/tests/gateway/test_assignments.py
+++ b/tests/gateway/test_assignments.py
@@ -12,7 +12,7 @@
 from waxwingport.gateway import assignments
 from waxwingport.gateway import stream_records
 from waxwingport.log import base
-from waxwingport.scheduling import versions
+from waxwingport.scheduling import software_versions
 from waxwingport.standins import partitions
 
 pytestmark = pytest.mark.looptime
@@ -95,7 +95,7 @@
     return next(
         name
         for name in map(str, range(1000))
-        if versions.assign(name, slots) == software
+        if software_versions.assign(name, slots) == software
     )
 
 
--- a/tests/scheduling/test_versions.py
+++ b/tests/scheduling/test_software_versions.py
@@ -6,7 +6,7 @@
 import pytest
 
 from waxwingport.fleet import model as fleet
-from waxwingport.scheduling import versions
+from waxwingport.scheduling import software_versions
 
 
 def make_target(software, running=0, slots=4):
@@ -26,7 +26,8 @@
 
 def count_assigned(slots, streams=4000):
     return collections.Counter(
-        versions.assign(f'q{number}', slots) for number in range(streams)
+        software_versions.assign(f'q{number}', slots)
+        for number in range(streams)
     )
 
 
@@ -41,8 +42,8 @@
     after = before | {'v3': share}
     for number in range(500):
         name = f'q{number}'
-        assert versions.assign(name, after) in (
-            versions.assign(name, before),
+        assert software_versions.assign(name, after) in (
+            software_versions.assign(name, before),
             'v3',
         )
 
@@ -54,7 +55,7 @@
 
 
 def test_no_slots_assign_nothing():
-    assert versions.assign('q', {}) is None
+    assert software_versions.assign('q', {}) is None
 
 
 @pytest.mark.parametrize(
@@ -70,40 +71,42 @@
     ],
 )
 def test_counts_are_replaced_for_small_differences(current, fresh, replaces):
-    assert versions.should_replace(current, fresh) is replaces
+    assert software_versions.should_replace(current, fresh) is replaces
 
 
 def test_a_stream_goes_to_another_version_while_its_own_has_free_slots():
     own, other = make_target('v1', 3), make_target('v2')
-    assert versions.select([own, other], 'v1', True, 0.0) == [own]
+    assert software_versions.select([own, other], 'v1', True, 0.0) == [own]
 
 
 def test_a_stream_waits_for_a_full_version_beside_a_free_one():
     own, other = make_target('v1', 4), make_target('v2')
-    assert versions.select([own, other], 'v1', True, 0.0) == [other]
-    assert versions.select([own, other], 'v1', False, 0.0) == [own]
+    assert software_versions.select([own, other], 'v1', True, 0.0) == [other]
+    assert software_versions.select([own, other], 'v1', False, 0.0) == [own]
 
 
 def test_a_stream_deviates_where_all_are_full():
     own, other = make_target('v1', 4), make_target('v2', 4)
-    assert versions.select([own, other], 'v1', True, 0.0) == [own]
+    assert software_versions.select([own, other], 'v1', True, 0.0) == [own]
 
 
 def test_a_stream_of_a_version_that_left_has_no_target():
     other = make_target('v2')
-    assert versions.select([other], 'v1', True, 0.0) == [other]
-    assert versions.select([other], 'v1', False, 0.0) == []
+    assert software_versions.select([other], 'v1', True, 0.0) == [other]
+    assert software_versions.select([other], 'v1', False, 0.0) == []
 
 
 def test_most_streams_wait_at_full_engines_beside_free_ones():
     # Load pattern: bursts at versions of different size.
     rng = random.Random(1)
     targets = [make_target('v1', 0, 24), make_target('v2', 0, 8)]
-    slots = versions.count_slots(targets)
+    slots = software_versions.count_slots(targets)
     over = 0
     for number in range(2000):
-        assigned = versions.assign(f'q{number}', slots)
-        for target in versions.select(targets, assigned, True, 0.0)[:1]:
+        assigned = software_versions.assign(f'q{number}', slots)
+        for target in software_versions.select(targets, assigned, True, 0.0)[
+            :1
+        ]:
             target.running += 1
             over += target.running > target.entry.slots
         if number >= 24:
@@ -128,4 +131,4 @@
 def test_a_text_waits_for_its_version_while_its_step_runs_late(
     waited, events, event_time, waits
 ):
-    assert versions.may_wait(waited, events, event_time) is waits
+    assert software_versions.may_wait(waited, events, event_time) is waits
--- a/tests/scheduling/test_version_replay.py
+++ b/tests/scheduling/test_software_versions_replay.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from waxwingport.scheduling import versions
+from waxwingport.scheduling import software_versions
 
 NODES = 12
 STREAMS_PER_S = 60
@@ -72,7 +72,7 @@
     def begin(self, stream):
         """Returns the version at which a stream begins."""
         seen_at = stream.began_at - self.lags[stream.node]
-        return versions.assign(stream.name, self.get_slots(seen_at))
+        return software_versions.assign(stream.name, self.get_slots(seen_at))
 
     @abc.abstractmethod
     def find(self, stream, software):
@@ -83,7 +83,7 @@
     """Computes the version from the id and the engines that serve."""
 
     def find(self, stream, software):
-        return versions.assign(
+        return software_versions.assign(
             stream.name, self.get_slots(self.killed_at + 1.0)
         )
 
@@ -103,7 +103,7 @@
     def find(self, stream, software):
         candidates = {}
         for at, slots in self.changes:
-            assigned = versions.assign(stream.name, slots)
+            assigned = software_versions.assign(stream.name, slots)
             candidates.setdefault(assigned, at)
         if len(candidates) == 1:
             return next(iter(candidates))
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -23,7 +23,7 @@
 from waxwingport.log import base
 from waxwingport.log import node_records
 from waxwingport.log import writers
-from waxwingport.scheduling import versions
+from waxwingport.scheduling import software_versions
 
 __all__ = ['Assignments']
 
@@ -104,11 +104,13 @@
         ] = {}
         """Loop time at which a version last had a target."""
         self._slot_counts: dict[
-            ids.ServiceName, tuple[float, list[versions.SlotCounts]]
+            ids.ServiceName, tuple[float, list[software_versions.SlotCounts]]
         ] = {}
         """Different counts of all nodes by service, and until when, in loop
         time, they need not be compared again."""
-        self._checked: dict[ids.ServiceName, list[versions.SlotCounts]] = {}
+        self._checked: dict[
+            ids.ServiceName, list[software_versions.SlotCounts]
+        ] = {}
         """Those that ``wait_for_new_counts`` has found."""
         self._started = asyncio.Event()
         """Set once all records have been read."""
@@ -158,7 +160,7 @@
             return None
         for span in self._published.services.get(service, ()):
             if span.ended_at is None:
-                return versions.assign(stream_id, span.slots)
+                return software_versions.assign(stream_id, span.slots)
         return None
 
     def implies(
@@ -166,7 +168,7 @@
     ) -> bool:
         """Returns whether this node's record tells where a stream began."""
         return self._is_trusted() and any(
-            origin.software == versions.assign(stream_id, slots)
+            origin.software == software_versions.assign(stream_id, slots)
             for slots in self._list_slot_counts(
                 self._published, origin.service
             )
@@ -243,7 +245,7 @@
 
     def _find_slot_counts(
         self, service: ids.ServiceName
-    ) -> list[versions.SlotCounts]:
+    ) -> list[software_versions.SlotCounts]:
         """Returns the different counts by which any node assigns streams.
 
         Those of hundreds of nodes are mostly the same; they are compared
@@ -253,7 +255,7 @@
         cached = self._slot_counts.get(service)
         if cached is not None and now < cached[0]:
             return cached[1]
-        found: list[versions.SlotCounts] = []
+        found: list[software_versions.SlotCounts] = []
         others = (record.content for record in self._records.by_node.values())
         for record in (self._published, *others):
             for slots in self._list_slot_counts(record, service):
@@ -264,7 +266,7 @@
 
     def _list_slot_counts(
         self, record: _Record, service: ids.ServiceName
-    ) -> Iterator[versions.SlotCounts]:
+    ) -> Iterator[software_versions.SlotCounts]:
         now = self._wall_clock.read()
         if now - record.written_at <= _RECORD_LIFETIME_S:
             for span in record.services.get(service, ()):
@@ -314,7 +316,7 @@
                 (span for span in spans if span.ended_at is None), None
             )
             fresh = self._count_slots(service)
-            if versions.should_replace(
+            if software_versions.should_replace(
                 current.slots if current else {}, fresh
             ):
                 changed = True
@@ -342,7 +344,9 @@
         if service not in self._services:
             return {}
         now = asyncio.get_running_loop().time()
-        fresh = versions.count_slots(self._targets.find_ready(service))
+        fresh = software_versions.count_slots(
+            self._targets.find_ready(service)
+        )
         for software in fresh:
             self._seen_at[service, software] = now
         for span in self._published.services.get(service, ()):
@@ -406,7 +410,8 @@
 
 
 def _find_implied(
-    slots: versions.SlotCounts, stream_id: stream_records.StreamId | None
+    slots: software_versions.SlotCounts,
+    stream_id: stream_records.StreamId | None,
 ) -> set[ids.SoftwareVersion]:
     """Returns the versions at which counts let a stream begin.
 
@@ -414,5 +419,5 @@
     """
     if stream_id is None:
         return set(slots)
-    software = versions.assign(stream_id, slots)
+    software = software_versions.assign(stream_id, slots)
     return set() if software is None else {software}
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -24,7 +24,7 @@
 from waxwingport import outcomes
 from waxwingport.scheduling import attribution
 from waxwingport.scheduling import timeouts
-from waxwingport.scheduling import versions
+from waxwingport.scheduling import software_versions
 
 __all__ = ['BrokenStream', 'StreamForwarder']
 
@@ -302,7 +302,7 @@
         certain = [target for target in untried if not target.outdated]
         if stream.software is not None:
             return certain
-        return versions.select(
+        return software_versions.select(
             certain,
             stream.assigned,
             self._origins.may_deviate(),
--- a/waxwingport/submissions/selection.py
+++ b/waxwingport/submissions/selection.py
@@ -18,7 +18,7 @@
 from waxwingport.scheduling import lengths
 from waxwingport.scheduling import order
 from waxwingport.scheduling import placement
-from waxwingport.scheduling import versions
+from waxwingport.scheduling import software_versions
 from waxwingport.submissions import model
 from waxwingport.submissions import runs
 from waxwingport.submissions import scores
@@ -263,7 +263,7 @@
             target.origin == origin for target in self._find_ready(route)
         )
         gaps = [gap for target in eligible if (gap := target.pace.seconds)]
-        if serves and versions.may_wait(
+        if serves and software_versions.may_wait(
             now - job.waits_since,
             len(job.text.events),
             min(gaps, default=None),
