Move the state of a stream and the refusals of origins out of the forwarder

A stream whose record was not stored is not remembered: nothing of it was passed on. No other change of behaviour.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -9,7 +9,7 @@
 from waxwingport.fleet import model as fleet
 from waxwingport.gateway import dialect
 from waxwingport.gateway import routes
-from waxwingport.gateway import streams
+from waxwingport.gateway import stream_state
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.log import base
@@ -281,7 +281,7 @@
 async def test_an_event_without_an_end_fills_the_memory(
     harness, start_streams, monkeypatch
 ):
-    monkeypatch.setattr(streams, '_MAX_EVENT_BYTES', 1000)
+    monkeypatch.setattr(stream_state, '_MAX_EVENT_BYTES', 1000)
     configure(harness, resumable=True)
     endless, whole = StreamServer(2, 'endless-event'), StreamServer()
     await start_streams(endless, whole)
--- a/waxwingport/gateway/origins.py
+++ b/waxwingport/gateway/origins.py
@@ -23,8 +23,9 @@
 from waxwingport.gateway import stream_records
 from waxwingport import ids
 from waxwingport.log import base
+from waxwingport import outcomes
 
-__all__ = ['StreamOrigins', 'Unknown']
+__all__ = ['StreamOrigins', 'Unknown', 'refuse_gone', 'refuse_unknown']
 
 _FIND_TIMEOUT_S = 1.0
 """Bounds the search for an origin: a log that is 50 times slower than usual
@@ -37,6 +38,12 @@
 """Streams whose origin a node remembers: those of some minutes at 67 streams
 a second, some 200 bytes each."""
 
+_LOG_RETRY_AFTER_S = 0.5
+"""Sent when the version of a stream can't be read: another node may still
+reach the log."""
+_NEW_STREAM_RETRY_AFTER_S = 0.05
+"""Sent when a stream can't go on: a new one can begin at once."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -143,12 +150,13 @@
         go on at all: the record may still take effect.
         """
         key = _make_key(call, call.request_id)
-        known = self._remember(key, origin)
         if self._assignments.implies(origin, key.stream_id):
-            self._record_if_ambiguous(key, known)
+            self._record_if_ambiguous(key, self._remember(key, origin))
             return True
-        known.recorded = await self._store(call, key, origin)
-        return known.recorded
+        if not await self._store(call, key, origin):
+            return False
+        self._remember(key, origin).recorded = True
+        return True
 
     async def _store(
         self,
@@ -271,6 +279,30 @@
                     await asyncio.sleep(0)
 
 
+def refuse_gone() -> outcomes.Refusal:
+    """Returns the refusal of a stream whose version has no target left."""
+    return outcomes.Refusal(
+        outcomes.Reason.NOT_RESUMABLE,
+        'no target has the version that began the stream; begin a new one',
+        retry_after=_NEW_STREAM_RETRY_AFTER_S,
+    )
+
+
+def refuse_unknown(reason: Unknown) -> outcomes.Refusal:
+    """Returns the refusal of a stream whose version is not known."""
+    if reason is Unknown.LOG_UNAVAILABLE:
+        return outcomes.Refusal(
+            outcomes.Reason.LOG_UNAVAILABLE,
+            'the version that began the stream could not be read',
+            retry_after=_LOG_RETRY_AFTER_S,
+        )
+    return outcomes.Refusal(
+        outcomes.Reason.NOT_RESUMABLE,
+        'the version that began the stream is not known; begin a new one',
+        retry_after=_NEW_STREAM_RETRY_AFTER_S,
+    )
+
+
 def _log_unread(
     call: dialect.Call, first_id: ids.RequestId | None, reason: str
 ) -> None:
--- /dev/null
+++ b/waxwingport/gateway/stream_state.py
@@ -0,0 +1,95 @@
+"""State of a caller's stream in progress, and its events."""
+
+import asyncio
+
+import msgspec
+
+from waxwingport.fleet import model as fleet
+from waxwingport.gateway import dialect
+from waxwingport.gateway import routes
+from waxwingport import ids
+from waxwingport import numerals
+
+__all__ = ['CompleteEvents', 'StreamState']
+
+_MAX_EVENT_BYTES = 1024 * 1024
+"""Size from which on an event that has not ended counts as broken; complete
+ones have some hundred bytes."""
+_EVENT_END = b'\n\n'
+
+
+class StreamState(msgspec.Struct, eq=False):
+    """State of a stream in progress."""
+
+    call: dialect.Call
+    route: routes.Route
+    service: ids.ServiceName
+    started_at: float
+    """Loop time at which the call arrived."""
+    deadline: float
+    """In seconds of the event loop's clock."""
+    tried_instances: set[fleet.InstanceId]
+    software: ids.SoftwareVersion | None = None
+    """Version of the target that made the first event that the caller has;
+    the stream must not go on at another one."""
+    assigned: ids.SoftwareVersion | None = None
+    """Version at which the stream should begin."""
+    unsettled: bool = False
+    """Whether its version could not be settled, so that it must not go on."""
+    head_sent: bool = False
+    last_event: int = 0
+    """Id of the last event sent to the caller."""
+    runs: int = 0
+    """Attempts that ran or may have run."""
+    sends: int = 0
+    """Attempts, also those that the target rejected without a run."""
+    crashes: int = 0
+    """Targets that crashed when they had begun to run the stream."""
+    silent_runs: int = 0
+    """Attempts that were ended because no event came in time."""
+    began_at: float | None = None
+    """Loop time at which the target of the last attempt began to answer."""
+
+    def record_chunk(self, chunk: bytes | None) -> None:
+        """Records that the target of the current attempt has answered."""
+        if chunk and self.began_at is None:
+            self.began_at = asyncio.get_running_loop().time()
+
+    def record_events(self, data: bytes) -> bool:
+        """Records the events that are about to be written to the caller.
+
+        Returns whether there is a new one.
+        """
+        previous = self.last_event
+        self.last_event = _find_last_event(data, previous)
+        return self.last_event != previous
+
+
+class CompleteEvents:
+    """Holds back the event at the end of a stream until it is complete.
+
+    Another engine may send it anew.
+    """
+
+    def __init__(self) -> None:
+        self._incomplete = b''
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the events that ``data`` completes."""
+        complete, _, self._incomplete = (self._incomplete + data).rpartition(
+            _EVENT_END
+        )
+        return complete + _EVENT_END if complete else b''
+
+    def is_overlong(self) -> bool:
+        """Returns whether an event is longer than any sound one."""
+        return len(self._incomplete) > _MAX_EVENT_BYTES
+
+
+def _find_last_event(data: bytes, previous: int) -> int:
+    last = previous
+    for line in data.split(b'\n'):
+        if line.startswith(b'id:'):
+            number = numerals.read_whole_number(line[3:])
+            last = last if number is None else number
+    return last
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -18,19 +18,16 @@
 from waxwingport.gateway import origins
 from waxwingport.gateway import pools
 from waxwingport.gateway import routes
+from waxwingport.gateway import stream_state
 from waxwingport.http import client
 from waxwingport import ids
-from waxwingport import numerals
 from waxwingport import outcomes
 from waxwingport.scheduling import attribution
-from waxwingport.scheduling import timeouts
 from waxwingport.scheduling import software_versions
+from waxwingport.scheduling import timeouts
 
 __all__ = ['BrokenStream', 'StreamForwarder']
 
-_MAX_EVENT_BYTES = 1024 * 1024
-"""Size from which on an event that has not ended counts as broken; complete
-ones have some hundred bytes."""
 _LEAST_URGENT_STREAM_PRIORITY = 4
 """Streams of less urgent routes are sent with this priority.  Callers wait for
 streams, so they take precedence over the items of all submissions."""
@@ -42,12 +39,6 @@
 _MAX_CRASH_DELAY_S = 1.0
 """Time from the start of an answer after which a target that crashes does so
 for another reason: requests crash targets that begin to run them."""
-_LOG_RETRY_AFTER_S = 0.5
-"""Sent when the version of a stream can't be read: another node may still
-reach the log."""
-_NEW_STREAM_RETRY_AFTER_S = 0.05
-"""Sent when a stream can't go on: a new one can begin at once."""
-_EVENT_END = b'\n\n'
 
 WriteHead = Callable[[int, tuple[tuple[str, str], ...]], Awaitable[None]]
 WriteBody = Callable[[bytes], Awaitable[None]]
@@ -61,74 +52,6 @@
     detail: str
 
 
-class _Stream(msgspec.Struct, eq=False):
-    """State of a stream in progress."""
-
-    call: dialect.Call
-    route: routes.Route
-    service: ids.ServiceName
-    started_at: float
-    """Loop time at which the call arrived."""
-    deadline: float
-    """In seconds of the event loop's clock."""
-    tried_instances: set[fleet.InstanceId]
-    software: ids.SoftwareVersion | None = None
-    """Version of the target that made the first event that the caller has;
-    the stream must not go on at another one."""
-    assigned: ids.SoftwareVersion | None = None
-    """Version at which the stream should begin."""
-    unsettled: bool = False
-    """Whether its version could not be settled, so that it must not go on."""
-    head_sent: bool = False
-    last_event: int = 0
-    """Id of the last event sent to the caller."""
-    runs: int = 0
-    """Attempts that ran or may have run."""
-    sends: int = 0
-    """Attempts, also those that the target rejected without a run."""
-    crashes: int = 0
-    """Targets that crashed when they had begun to run the stream."""
-    silent_runs: int = 0
-    """Attempts that were ended because no event came in time."""
-    began_at: float | None = None
-    """Loop time at which the target of the last attempt began to answer."""
-
-    def record_chunk(self, chunk: bytes | None) -> None:
-        """Records that the target of the current attempt has answered."""
-        if chunk and self.began_at is None:
-            self.began_at = asyncio.get_running_loop().time()
-
-    def record_events(self, data: bytes) -> bool:
-        """Records the events that are about to be written to the caller.
-
-        Returns whether there is a new one.
-        """
-        previous = self.last_event
-        self.last_event = _find_last_event(data, previous)
-        return self.last_event != previous
-
-
-class _CompleteEvents:
-    """Holds back the event at the end of a stream until it is complete.
-
-    Another engine may send it anew.
-    """
-
-    def __init__(self) -> None:
-        self._incomplete = b''
-
-    def feed(self, data: bytes) -> bytes:
-        """Returns the events that ``data`` completes."""
-        complete, _, self._incomplete = (self._incomplete + data).rpartition(
-            _EVENT_END
-        )
-        return complete + _EVENT_END if complete else b''
-
-    def is_overlong(self) -> bool:
-        """Returns whether an event is longer than any sound one."""
-        return len(self._incomplete) > _MAX_EVENT_BYTES
-
-
 class StreamForwarder:
     """Forwards responses that are streams of events."""
 
@@ -181,7 +104,9 @@
                     stream.crashes += crashed
                     lost_detail = detail
 
-    def _begin(self, call: dialect.Call, route: routes.Route) -> _Stream:
+    def _begin(
+        self, call: dialect.Call, route: routes.Route
+    ) -> stream_state.StreamState:
         now = asyncio.get_running_loop().time()
         # Without a timeout of the caller, only that of the route applies.
         timeout = call.timeout if call.timeout is not None else 1e9
@@ -189,7 +114,7 @@
         if route.resumable:
             resumption = call.resumption
             key = (resumption and resumption.first_id) or call.request_id
-        return _Stream(
+        return stream_state.StreamState(
             call,
             route,
             self._pool.pick_service(route, key),
@@ -198,7 +123,9 @@
             set(),
         )
 
-    async def _find_version(self, stream: _Stream) -> outcomes.Refusal | None:
+    async def _find_version(
+        self, stream: stream_state.StreamState
+    ) -> outcomes.Refusal | None:
         """Finds out which version may begin a stream or go on with it.
 
         Returns why the stream must not go on, if so.
@@ -232,9 +159,9 @@
             },
         )
         if isinstance(found, origins.Unknown):
-            return _refuse_unknown(found)
+            return origins.refuse_unknown(found)
         if not _uses_service(stream.route, found.service):
-            return _refuse_gone()
+            return origins.refuse_gone()
         stream.service = found.service
         stream.software = found.software
         stream.last_event = resumption.after
@@ -242,7 +169,7 @@
 
     def _record_failure(
         self,
-        stream: _Stream,
+        stream: stream_state.StreamState,
         target: fleet.Target,
         outcome: attempts.NotRun | attempts.Lost,
     ) -> None:
@@ -259,7 +186,7 @@
             },
         )
 
-    async def _wait_for_turn(self, stream: _Stream) -> bool:
+    async def _wait_for_turn(self, stream: stream_state.StreamState) -> bool:
         """Waits until an attempt is possible; ``False`` if none will be."""
         return self._may_attempt(stream) and await self._pool.wait_for_turn(
             stream.service,
@@ -268,7 +195,7 @@
             _compute_latest_start(stream),
         )
 
-    def _may_attempt(self, stream: _Stream) -> bool:
+    def _may_attempt(self, stream: stream_state.StreamState) -> bool:
         """Returns whether the route allows a further attempt now."""
         route = stream.route
         now = asyncio.get_running_loop().time()
@@ -284,7 +211,9 @@
         # Rejected attempts are not runs and are limited here.
         return stream.sends <= _MAX_SENDS_PER_RUN * route.max_attempts
 
-    def _choose_target(self, stream: _Stream) -> fleet.Target | None:
+    def _choose_target(
+        self, stream: stream_state.StreamState
+    ) -> fleet.Target | None:
         if not self._may_attempt(stream):
             return None
         return self._pool.choose(
@@ -292,7 +221,9 @@
             self._crash_watch.make_placement_key(stream.call.digest),
         )
 
-    def _find_candidates(self, stream: _Stream) -> list[fleet.Target]:
+    def _find_candidates(
+        self, stream: stream_state.StreamState
+    ) -> list[fleet.Target]:
         """Returns the targets that may run a stream and were not tried."""
         untried = self._pool.find_untried(
             stream.service, stream.tried_instances, stream.software
@@ -311,7 +242,7 @@
 
     async def _attempt(
         self,
-        stream: _Stream,
+        stream: stream_state.StreamState,
         target: fleet.Target,
         write_head: WriteHead,
         write_body: WriteBody,
@@ -331,7 +262,7 @@
 
     async def _exchange(
         self,
-        stream: _Stream,
+        stream: stream_state.StreamState,
         target: fleet.Target,
         write_head: WriteHead,
         write_body: WriteBody,
@@ -387,7 +318,7 @@
 
     async def _judge_end(
         self,
-        stream: _Stream,
+        stream: stream_state.StreamState,
         target: fleet.Target,
         outcome: attempts.Lost | None,
         sent_at: float,
@@ -407,7 +338,7 @@
 
     async def _forward(
         self,
-        stream: _Stream,
+        stream: stream_state.StreamState,
         target: fleet.Target,
         response: client.Response,
         write_head: WriteHead,
@@ -419,7 +350,7 @@
                 f'target returned status {response.status}',
             )
         resumable = stream.route.resumable and response.status == 200
-        events = _CompleteEvents()
+        events = stream_state.CompleteEvents()
         event_at = asyncio.get_running_loop().time()
         while True:
             chunk = await self._read_chunk(
@@ -451,10 +382,10 @@
 
     async def _take_events(
         self,
-        stream: _Stream,
+        stream: stream_state.StreamState,
         target: fleet.Target,
         response: client.Response,
-        events: _CompleteEvents,
+        events: stream_state.CompleteEvents,
         chunk: bytes,
     ) -> bytes | attempts.Lost:
         """Returns the events that a chunk completes if they may be sent.
@@ -479,7 +410,9 @@
             )
         return complete
 
-    async def _settle(self, stream: _Stream, target: fleet.Target) -> bool:
+    async def _settle(
+        self, stream: stream_state.StreamState, target: fleet.Target
+    ) -> bool:
         """Binds a stream to the version of the target of its first event.
 
         Returns ``False`` if the event must not be sent, as other nodes could
@@ -495,7 +428,7 @@
 
     async def _read_chunk(
         self,
-        stream: _Stream,
+        stream: stream_state.StreamState,
         response: client.Response,
         event_at: float | None,
     ) -> bytes | client.TransportFault | None:
@@ -528,7 +461,7 @@
             except TimeoutError:
                 continue
 
-    def _has_alternative(self, stream: _Stream) -> bool:
+    def _has_alternative(self, stream: stream_state.StreamState) -> bool:
         """Returns whether the stream could resume at another target now."""
         if stream.runs + 1 >= stream.route.max_attempts:
             return False
@@ -540,7 +473,7 @@
         )
 
     def _make_failure(
-        self, stream: _Stream, lost_detail: str | None
+        self, stream: stream_state.StreamState, lost_detail: str | None
     ) -> outcomes.Refusal | BrokenStream:
         if stream.head_sent:
             return BrokenStream(
@@ -557,7 +490,7 @@
         if stream.software is not None and not self._pool.find_untried(
             stream.service, (), stream.software
         ):
-            return _refuse_gone()
+            return origins.refuse_gone()
         return outcomes.Refusal(
             outcomes.Reason.NO_TARGET,
             'no target accepted the request',
@@ -567,30 +500,6 @@
         )
 
 
-def _refuse_gone() -> outcomes.Refusal:
-    """Returns the refusal of a stream whose version has no target left."""
-    return outcomes.Refusal(
-        outcomes.Reason.NOT_RESUMABLE,
-        'no target has the version that began the stream; begin a new one',
-        retry_after=_NEW_STREAM_RETRY_AFTER_S,
-    )
-
-
-def _refuse_unknown(reason: origins.Unknown) -> outcomes.Refusal:
-    """Returns the refusal of a stream whose version is not known."""
-    if reason is origins.Unknown.LOG_UNAVAILABLE:
-        return outcomes.Refusal(
-            outcomes.Reason.LOG_UNAVAILABLE,
-            'the version that began the stream could not be read',
-            retry_after=_LOG_RETRY_AFTER_S,
-        )
-    return outcomes.Refusal(
-        outcomes.Reason.NOT_RESUMABLE,
-        'the version that began the stream is not known; begin a new one',
-        retry_after=_NEW_STREAM_RETRY_AFTER_S,
-    )
-
-
 def _uses_service(route: routes.Route, service: ids.ServiceName) -> bool:
     """Returns whether a route still sends requests to a service."""
     return any(
@@ -598,15 +507,6 @@
     )
 
 
-def _compute_latest_start(stream: _Stream) -> float:
+def _compute_latest_start(stream: stream_state.StreamState) -> float:
     """Returns the loop time until which the stream may wait to be sent."""
     return hedging.compute_latest_start(stream.started_at, stream.deadline)
-
-
-def _find_last_event(data: bytes, previous: int) -> int:
-    last = previous
-    for line in data.split(b'\n'):
-        if line.startswith(b'id:'):
-            number = numerals.read_whole_number(line[3:])
-            last = last if number is None else number
-    return last
