--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -11,7 +11,7 @@
 import pytest
 from tornado import httputil
 
-from waxwingport.gateway import streams
+from waxwingport.gateway import stream_state
 from waxwingport.http import client
 from waxwingport import metrics
 from waxwingport.platform import exchange
@@ -190,7 +190,7 @@
     for piece in (encoded, b'\n\n', data, b'\n\n'):
         for event in reader.feed(piece):
             assert event.number is None or event.number >= 0
-        streams._find_last_event(piece, 0)
+        stream_state._find_last_event(piece, 0)
 
 
 @hypothesis.given(
