--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,20 @@
 STABLE_S = 3.0
 ACK_S = 4.0
 CANCEL_S = 3.0
-DELAYS_S = [0.03, 0.06, 0.09, 0.12, 0.15, 0.06, 0.09, 0.12]
+DELAYS_S = [
+    0.03,
+    0.06,
+    0.09,
+    0.12,
+    0.15,
+    0.06,
+    0.09,
+    0.12,
+    0.05,
+    0.08,
+    0.1,
+    0.14,
+]
 """Times from the 202 to the call that ends a submission."""
 ITEMS = 120
 
