--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -18,6 +18,11 @@
 OPERATOR = base.Topic('keyed.op')
 TARGETS = base.Topic('keyed.servers')
 TEXTS = base.Topic('texts')
+ENTRY = (
+    b'{"service": "llm", "zone": "here", "version": "v1", "state": "ready", '
+    b'"slots": %s, "address": "127.0.0.1:%s"}'
+)
+"""An engine's entry without its number of slots and port."""
 HOST = 'shop.example'
 ROUTES = [
     {'name': 'r1', 'path-prefix': '/gen/', 'kind': 'rollout'},
@@ -561,3 +566,35 @@
         await asyncio.sleep(0.1)
         assert not served.ready
         await stopping
+
+
+@pytest.mark.parametrize(
+    ('topic', 'key', 'value'),
+    [
+        (TARGETS, 'other', b'{"service": "llm", "note": ' + b'[' * 2000),
+        (TARGETS, 'other', b'{"note": ' + b'[' * 2000 + b']' * 2000 + b'}'),
+        (TARGETS, 'other', ENTRY % (b'9' * 400, b'80')),
+        (TARGETS, 'other', ENTRY % (b'8', b'65536')),
+        (TARGETS, 'other\nx', ENTRY % (b'8', b'80')),
+        (OPERATOR, 'version/m', b'[' * 2000),
+        (OPERATOR, 'version/m', b'{"model": "m", "version": 1e308}'),
+        (base.Topic('keyed.crashes'), 'other', b'[' * 2000),
+        (base.Topic('keyed.limits'), 'other', b'[' * 2000),
+        (base.Topic('keyed.streams'), 'other', b'[' * 2000),
+        (base.Topic('keyed.stream-assignments'), 'other', b'[' * 2000),
+    ],
+)
+async def test_an_odd_entry_of_another_writer_ends_no_process(
+    deployment, topic, key, value
+):
+    # Guards against one record that ends every node, at each start again.
+    first = await deployment.start_node()
+    assert (await deployment.submit(first)).status == 202
+    deployment.log.write_keyed(topic, key, value)
+    await asyncio.sleep(0.2)
+    assert (await deployment.submit(first, name='s2')).status == 202
+    second = await deployment.start_node()
+    for name in ('s1', 's2'):
+        assert await deployment.read_all(second, name=name)
+    for served in (first, second):
+        assert not served.background.failed.done()
--- a/tests/log/test_tails.py
+++ b/tests/log/test_tails.py
@@ -300,3 +300,63 @@
     assert max(done_at) < 1.5 * total
     for task in running:
         task.cancel()
+
+
+class Fragile(tails.RecordListener, followers.KeyedListener):
+    """Fails on one record."""
+
+    def __init__(self):
+        self.rows = {}
+
+    def handle_record(self, record):
+        self.update(base.KeyedRecord(record.decode(), record))
+
+    def handle_gap(self):
+        """Does nothing."""
+
+    def replace(self, rows):
+        self.rows.clear()
+        for row in rows:
+            self.update(row)
+
+    def update(self, row):
+        if row.key == 'odd':
+            raise OverflowError('too large')
+        self.rows[row.key] = row.value
+
+
+async def test_a_record_that_a_listener_fails_on_does_not_end_its_tail(
+    memory, partition, caplog
+):
+    # Guards against one record that ends every node, at each start again.
+    fragile = Fragile()
+    made = tails.PartitionTail(
+        memory, partition, fragile, dependency.Dependency('log')
+    )
+    await memory.append(partition, (b'a', b'odd', b'b'))
+    assert (await made.catch_up(0.0)).is_ok()
+    assert list(fragile.rows) == ['a', 'b']
+    assert 'record-failed' in caplog.messages
+
+
+@pytest.mark.parametrize('written', ['before', 'while'])
+async def test_a_key_that_a_listener_fails_on_does_not_end_its_follower(
+    memory, written, caplog
+):
+    # Guards against the same for a record that is the newest of its key.
+    fragile = Fragile()
+    made = followers.KeyedFollower(memory, TOPIC, fragile)
+    keys = ['a', 'odd', 'b']
+    if written == 'before':
+        for key in keys:
+            memory.write_keyed(TOPIC, key, b'1')
+    running = asyncio.ensure_future(made.run())
+    await made.started.wait()
+    for key in keys:
+        memory.write_keyed(TOPIC, key, b'2')
+    async with asyncio.timeout(2.0):
+        while fragile.rows != {'a': b'2', 'b': b'2'}:
+            await asyncio.sleep(0.01)
+    assert not running.done()
+    assert 'record-failed' in caplog.messages
+    running.cancel()
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -11,15 +11,19 @@
 import pytest
 from tornado import httputil
 
+from waxwingport import decoding
 from waxwingport.gateway import stream_state
 from waxwingport.http import client
 from waxwingport import metrics
 from waxwingport.platform import exchange
 from waxwingport.platform import operators
+from waxwingport.platform import orders
 from waxwingport.platform import store
 from waxwingport.submissions import events
 from waxwingport.submissions import records
 
+NESTED = '[' * 2000
+"""Lists in each other, deeper than the decoders go."""
 LONG_NUMBER = '9' * 5000
 """More digits than Python converts to a number."""
 ODD_NUMBERS = strategies.sampled_from(
@@ -56,18 +60,17 @@
     )
 
 
-TARGETS = make_entries(
-    {
-        'service': 's',
-        'address': '10.0.0.1:80',
-        'zone': 'z',
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'models': [{'name': 'm', 'version': 1}],
-        'born': 1,
-    }
-)
+USUAL_TARGET = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'models': [{'name': 'm', 'version': 1}],
+    'born': 1,
+}
+TARGETS = make_entries(USUAL_TARGET)
 ROUTES = make_entries(
     {
         'name': 'r',
@@ -119,6 +122,84 @@
     assert operators.read_target('i1', msgspec.json.encode(entry)).is_error()
 
 
+@hypothesis.given(TARGETS)
+def test_the_numbers_of_a_target_entry_are_within_bounds(entry):
+    # Guards against a count that later arithmetic cannot take.
+    found = operators.read_target('i1', msgspec.json.encode(entry))
+    if found.is_ok():
+        target = found.ok
+        numbers = [target.slots, target.started_at_ms or 0]
+        numbers += target.versions.values()
+        assert all(0 <= number < 2**53 for number in numbers)
+        assert 1 <= target.slots <= 1_000_000
+
+
+@pytest.mark.parametrize('digits', [20, 400, 5000])
+@pytest.mark.parametrize(
+    'field',
+    [
+        '"slots": {}',
+        '"born": {}',
+        '"models": [{{"name": "m", "version": {}}}]',
+    ],
+)
+def test_an_engine_entry_with_a_number_too_large_names_no_target(
+    field, digits
+):
+    # Guards against slots of 400 digits, which ended the dispatcher of items.
+    usual = msgspec.json.encode(USUAL_TARGET)[:-1].decode()
+    value = f'{usual}, {field.format("9" * digits)}}}'
+    assert operators.read_target('i1', value.encode()).is_error()
+
+
+@pytest.mark.parametrize('key', ['', 'a b', 'a\r\nb: c', 'a\u0663'])
+def test_a_target_entry_whose_key_is_no_header_value(key):
+    # Guards against an id that splits the head of each request to it.
+    value = msgspec.json.encode(USUAL_TARGET)
+    assert operators.read_target('i1', value).is_ok()
+    assert operators.read_target(key, value).is_error()
+
+
+READERS = [
+    lambda data: operators.read_target('i1', data),
+    operators.read_configuration,
+    lambda data: operators.read_published_version('version/m', data),
+    exchange.PlatformDialect().read_start,
+    lambda data: decoding.read_json(data, orders._Report),
+    lambda data: store._decode(
+        client.WholeResponse(200, (), data), store._NewestAnswer
+    ),
+]
+
+
+@pytest.mark.parametrize('read', READERS)
+@pytest.mark.parametrize('closed', [False, True])
+def test_nested_values_in_a_message_are_a_fault(read, closed):
+    # Guards against an entry of nested lists, which ended every process.
+    value = NESTED + ']' * len(NESTED) * closed
+    for data in (value, f'{{"service": "s", "note": {value}}}'):
+        assert read(data.encode()).is_error()
+
+
+def test_nested_values_in_a_submission_are_refused():
+    # Guards against the same in a call of a trainer.
+    dialect = exchange.PlatformDialect()
+    headers = (('Request-Id', 'a'), ('Host', 'h'))
+    body = f'{{"items": {NESTED}'.encode()
+    call = dialect.read_call('POST', '/a/b', headers, body).ok
+    assert dialect.read_batch_call(call, 1.0).is_error()
+
+
+def test_a_body_that_is_no_ascii_is_refused():
+    # Guards against an item whose body is not base64 but other text.
+    dialect = exchange.PlatformDialect()
+    headers = (('Request-Id', 'a'), ('Host', 'h'))
+    items = [{'id': 'a', 'path': '/a', 'headers': {}, 'body': '\u00e9'}]
+    body = msgspec.json.encode({'items': items})
+    call = dialect.read_call('POST', '/a/b', headers, body).ok
+    assert dialect.read_batch_call(call, 1.0).is_error()
+
+
 @hypothesis.given(CONFIGURATIONS, strategies.lists(ROUTES, max_size=2))
 def test_a_configuration(configuration, routes):
     operators.read_configuration(
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -24,6 +24,19 @@
 LIMITS = base.Topic('keyed.limits')
 CRASHES = base.Topic('keyed.crashes')
 HOST = 'shop.example'
+NESTED = b'{"note": ' + b'[' * 2000
+ODD_RECORDS = [
+    (TARGETS, 'nested', NESTED),
+    (CRASHES, 'nested', NESTED),
+    (
+        TARGETS,
+        'many-slots',
+        b'{"service": "llm", "address": "127.0.0.1:9", "zone": "here", '
+        b'"version": "v1", "state": "ready", "slots": ' + b'9' * 400 + b'}',
+    ),
+    (OPERATOR, 'version/m', NESTED),
+]
+"""Topic, key and value of records that once ended every process."""
 ITEMS = 3
 LARGE_EVERY = 5
 """Every so many seeds one runs at a larger scale."""
@@ -106,6 +119,7 @@
         self.streams = streams.StreamCheck(self, seed)
         self.crashing_requests = 0
         """Number of requests that crash engines."""
+        self._odd_records = itertools.cycle(ODD_RECORDS)
         self.faults = faults.Faults(
             self,
             self._rng,
@@ -306,6 +320,7 @@
         )
         value = rng.choice([b'\xff\x00', b'{}', b'[1e999]', b'9' * 5000])
         self.log.write_keyed(topic, key, value)
+        self.log.write_keyed(*next(self._odd_records))
 
     def _publish_weights(self, version):
         value = msgspec.json.encode({'model': 'm', 'version': version})
--- a/waxwingport/api/handler.py
+++ b/waxwingport/api/handler.py
@@ -6,8 +6,6 @@
 import logging
 from typing import TypeVar
 
-from expression import Error
-from expression import Ok
 from expression import Result
 import msgspec
 from tornado import iostream
@@ -17,6 +15,7 @@
 from waxwingport.api import problems
 from waxwingport.api import request_options
 from waxwingport.configuration import declarations
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport import logs
 from waxwingport import node
@@ -38,13 +37,11 @@
 
 def read_json(body: bytes, kind: type[T]) -> Result[T, outcomes.Refusal]:
     """Returns the body decoded as ``kind``, or a refusal with the fault."""
-    try:
-        return Ok(msgspec.json.decode(body, type=kind))
-    except RecursionError:
-        detail = 'body: the JSON is nested too deeply'
-    except (msgspec.DecodeError, UnicodeError) as error:
-        detail = f'body: {error}'
-    return Error(outcomes.Refusal(outcomes.Reason.BAD_REQUEST, detail))
+    return decoding.read_json(body, kind).map_error(
+        lambda reason: outcomes.Refusal(
+            outcomes.Reason.BAD_REQUEST, f'body: {reason}'
+        )
+    )
 
 
 def _skip_parsing() -> None:
--- a/waxwingport/client.py
+++ b/waxwingport/client.py
@@ -26,6 +26,7 @@
 from tornado import httpclient
 from tornado import httputil
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.samples import bitmap
 from waxwingport.samples import steps
@@ -364,12 +365,11 @@
 def _read_response(response: Response) -> Result[bytes, ClientFault]:
     if 200 <= response.status < 300:
         return Ok(response.body)
-    try:
-        problem = msgspec.json.decode(response.body, type=_Problem)
-    except msgspec.DecodeError:
-        problem = _Problem(
+    problem = decoding.read_json(response.body, _Problem).default_with(
+        lambda _: _Problem(
             detail=response.body[:200].decode('utf-8', 'replace')
         )
+    )
     reason = problem.type.rpartition(':')[2]
     return Error(ClientFault(response.status, reason, problem.detail))
 
--- a/waxwingport/commands/channel.py
+++ b/waxwingport/commands/channel.py
@@ -17,6 +17,7 @@
 from waxwingport.configuration import reader
 from waxwingport.configuration import records
 from waxwingport.configuration import state
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.outside import base as platform
 
@@ -224,10 +225,9 @@
 
 
 def _decode(body: bytes, kind: type) -> Result:
-    try:
-        return Ok(msgspec.json.decode(body, type=kind))
-    except msgspec.DecodeError as error:
-        return Error(f'cannot decode the response: {error}')
+    return decoding.read_json(body, kind).map_error(
+        lambda reason: f'cannot decode the response: {reason}'
+    )
 
 
 def _describe(fault: publisher.PublishFault) -> str:
--- a/waxwingport/commands/gateway_node.py
+++ b/waxwingport/commands/gateway_node.py
@@ -63,6 +63,14 @@
         gateway = node.GatewayNode(node_settings)
     except OSError as error:
         return Error(f'node.listen: {error}')
+    with logs.count_warnings(gateway.metrics):
+        return await _run(gateway, node_settings)
+
+
+async def _run(
+    gateway: node.GatewayNode,
+    node_settings: gateway_settings.GatewaySettings,
+) -> Result[None, str]:
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _log_reload)
     gateway.start()
     _LOG.info(
--- a/waxwingport/configuration/messages.py
+++ b/waxwingport/configuration/messages.py
@@ -8,13 +8,13 @@
 from typing import TypeVar
 
 from expression import Error
-from expression import Ok
 from expression import Result
 import msgspec
 
 from waxwingport.configuration import fold
 from waxwingport.configuration import initial_state
 from waxwingport.configuration import records
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.outside import base
 
@@ -32,8 +32,6 @@
 
 Message = TypeVar('Message')
 
-_DECODE_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeError)
-
 
 class Update(msgspec.Struct, frozen=True, array_like=True):
     """A reader's revision and the last records up to it.
@@ -80,10 +78,7 @@
 
 def decode(body: bytes, kind: type[Message]) -> Result[Message, str]:
     """Returns the message of type ``kind``, or why it can't be decoded."""
-    try:
-        return Ok(msgspec.msgpack.decode(body, type=kind))
-    except _DECODE_ERRORS as error:
-        return Error(str(error))
+    return decoding.read_msgpack(body, kind)
 
 
 def pack_state(folded: fold.FoldedState) -> PackedState:
--- a/waxwingport/configuration/records.py
+++ b/waxwingport/configuration/records.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from waxwingport.configuration import keys
+from waxwingport import decoding
 from waxwingport import ids
 
 __all__ = [
@@ -126,13 +127,7 @@
 
 Record = Change | Reset | Snapshot
 
-_DECODE_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeError)
 _REMOVED = b'null'
-_RECORD_DECODER = msgspec.json.Decoder(Record)
-_ENVELOPE_DECODER = msgspec.json.Decoder(Envelope)
-_VALUE_DECODERS = {
-    kind: msgspec.json.Decoder(struct) for kind, struct in keys.KINDS.items()
-}
 
 
 def make_change(
@@ -152,14 +147,13 @@
 
 def decode(body: bytes) -> Result[Record, Unreadable]:
     """Returns the record, or why it can't be read."""
-    try:
-        envelope = _ENVELOPE_DECODER.decode(body)
-        if envelope.version > VERSION:
+    match decoding.read_json(body, Envelope):
+        case Result(tag='ok', ok=envelope) if envelope.version > VERSION:
             reason = f'record version {envelope.version} is not supported'
             return Error(Unreadable(reason, newer=True))
-        return Ok(_RECORD_DECODER.decode(body))
-    except _DECODE_ERRORS as error:
-        return Error(Unreadable(str(error), newer=False))
+    return decoding.read_json(body, Record).map_error(
+        lambda reason: Unreadable(reason, newer=False)
+    )
 
 
 def shorten(body: bytes) -> bytes:
@@ -185,13 +179,11 @@
         return Error(f'{key}: unknown kind of declaration')
     if bytes(raw) == _REMOVED:
         return Ok(None)
-    try:
-        value = _VALUE_DECODERS[kind].decode(raw)
-    except _DECODE_ERRORS as error:
-        return Error(f'{key}: {error}')
-    if value.name != name:
-        return Error(f'{key}: value has another name, {value.name!r}')
-    return Ok(value)
+    match decoding.read_json(raw, keys.KINDS[kind]):
+        case Result(tag='ok', ok=value) if value.name != name:
+            return Error(f'{key}: value has another name, {value.name!r}')
+        case found:
+            return found.map_error(lambda reason: f'{key}: {reason}')
 
 
 def write_values(
--- a/waxwingport/gateway/assignments.py
+++ b/waxwingport/gateway/assignments.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport import decoding
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import stream_records
@@ -57,7 +58,7 @@
 class _Span(msgspec.Struct, frozen=True):
     """A time in which a node used the same counts for a service."""
 
-    slots: dict[ids.SoftwareVersion, int]
+    slots: dict[ids.SoftwareVersion, decoding.WholeNumber]
     ended_at: float | None = None
     """Seconds since 1970, ``None`` if they are in use."""
 
--- a/waxwingport/gateway/crash_reports.py
+++ b/waxwingport/gateway/crash_reports.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport import decoding
 from waxwingport.fleet import model as fleet
 from waxwingport.fleet import registry
 from waxwingport.gateway import probe_claims
@@ -76,7 +77,7 @@
     """A crash of a target, as one node saw it."""
 
     target: fleet.InstanceId
-    born: int | None
+    born: decoding.WholeNumber | None
     """Start of the target in milliseconds since 1970, if known."""
     at: float
     """Seconds since 1970."""
--- a/waxwingport/gateway/stream_records.py
+++ b/waxwingport/gateway/stream_records.py
@@ -12,9 +12,11 @@
 import random
 from typing import NewType
 
+from expression import Result
 import msgspec
 
 from waxwingport import clocks
+from waxwingport import decoding
 from waxwingport.fleet import model as fleet
 from waxwingport import ids
 from waxwingport.log import base
@@ -196,13 +198,18 @@
             if not same_id:
                 del self._read[key.stream_id]
             return
-        try:
-            same_id[key] = msgspec.json.decode(record.value, type=_Record)
-        except (msgspec.DecodeError, UnicodeError) as error:
-            _LOG.warning(
-                'record-skipped',
-                extra={'partition': str(TOPIC), 'reason': str(error)},
-            )
+        match decoding.read_json(record.value, _Record):
+            case Result(tag='ok', ok=found):
+                same_id[key] = found
+            case Result(error=reason):
+                _LOG.warning(
+                    'record-skipped',
+                    extra={
+                        'partition': str(TOPIC),
+                        'key': record.key,
+                        'reason': reason,
+                    },
+                )
 
     def _encode(self, key: StreamKey, origin: fleet.Origin) -> bytes:
         """Returns the record to append, which is removed after a while."""
--- a/waxwingport/keys/index.py
+++ b/waxwingport/keys/index.py
@@ -12,6 +12,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.keys import base
 from waxwingport.keys import fold
@@ -309,13 +310,14 @@
 
 
 def _decode_verdict(answer: bytes) -> shard.Verdict:
-    try:
-        return msgspec.msgpack.decode(answer, type=shard.Verdict)
-    except msgspec.DecodeError as error:
-        _LOG.warning(
-            'key verdict: undecodable answer of the appender: %s', error
-        )
-        return shard.Verdict(shard.VerdictKind.LATE)
+    match decoding.read_msgpack(answer, shard.Verdict):
+        case Result(tag='ok', ok=verdict):
+            return verdict
+        case Result(error=reason):
+            _LOG.warning(
+                'key verdict: undecodable answer of the appender: %s', reason
+            )
+            return shard.Verdict(shard.VerdictKind.LATE)
 
 
 def _choose_shard(key: bytes) -> int:
--- a/waxwingport/keys/shard.py
+++ b/waxwingport/keys/shard.py
@@ -8,6 +8,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.keys import fold
 from waxwingport.keys import history
@@ -241,16 +242,17 @@
         ]
 
     def _apply(self, record: platform.LogRecord) -> None:
-        try:
-            batch = msgspec.msgpack.decode(record.body, type=fold.Batch)
-        except msgspec.DecodeError as error:
-            _LOG.warning(
-                'keys record=%d: undecodable record ignored: %s',
-                record.offset,
-                error,
-            )
-            self._fold.skip(record.offset)
-            return
+        match decoding.read_msgpack(record.body, fold.Batch):
+            case Result(tag='ok', ok=batch):
+                pass
+            case Result(error=reason):
+                _LOG.warning(
+                    'keys record=%d: undecodable record ignored: %s',
+                    record.offset,
+                    reason,
+                )
+                self._fold.skip(record.offset)
+                return
         self._fold.apply(record.offset, batch)
         if not self._caught_up.is_set():
             return
--- a/waxwingport/leases/keeper.py
+++ b/waxwingport/leases/keeper.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from waxwingport.charts import chart
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.leases import base
 from waxwingport.leases import fold
@@ -198,18 +199,17 @@
             self._caught_up = True
 
     def _apply(self, log_record: platform.LogRecord) -> None:
-        try:
-            record = msgspec.msgpack.decode(
-                log_record.body, type=fold.LeaseRecord
-            )
-        except msgspec.DecodeError as error:
-            _LOG.warning(
-                'lease record=%d: undecodable record ignored: %s',
-                log_record.offset,
-                error,
-            )
-            self._fold.skip(log_record.offset)
-            return
+        match decoding.read_msgpack(log_record.body, fold.LeaseRecord):
+            case Result(tag='ok', ok=record):
+                pass
+            case Result(error=reason):
+                _LOG.warning(
+                    'lease record=%d: undecodable record ignored: %s',
+                    log_record.offset,
+                    reason,
+                )
+                self._fold.skip(log_record.offset)
+                return
         won = self._fold.apply(log_record.offset, record)
         if won or self._fold.tenure is None:
             self._last_win_read_at = self._loop.time()
--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -148,9 +148,7 @@
             if not page.more or not page.records:
                 break
             after = page.records[-1].key
-        self._listener.replace(
-            [record for record in newest if record.value is not None]
-        )
+        self._replace([row for row in newest if row.value is not None])
         self._set_position(position)
         self.started.set()
         return Ok(None)
@@ -159,7 +157,7 @@
         for record in page.records:
             match self._log.parse_keyed(record):
                 case Result(tag='ok', ok=keyed):
-                    self._listener.update(keyed)
+                    self._update(keyed)
                 case Result(error=fault):
                     _LOG.warning(
                         'record-skipped',
@@ -170,6 +168,39 @@
                     )
         self._set_position(ids.Offset(offset + len(page.records)))
 
+    def _replace(self, records: Sequence[base.KeyedRecord]) -> None:
+        """Passes on all records, one at a time if one of them is faulty."""
+        try:
+            self._listener.replace(records)
+        except Exception:
+            _LOG.exception(
+                'records-failed',
+                extra={
+                    'partition': str(self._partition),
+                    'count': len(records),
+                },
+            )
+            self._listener.replace([])
+            for record in records:
+                self._update(record)
+
+    def _update(self, record: base.KeyedRecord) -> None:
+        """Passes on a record; one that the listener fails on is skipped.
+
+        It would end every node that reads it, and each again after its start.
+        """
+        try:
+            self._listener.update(record)
+        except Exception:
+            _LOG.exception(
+                'record-failed',
+                extra={
+                    'partition': str(self._partition),
+                    'key': record.key,
+                    'value': base.preview(record.value or b''),
+                },
+            )
+
     def _forget_position(self, fault: base.Fault) -> None:
         _LOG.info(
             'topic-reread',
--- a/waxwingport/log/node_records.py
+++ b/waxwingport/log/node_records.py
@@ -14,6 +14,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import dependency
@@ -23,7 +24,6 @@
 
 _APPEND_TIMEOUT_S = 1.0
 """Time in which an append is answered by a log 60 times slower than usual."""
-_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError)
 
 Content = TypeVar('Content')
 
@@ -144,18 +144,16 @@
         self.by_node.pop(node, None)
         if record.value is None:
             return
-        try:
-            content = msgspec.json.decode(
-                record.value, type=self._content_type
-            )
-        except _DECODE_ERRORS as error:
-            _LOG.warning(
-                'record-skipped',
-                extra={
-                    'partition': str(self._partition),
-                    'reason': str(error),
-                },
-            )
-            return
-        now = asyncio.get_running_loop().time()
-        self.by_node[node] = NodeRecord(content, now)
+        match decoding.read_json(record.value, self._content_type):
+            case Result(tag='ok', ok=content):
+                now = asyncio.get_running_loop().time()
+                self.by_node[node] = NodeRecord(content, now)
+            case Result(error=reason):
+                _LOG.warning(
+                    'record-skipped',
+                    extra={
+                        'partition': str(self._partition),
+                        'key': record.key,
+                        'reason': reason,
+                    },
+                )
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -210,7 +210,7 @@
     ) -> None:
         # A concurrent read may have passed on some of these records.
         for record in page.records[max(0, self.position - offset) :]:
-            self._listener.handle_record(record)
+            self._handle(record)
             self.position = ids.Offset(self.position + 1)
         self._end = page.end
         if self.position >= page.end:
@@ -221,3 +221,20 @@
         if page.records:
             self._advanced.set()
             self._advanced = asyncio.Event()
+
+    def _handle(self, record: bytes) -> None:
+        """Passes on a record; one that the listener fails on is skipped.
+
+        It would end every node that reads it, and each again after its start.
+        """
+        try:
+            self._listener.handle_record(record)
+        except Exception:
+            _LOG.exception(
+                'record-failed',
+                extra={
+                    'partition': str(self.partition),
+                    'position': self.position,
+                    'value': base.preview(record),
+                },
+            )
--- a/waxwingport/logs.py
+++ b/waxwingport/logs.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import collections
+from collections.abc import Iterator
+import contextlib
 import contextvars
 import logging
 import os
@@ -15,6 +17,7 @@
 from pythonjsonlogger import json as json_logging
 
 from waxwingport import ids
+from waxwingport import metrics
 from waxwingport import settings
 
 __all__ = [
@@ -22,6 +25,7 @@
     'RateFilter',
     'configure',
     'configure_non_blocking',
+    'count_warnings',
     'make_non_blocking_handler',
     'request_id',
 ]
@@ -37,6 +41,7 @@
     '%(asctime)s %(levelname)-7s %(name)s [%(request_id)s] %(message)s'
 )
 _JSON_FORMAT = '%(levelname)s %(name)s %(request_id)s %(message)s'
+_PROGRAM_LOGGER = 'waxwingport'
 _QUIET_LOGGERS = ('tornado.access', 'tornado.general', 'asyncio')
 
 
@@ -83,6 +88,40 @@
             self.dropped = 0
 
 
+class _CountingHandler(logging.Handler):
+    """Counts the warnings and errors of this program by their event.
+
+    What is skipped or given up on is so visible in the metrics, also where
+    the lines themselves are dropped.
+    """
+
+    def __init__(self, counters: metrics.Metrics) -> None:
+        super().__init__(logging.WARNING)
+        self._metrics = counters
+        self.addFilter(logging.Filter(_PROGRAM_LOGGER))
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Counts one line."""
+        self._metrics.count(
+            'waxwingport_warnings_total',
+            'Warnings and errors in the log by event.',
+            event=str(record.msg),
+        )
+
+
+@contextlib.contextmanager
+def count_warnings(counters: metrics.Metrics) -> Iterator[None]:
+    """Counts the warnings and errors of this program while in use."""
+    root = logging.getLogger()
+    handler = _CountingHandler(counters)
+    # Filters of later handlers may change the records.
+    root.handlers.insert(0, handler)
+    try:
+        yield
+    finally:
+        root.removeHandler(handler)
+
+
 class NonBlockingHandler(logging.Handler):
     """Writes lines to a file descriptor without ever blocking.
 
--- a/waxwingport/membership/live.py
+++ b/waxwingport/membership/live.py
@@ -10,6 +10,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.membership import base
 from waxwingport.membership import hints
@@ -445,10 +446,11 @@
 
 
 def _decode(sender: ids.NodeName, body: bytes, kind):
-    try:
-        return msgspec.msgpack.decode(body, type=kind)
-    except msgspec.DecodeError as error:
-        _LOG.warning(
-            'membership from=%s: unreadable message: %s', sender, error
-        )
-        return None
+    match decoding.read_msgpack(body, kind):
+        case Result(tag='ok', ok=message):
+            return message
+        case Result(error=reason):
+            _LOG.warning(
+                'membership from=%s: unreadable message: %s', sender, reason
+            )
+            return None
--- a/waxwingport/outside/adapters.py
+++ b/waxwingport/outside/adapters.py
@@ -14,6 +14,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.outside import base
@@ -22,7 +23,6 @@
 
 T = TypeVar('T')
 
-_DECODE_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeError)
 _TIMEOUT_S = 5.0
 """Timeout of one request that does not wait at the log."""
 _WAITING_TIMEOUT_S = 1.0
@@ -150,10 +150,9 @@
 def _decode(
     response: client.WholeResponse, expected: type[T]
 ) -> Result[T, base.LogFault]:
-    try:
-        return Ok(msgspec.json.decode(response.body, type=expected))
-    except _DECODE_ERRORS as error:
-        return Error(base.LogFault(base.LogFaultKind.UNKNOWN, str(error)))
+    return decoding.read_json(response.body, expected).map_error(
+        lambda reason: base.LogFault(base.LogFaultKind.UNKNOWN, reason)
+    )
 
 
 def _read_status_fault(response: client.WholeResponse) -> base.LogFault:
--- a/waxwingport/peers/envelope.py
+++ b/waxwingport/peers/envelope.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 
 __all__ = ['PROTOCOL_VERSION', 'Envelope', 'ReplayWindow', 'Role', 'Sealer']
@@ -61,7 +62,6 @@
     def __init__(self, secret: str) -> None:
         self._key = hashlib.sha256(secret.encode()).digest()
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Envelope)
 
     def seal(self, envelope: Envelope) -> bytes:
         """Returns the encoded envelope after its authentication code."""
@@ -74,10 +74,7 @@
         data = message[_MAC_BYTES:]
         if not hmac.compare_digest(mac, self._compute_mac(data)):
             return None
-        try:
-            return self._decoder.decode(data)
-        except msgspec.DecodeError:
-            return None
+        return decoding.read_msgpack(data, Envelope).default_value(None)
 
     def _compute_mac(self, data: bytes) -> bytes:
         return hmac.digest(self._key, data, 'sha256')[:_MAC_BYTES]
--- a/waxwingport/platform/exchange.py
+++ b/waxwingport/platform/exchange.py
@@ -1,7 +1,6 @@
 """The platform's wire format of requests, responses and submissions."""
 
 import base64
-import binascii
 from collections.abc import Sequence
 import re
 from urllib import parse
@@ -12,6 +11,7 @@
 import msgspec
 from tornado import httputil
 
+from waxwingport import decoding
 from waxwingport.fleet import model as fleet
 from waxwingport.gateway import dialect
 from waxwingport.gateway import digests
@@ -79,21 +79,21 @@
     path: str
     headers: dict[str, str]
     body: str
-    tokens: int = 0
+    tokens: decoding.WholeNumber = 0
     group: str = ''
     scorer_url: _Reward | None = None
 
 
 class _Batch(msgspec.Struct, frozen=True, rename='kebab'):
     items: list[_Item]
-    step: int = 0
+    step: decoding.WholeNumber = 0
     model: str = ''
-    min_version: int = 0
-    target_groups: int = 0
+    min_version: decoding.WholeNumber = 0
+    target_groups: decoding.WholeNumber = 0
 
 
 class _Start(msgspec.Struct, frozen=True):
-    born: int | None = None
+    born: decoding.WholeNumber | None = None
 
 
 class _Result(msgspec.Struct, frozen=True):
@@ -222,10 +222,11 @@
 
     def read_start(self, body: bytes) -> Result[int | None, str]:
         """Returns when a target started, ``None`` if it does not tell."""
-        try:
-            return Ok(msgspec.json.decode(body, type=_Start).born)
-        except (msgspec.DecodeError, UnicodeError) as error:
-            return Error(f'malformed report: {error}')
+        return (
+            decoding.read_json(body, _Start)
+            .map(lambda found: found.born)
+            .map_error(lambda reason: f'malformed report: {reason}')
+        )
 
     def make_item_call(self, item: model.Item, host: str) -> dialect.Call:
         """Returns the request that generates an item."""
@@ -387,11 +388,29 @@
 def _read_submission(
     call: dialect.Call, now: float
 ) -> Result[dialect.BatchCall | None, str]:
+    return (
+        decoding.read_json(call.body, _Batch)
+        .bind(_read_items)
+        .map_error(lambda reason: f'submission cannot be read: {reason}')
+        .bind(lambda found: _make_submission(call, *found, now))
+    )
+
+
+def _read_items(
+    found: _Batch,
+) -> Result[tuple[_Batch, tuple[model.Item, ...]], str]:
     try:
-        found = msgspec.json.decode(call.body, type=_Batch)
-        items = tuple(_read_item(item) for item in found.items)
-    except (msgspec.DecodeError, UnicodeError, binascii.Error) as error:
-        return Error(f'submission cannot be read: {error}')
+        return Ok((found, tuple(map(_read_item, found.items))))
+    except ValueError as error:
+        return Error(f'body of an item: {error}')
+
+
+def _make_submission(
+    call: dialect.Call,
+    found: _Batch,
+    items: tuple[model.Item, ...],
+    now: float,
+) -> Result[dialect.BatchCall | None, str]:
     if not call.request_id:
         return Error('submission without an id')
     if not items:
--- a/waxwingport/platform/operators.py
+++ b/waxwingport/platform/operators.py
@@ -4,13 +4,15 @@
 from collections.abc import Iterator
 import ipaddress
 import logging
-from typing import Any
+import re
+from typing import Annotated
 
 from expression import Error
 from expression import Ok
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport.fleet import model as fleet
 from waxwingport.gateway import routes
 from waxwingport import ids
@@ -44,8 +46,12 @@
     'draining': fleet.Stage.DRAINING,
     'ready': fleet.Stage.READY,
 }
+_INSTANCE_PATTERN = re.compile('[!-~]+')
+"""Visible ASCII: the id is sent in a header of each request."""
 _MAX_PORT = 65535
-_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError, ValueError, TypeError)
+_MAX_SLOTS = 1_000_000
+"""More requests at once than an engine can hold; an entry with more of them
+is no engine's."""
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -92,26 +98,31 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: decoding.WholeNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
 
 
 class _LoadedModel(msgspec.Struct, frozen=True):
-    name: str
-    version: int
+    name: decoding.Name
+    version: decoding.WholeNumber
 
 
 class _Target(msgspec.Struct, frozen=True, rename='kebab'):
-    service: str
-    address: str
-    zone: str
-    version: str
-    slots: int
-    state: str
+    service: decoding.Name
+    address: decoding.Name
+    zone: decoding.Name
+    version: decoding.Name
+    slots: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+    state: decoding.Name
     models: list[_LoadedModel] = []
-    born: int | None = None
+    born: decoding.WholeNumber | None = None
+
+
+class _Publication(msgspec.Struct, frozen=True):
+    model: decoding.Name
+    version: Annotated[float, msgspec.Meta(ge=0, le=decoding.MAX_WHOLE_NUMBER)]
 
 
 class PublishedVersion(msgspec.Struct, frozen=True):
@@ -133,30 +144,28 @@
 
     Routes of unknown kinds are left out.
     """
-    try:
-        found = msgspec.json.decode(value, type=_Configuration)
-    except _DECODE_ERRORS as error:
-        return Error(str(error))
+    return decoding.read_json(value, _Configuration).map(_make_configuration)
+
+
+def _make_configuration(found: _Configuration) -> routes.Configuration:
     known_routes = tuple(_read_routes(found.routes))
     limits = found.limits
-    return Ok(
-        routes.Configuration(
-            found.version,
-            known_routes,
-            routes.Limits(
-                int(limits.max_header_bytes),
-                int(limits.max_body_bytes),
-                limits.header_timeout_ms / 1000,
-                limits.idle_timeout_ms / 1000,
-            ),
-            {
-                ids.ServiceName(service.name): tuple(
-                    model.name for model in service.engine.models
-                )
-                for service in found.services
-                if service.engine is not None
-            },
-        )
+    return routes.Configuration(
+        found.version,
+        known_routes,
+        routes.Limits(
+            int(limits.max_header_bytes),
+            int(limits.max_body_bytes),
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+        {
+            ids.ServiceName(service.name): tuple(
+                model.name for model in service.engine.models
+            )
+            for service in found.services
+            if service.engine is not None
+        },
     )
 
 
@@ -166,20 +175,23 @@
     """Returns the version in a record, ``None`` for records of other kinds."""
     if not key.startswith(_VERSION_KEY_PREFIX):
         return Ok(None)
-    try:
-        found = msgspec.json.decode(value, type=dict[str, Any])
-        version = ids.WeightVersion(int(found['version']))
-        return Ok(PublishedVersion(str(found['model']), version))
-    except (*_DECODE_ERRORS, KeyError) as error:
-        return Error(str(error))
+    return decoding.read_json(value, _Publication).map(
+        lambda found: PublishedVersion(
+            found.model, ids.WeightVersion(int(found.version))
+        )
+    )
 
 
 def read_target(key: str, value: bytes) -> Result[fleet.TargetEntry, str]:
     """Returns a target's entry; fails if a field is missing or invalid."""
-    try:
-        found = msgspec.json.decode(value, type=_Target)
-    except _DECODE_ERRORS as error:
-        return Error(str(error))
+    return decoding.read_json(value, _Target).bind(
+        lambda found: _make_entry(key, found)
+    )
+
+
+def _make_entry(key: str, found: _Target) -> Result[fleet.TargetEntry, str]:
+    if not _INSTANCE_PATTERN.fullmatch(key):
+        return Error('the key cannot be sent in a header')
     stage = _STAGES.get(found.state)
     if stage is None:
         return Error(f'state {found.state!r} is unknown')
--- a/waxwingport/platform/orders.py
+++ b/waxwingport/platform/orders.py
@@ -1,10 +1,10 @@
 """The platform's wire format of engine reports and orders."""
 
 from expression import Error
-from expression import Ok
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport.fleet import model as fleet
 from waxwingport.gateway import conditions
 from waxwingport.http import client
@@ -27,16 +27,16 @@
 
 
 class _LoadedModel(msgspec.Struct, frozen=True):
-    name: str
-    version: int
+    name: decoding.Name
+    version: decoding.WholeNumber
 
 
 class _Report(msgspec.Struct, frozen=True, rename='kebab'):
     models: list[_LoadedModel]
     busy: bool
-    seq: int
-    waiting: int = 0
-    running: int = 0
+    seq: decoding.WholeNumber
+    waiting: decoding.WholeNumber = 0
+    running: decoding.WholeNumber = 0
 
 
 class _Order(msgspec.Struct, frozen=True, rename='kebab'):
@@ -79,20 +79,10 @@
                 return Error(fault.detail)
         if response.status != 200:
             return Error(f'report returned status {response.status}')
-        try:
-            found = msgspec.json.decode(response.body, type=_Report)
-        except (msgspec.DecodeError, UnicodeError) as error:
-            return Error(f'malformed report: {error}')
-        return Ok(
-            base.EngineReport(
-                {
-                    model.name: ids.WeightVersion(model.version)
-                    for model in found.models
-                },
-                found.busy,
-                found.seq,
-                found.waiting + found.running,
-            )
+        return (
+            decoding.read_json(response.body, _Report)
+            .map(_make_report)
+            .map_error(lambda reason: f'malformed report: {reason}')
         )
 
     async def send_order(
@@ -136,3 +126,15 @@
 
 def _make_instance_header(target: fleet.Target) -> tuple[tuple[str, str], ...]:
     return (('Expect-Instance', target.entry.instance),)
+
+
+def _make_report(found: _Report) -> base.EngineReport:
+    return base.EngineReport(
+        {
+            model.name: ids.WeightVersion(model.version)
+            for model in found.models
+        },
+        found.busy,
+        found.seq,
+        found.waiting + found.running,
+    )
--- a/waxwingport/platform/store.py
+++ b/waxwingport/platform/store.py
@@ -1,7 +1,6 @@
 """Partitioned log on top of the platform's store."""
 
 import base64
-import binascii
 from collections.abc import Sequence
 import itertools
 import math
@@ -14,6 +13,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport.http import client
 from waxwingport import ids
 from waxwingport.log import base
@@ -26,12 +26,6 @@
 _RECORD_LENGTH = struct.Struct('>I')
 _PAGE_HEADER = struct.Struct('>QQ')
 _CONTENT_TYPE = ('Content-Type', 'application/octet-stream')
-_DECODE_ERRORS = (
-    msgspec.DecodeError,
-    binascii.Error,
-    UnicodeError,
-    ValueError,
-)
 _KIB = 1024
 _MAX_PAGE_KIB = 1024
 """Largest page that the store returns for one read."""
@@ -343,7 +337,7 @@
             )
             for item in answer.items
         )
-    except binascii.Error as error:
+    except ValueError as error:
         return _make_invalid(f'value of a keyed record: {error}')
     covered = 1 + max((item.offset for item in answer.items), default=-1)
     return Ok(
@@ -376,11 +370,12 @@
 def _decode(
     response: client.WholeResponse, expected: type[T]
 ) -> Result[T, base.Fault]:
-    try:
-        return Ok(msgspec.json.decode(response.body, type=expected))
-    except _DECODE_ERRORS as error:
-        return _make_invalid(str(error))
+    return decoding.read_json(response.body, expected).map_error(_make_fault)
 
 
 def _make_invalid(detail: str) -> Result[T, base.Fault]:
-    return Error(base.Fault(base.FaultKind.INVALID, detail))
+    return Error(_make_fault(detail))
+
+
+def _make_fault(detail: str) -> base.Fault:
+    return base.Fault(base.FaultKind.INVALID, detail)
--- a/waxwingport/requests/remote.py
+++ b/waxwingport/requests/remote.py
@@ -8,6 +8,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport import outcomes
 from waxwingport.peers import base as peers
@@ -83,10 +84,13 @@
 
 
 def _decode_answer(data: bytes) -> call_registry.Outcome:
-    try:
-        message = msgspec.msgpack.decode(data, type=_Answer)
-    except msgspec.DecodeError as error:
-        return Error(refusals.refuse_unknown(f'undecodable answer: {error}'))
+    match decoding.read_msgpack(data, _Answer):
+        case Result(tag='ok', ok=message):
+            pass
+        case Result(error=reason):
+            return Error(
+                refusals.refuse_unknown(f'undecodable answer: {reason}')
+            )
     if message.answer is not None:
         return Ok(message.answer)
     if message.refusal is not None:
--- a/waxwingport/rollout/lease.py
+++ b/waxwingport/rollout/lease.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport import decoding
 from waxwingport.fleet import model as fleet
 from waxwingport import ids
 from waxwingport.log import base
@@ -62,8 +63,6 @@
 LoadListener = Callable[[fleet.InstanceId, str], None]
 """Called with an engine that is about to load a version, and the model."""
 
-_DECODER = msgspec.msgpack.Decoder(leases.LeaseRecord | _Intent)
-
 
 class OrderLease(tails.RecordListener, leases.LeaseListener):
     """Claims, renews and checks the right to send orders.
@@ -154,14 +153,15 @@
 
     def handle_record(self, record: bytes) -> None:
         """Applies the next record; logs and skips an undecodable one."""
-        try:
-            found = _DECODER.decode(record)
-        except msgspec.DecodeError as error:
-            _LOG.warning(
-                'record-skipped',
-                extra={'partition': str(_PARTITION), 'reason': str(error)},
-            )
-            return
+        match decoding.read_msgpack(record, leases.LeaseRecord | _Intent):
+            case Result(tag='ok', ok=found):
+                pass
+            case Result(error=reason):
+                _LOG.warning(
+                    'record-skipped',
+                    extra={'partition': str(_PARTITION), 'reason': reason},
+                )
+                return
         if not isinstance(found, _Intent):
             self._lease.handle_record(found)
             return
--- a/waxwingport/samples/steps.py
+++ b/waxwingport/samples/steps.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.samples import settings
 
@@ -194,10 +195,9 @@
     given = parameters.get('max_tokens')
     if given is None:
         return Ok(_DEFAULT_MAX_TOKENS)
-    try:
-        return Ok(msgspec.json.decode(given, type=Annotated[int, _POSITIVE]))
-    except msgspec.DecodeError as error:
-        return Error(f'parameters: max_tokens: {error}')
+    return decoding.read_json(given, Annotated[int, _POSITIVE]).map_error(
+        lambda reason: f'parameters: max_tokens: {reason}'
+    )
 
 
 _POSITIVE = msgspec.Meta(ge=1)
--- a/waxwingport/submissions/records.py
+++ b/waxwingport/submissions/records.py
@@ -15,6 +15,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport.log import leases
 from waxwingport.submissions import model
 
@@ -80,9 +81,8 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(
-    Record | leases.LeaseRecord | _Compressed | _Fragment
-)
+_Stored = Record | leases.LeaseRecord | _Compressed | _Fragment
+"""What a record of the log can hold."""
 _MIN_COMPRESSED_BYTES = 512
 """Size from which on a record is compressed; smaller ones are not worth the
 time."""
@@ -153,11 +153,12 @@
         self, data: bytes, wrappers: types.UnionType | type | None
     ) -> Result[Record | leases.LeaseRecord | None, str]:
         """Decodes a record, which may be wrapped in one of ``wrappers``."""
-        try:
-            found = _DECODER.decode(data)
-        except (msgspec.DecodeError, UnicodeError) as error:
-            self.reset()
-            return Error(f'record cannot be decoded: {error}')
+        match decoding.read_msgpack(data, _Stored):
+            case Result(tag='ok', ok=found):
+                pass
+            case Result(error=reason):
+                self.reset()
+                return Error(f'record cannot be decoded: {reason}')
         if not isinstance(found, _Fragment | _Compressed):
             self.reset()
             return Ok(found)
--- a/waxwingport/submissions/texts.py
+++ b/waxwingport/submissions/texts.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.log import base
 from waxwingport.log import writers
@@ -37,7 +38,6 @@
 
 _LOG = logging.getLogger(__name__)
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(tuple[str, ...])
 
 Events = tuple[str, ...]
 """Data of a text's events, in order."""
@@ -214,20 +214,28 @@
     ) -> Result[Events, base.Fault]:
         start = reference.offset - first
         data = b''.join(records[start : start + reference.record_count])
-        try:
-            text = _DECODER.decode(zlib.decompress(data))
-        except (zlib.error, msgspec.DecodeError, UnicodeError) as error:
-            _LOG.warning(
-                'text-unreadable',
-                extra={
-                    'partition': reference.partition,
-                    'offset': reference.offset,
-                    'reason': str(error),
-                },
-            )
-            return Error(base.Fault(base.FaultKind.INVALID, str(error)))
-        self.cache(reference, text)
-        return Ok(text)
+        match _decompress(data):
+            case Result(tag='ok', ok=text):
+                self.cache(reference, text)
+                return Ok(text)
+            case Result(error=reason):
+                _LOG.warning(
+                    'text-unreadable',
+                    extra={
+                        'partition': reference.partition,
+                        'offset': reference.offset,
+                        'reason': reason,
+                    },
+                )
+                return Error(base.Fault(base.FaultKind.INVALID, reason))
+
+
+def _decompress(data: bytes) -> Result[Events, str]:
+    try:
+        encoded = zlib.decompress(data)
+    except zlib.error as error:
+        return Error(str(error))
+    return decoding.read_msgpack(encoded, Events)
 
 
 def group_adjacent(
--- a/waxwingport/targets/adapters.py
+++ b/waxwingport/targets/adapters.py
@@ -11,6 +11,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport.http import client
 from waxwingport.http import headers as http_headers
 from waxwingport import ids
@@ -66,10 +67,9 @@
 ) -> Result[T, base.TargetFault]:
     if response.status != 200:
         return Error(faults.from_status(response))
-    try:
-        return Ok(msgspec.json.decode(response.body, type=answer))
-    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
-        return Error(faults.from_decode_error(error))
+    return decoding.read_json(response.body, answer).map_error(
+        faults.from_decode_error
+    )
 
 
 class HttpEngine(base.Engine):
--- a/waxwingport/targets/faults.py
+++ b/waxwingport/targets/faults.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from waxwingport import decoding
 from waxwingport.http import client
 from waxwingport.targets import base
 
@@ -39,12 +40,11 @@
     A target reports that it did not run a request by the status 429 or 503
     together with ``"ran": "no"`` in a problem body.
     """
-    try:
-        problem = msgspec.json.decode(response.body, type=_Problem)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        problem = _Problem(
+    problem = decoding.read_json(response.body, _Problem).default_with(
+        lambda _: _Problem(
             detail=response.body[:200].decode('utf-8', 'replace')
         )
+    )
     headers = {name.lower(): value for name, value in response.headers}
     detail = f'status {response.status}: {problem.detail}'
     if response.status in (429, 503) and problem.ran == 'no':
@@ -65,10 +65,10 @@
     )
 
 
-def from_decode_error(error: Exception) -> base.TargetFault:
+def from_decode_error(reason: str) -> base.TargetFault:
     """Returns the target fault for a response that could not be decoded."""
     return base.TargetFault(
-        base.TargetFaultKind.BROKEN, f'undecodable answer: {error}', sent=True
+        base.TargetFaultKind.BROKEN, f'undecodable answer: {reason}', sent=True
     )
 
 
--- a/waxwingport/targets/listing.py
+++ b/waxwingport/targets/listing.py
@@ -14,6 +14,7 @@
 import msgspec
 import xxhash
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
@@ -131,11 +132,12 @@
                 self._peers.send(member.peer, peers.MessageKind.VMS, body)
 
     def _handle_message(self, sender: ids.NodeName, body: bytes) -> None:
-        try:
-            changes = msgspec.msgpack.decode(body, type=VmChanges)
-        except msgspec.DecodeError as error:
-            _LOG.warning('VM list from %s is invalid: %s', sender, error)
-            return
+        match decoding.read_msgpack(body, VmChanges):
+            case Result(tag='ok', ok=changes):
+                pass
+            case Result(error=reason):
+                _LOG.warning('VM list from %s is invalid: %s', sender, reason)
+                return
         if changes.after == self._checksum:
             self._updated_at = _now()
         elif changes.before == self._checksum:
--- a/waxwingport/targets/poller.py
+++ b/waxwingport/targets/poller.py
@@ -14,6 +14,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.membership import base as membership
 from waxwingport.membership import rendezvous
@@ -357,11 +358,12 @@
         return tuple(summaries)
 
     def _handle_digest(self, sender: ids.NodeName, body: bytes) -> None:
-        try:
-            digest = msgspec.msgpack.decode(body, type=digests.Digest)
-        except msgspec.DecodeError as error:
-            _LOG.warning('digest from %s is invalid: %s', sender, error)
-            return
+        match decoding.read_msgpack(body, digests.Digest):
+            case Result(tag='ok', ok=digest):
+                pass
+            case Result(error=reason):
+                _LOG.warning('digest from %s is invalid: %s', sender, reason)
+                return
         now = _now()
         for summary in digest.engines:
             name = self._names_by_hash.get(summary.engine)
--- a/waxwingport/targets/streams.py
+++ b/waxwingport/targets/streams.py
@@ -116,7 +116,7 @@
                 )
             chunks.append(_read_event(body))
         except (IndexError, KeyError, RecursionError, ValueError) as error:
-            return chunks, faults.from_decode_error(error)
+            return chunks, faults.from_decode_error(str(error))
         if chunks[-1].finish_reason is not None:
             break
     return chunks, None
--- a/waxwingport/weights/versions.py
+++ b/waxwingport/weights/versions.py
@@ -15,6 +15,7 @@
 from expression import Result
 import msgspec
 
+from waxwingport import decoding
 from waxwingport import ids
 from waxwingport.membership import base as membership
 from waxwingport import outcomes
@@ -180,14 +181,13 @@
 
     def _apply_page(self, page: platform.LogPage) -> None:
         for record in page.records:
-            try:
-                publication = msgspec.msgpack.decode(
-                    record.body, type=Publication
-                )
-            except msgspec.DecodeError as error:
-                _LOG.warning('versions record=%d: %s', record.offset, error)
-                continue
-            self._registry.mark_logged(publication)
+            match decoding.read_msgpack(record.body, Publication):
+                case Result(tag='ok', ok=publication):
+                    self._registry.mark_logged(publication)
+                case Result(error=reason):
+                    _LOG.warning(
+                        'versions record=%d: %s', record.offset, reason
+                    )
         self._next_offset = page.next
 
     def _handle_read_fault(self, fault: platform.LogFault) -> None:
@@ -233,10 +233,9 @@
             self._peers.send(member.peer, peers.MessageKind.VERSION, body)
 
     def _receive(self, sender: ids.NodeName, body: bytes) -> None:
-        try:
-            publications = msgspec.msgpack.decode(body, type=list[Publication])
-        except msgspec.DecodeError as error:
-            _LOG.warning('versions from=%s: %s', sender, error)
-            return
-        for publication in publications:
-            self._registry.add(publication)
+        match decoding.read_msgpack(body, list[Publication]):
+            case Result(tag='ok', ok=publications):
+                for publication in publications:
+                    self._registry.add(publication)
+            case Result(error=reason):
+                _LOG.warning('versions from=%s: %s', sender, reason)
