Do not take an end inside an event for the end of an item's text

Cause: at the end of the body ItemGenerator returned success without a look at the event that its reader still held. The kernel closes the connections of a killed process in order, so that the client sees no reset.

Change: http/sse.py decides whether a stream ends inside an event; a run that does is broken and goes on after its last whole event. Comments and empty lines begin no event.

--- a/tests/gateway/standin_engine.py
+++ b/tests/gateway/standin_engine.py
@@ -73,6 +73,9 @@
         self.stalling = False
         """Whether every text stalls after its third event."""
         self.stall_bytes = b'd'
+        self.ends_inside = {}
+        """Event inside which an answer without a length ends once, as when the
+        engine is killed, by request id; 0 for after the last event."""
         self.crashing_bodies = set()
         """Bodies that crash the engine when it begins to run them."""
         self.events_before_crash = 0
@@ -263,6 +266,8 @@
             await self.crash_if_told()
         self.set_header('Weight-Versions', str(self.engine.version))
         self.set_header('Content-Type', 'text/event-stream')
+        if name in self.engine.ends_inside:
+            await self._send_without_length(name, start)
         if self.engine.early_head:
             await self.flush()
         for number in range(start + 1, self.engine.events + 1):
@@ -281,6 +286,22 @@
                 self.request.connection.stream.close()
                 raise web.Finish
 
+    async def _send_without_length(self, name, start):
+        cut = self.engine.ends_inside.pop(name)
+        last = cut - 1 if cut else self.engine.events
+        stream = self.detach()
+        await stream.write(
+            b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nWeight-Versions: %d\r\n'
+            b'Response-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n'
+            % (name.encode(), self.engine.version)
+        )
+        for number in range(start + 1, last + 1):
+            await stream.write(self.engine.make_event(name, number).encode())
+        if cut:
+            await stream.write(self.engine.make_event(name, cut)[:-3].encode())
+        stream.close()
+        raise web.Finish
+
     async def _stall(self):
         with contextlib.suppress(iostream.StreamClosedError):
             while True:
--- a/tests/submissions/test_texts_of_items.py
+++ b/tests/submissions/test_texts_of_items.py
@@ -33,3 +33,24 @@
             (1, 'a'),
             (2, 'b\nc'),
         ]
+
+
+@pytest.mark.parametrize(
+    ('rest', 'inside'),
+    [
+        (b'', False),
+        (b'\n', False),
+        (b'\r\n', False),
+        (b': a comment', False),
+        (b': a comment\n', False),
+        (b'd', True),
+        (b'id: 3', True),
+        (b'data: a\n', True),
+        (b': a comment\nid: 3\n', True),
+    ],
+)
+def test_a_stream_that_ends_in_an_event_is_told_from_a_whole_one(rest, inside):
+    reader = events.EventReader(lambda block: None)
+    assert not reader.is_inside_event()
+    reader.feed(b'id: 1\ndata: a\n\n' + rest)
+    assert reader.is_inside_event() is inside
--- a/waxwingport/http/sse.py
+++ b/waxwingport/http/sse.py
@@ -1,6 +1,6 @@
-"""The part of server-sent events that the completion protocol uses."""
+"""The parts of server-sent events that are used here."""
 
-__all__ = ['DONE', 'EventSplitter', 'format_event']
+__all__ = ['DONE', 'EventSplitter', 'format_event', 'is_inside_event']
 
 DONE = b'data: [DONE]\n\n'
 
@@ -12,6 +12,19 @@
     return b'data: ' + data + b'\n\n'
 
 
+def is_inside_event(rest: bytes) -> bool:
+    """Returns whether a stream that ends after ``rest`` is cut off.
+
+    ``rest`` is what came after the last blank line.  Comments and empty lines
+    begin no event.  A body without a length ends with its connection, which
+    the kernel closes in order when the sender is killed.
+    """
+    return any(
+        line.strip() and not line.startswith(b':')
+        for line in rest.split(b'\n')
+    )
+
+
 class EventSplitter:
     """Splits a byte stream into the data of its events."""
 
--- a/waxwingport/submissions/events.py
+++ b/waxwingport/submissions/events.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waxwingport.http import sse
 from waxwingport import ids
 from waxwingport import numerals
 
@@ -40,6 +41,10 @@
         """Size of the event that is not complete yet."""
         return len(self._incomplete)
 
+    def is_inside_event(self) -> bool:
+        """Returns whether an event has begun that is not complete yet."""
+        return sse.is_inside_event(self._incomplete)
+
     def feed(self, data: bytes) -> list[Event]:
         """Returns the events that ``data`` completes, comments left out.
 
@@ -48,7 +53,9 @@
         whole = (self._incomplete + data).replace(b'\r\n', b'\n')
         *blocks, self._incomplete = whole.split(b'\n\n')
         return [
-            self._parse(block) for block in blocks if not _is_comment(block)
+            self._parse(block)
+            for block in blocks
+            if sse.is_inside_event(block)
         ]
 
     def _parse(self, block: bytes) -> Event:
@@ -62,11 +69,3 @@
             elif name == b'id':
                 number = numerals.read_whole_number(value)
         return Event(number, '\n'.join(data), self._read_version(block))
-
-
-def _is_comment(block: bytes) -> bool:
-    """Returns whether a block has only comments and empty lines."""
-    return all(
-        not line.strip() or line.startswith(b':')
-        for line in block.split(b'\n')
-    )
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -49,6 +49,9 @@
 small part of a node's memory."""
 _UNPROCESSABLE = 422
 """Status with which an engine answers an item that it can never run."""
+_CUT_OFF = client.TransportFault(
+    client.TransportFaultKind.BROKEN, 'the stream ended inside an event', True
+)
 
 _LOG = logging.getLogger(__name__)
 
@@ -232,22 +235,9 @@
         response: client.Response,
         head: dialect.AnswerHead,
     ) -> Outcome:
-        now = asyncio.get_running_loop().time()
-        if response.status == _UNPROCESSABLE:
-            return Error(
-                (
-                    RunEnd.IMPOSSIBLE,
-                    f'engine answered with status {response.status}',
-                )
-            )
-        if response.status != 200:
-            health.record_failure(run.target, health.HealthSignal.FAILED, now)
-            return Error(
-                (
-                    RunEnd.FAILED,
-                    f'engine answered with status {response.status}',
-                )
-            )
+        rejection = _check_status(run, response)
+        if rejection is not None:
+            return Error(rejection)
         recorder = _Recorder(
             run, head.version, self._sender.dialect.read_event_version
         )
@@ -257,6 +247,8 @@
                 run.target.pace.seconds, run.silent_runs
             )
             piece = await reader.read(timeout)
+            if piece is None and recorder.is_inside_event():
+                piece = _CUT_OFF
             if piece is None:
                 health.record_success(run.target)
                 return Ok(None)
@@ -362,6 +354,10 @@
         self._record_gaps(len(run.text.events) - count)
         return self._check_size()
 
+    def is_inside_event(self) -> bool:
+        """Returns whether an event has begun that is not complete yet."""
+        return self._reader.is_inside_event()
+
     def _check_size(self) -> tuple[RunEnd, str] | None:
         if self._reader.pending_bytes > _MAX_EVENT_BYTES:
             return RunEnd.BROKEN, 'an event does not end'
@@ -382,6 +378,20 @@
         self.last_at = now
 
 
+def _check_status(
+    run: ItemRun, response: client.Response
+) -> tuple[RunEnd, str] | None:
+    """Returns how a run ended whose response is no text."""
+    detail = f'engine answered with status {response.status}'
+    if response.status == _UNPROCESSABLE:
+        return RunEnd.IMPOSSIBLE, detail
+    if response.status != 200:
+        now = asyncio.get_running_loop().time()
+        health.record_failure(run.target, health.HealthSignal.FAILED, now)
+        return RunEnd.FAILED, detail
+    return None
+
+
 def _needs_same_version(run: ItemRun) -> bool:
     """Returns whether the engine must have the version of the text so far."""
     return run.single_version and bool(run.text.versions)
