Answer that a submission is unknown only after a read that began later

Cause: a submission counted as unknown if the log had been read to its end in the last 0.4 s, though it may have been accepted since; a node that holds no partition pauses for 0.2 s between reads.

Change: it is unknown after a read of all partitions that began after the call and found the end. Calls about unknown submissions share these reads, so that reads do not grow with calls; without an answer in 0.4 s they get 503.

--- a/tests/log/test_tails.py
+++ b/tests/log/test_tails.py
@@ -90,6 +90,30 @@
     assert tail.position == 3
 
 
+async def test_a_read_to_the_end_counts_one_that_began_before(
+    tail, memory, partition, records, monkeypatch
+):
+    # Guards against the answer of a read that was sent before a record.
+    read = memory.read
+    answer = asyncio.Event()
+
+    async def delay(*arguments, **options):
+        page = await read(*arguments, **options)
+        await answer.wait()
+        return page
+
+    with monkeypatch.context() as patched:
+        patched.setattr(memory, 'read', delay)
+        earlier = asyncio.ensure_future(tail.read_to_end())
+        await asyncio.sleep(0.01)
+    await memory.append(partition, (b'a',))
+    later = asyncio.ensure_future(tail.read_to_end())
+    answer.set()
+    assert (await later).is_ok()
+    assert records.rows == [b'a']
+    await earlier
+
+
 async def test_catching_up_fails_without_the_log(tail, memory):
     await tail.catch_up(0.0)
     memory.down = True
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -146,6 +146,20 @@
                     return Error(fault)
         return Ok(None)
 
+    async def read_to_end(self) -> Result[None, base.Fault]:
+        """Reads until a read that begins from now on finds the end.
+
+        Fails if the log can't be read.
+        """
+        at_end = False
+        while not at_end:
+            match await self._read():
+                case Result(tag='ok', ok=at_end):
+                    pass
+                case Result(error=fault):
+                    return Error(fault)
+        return Ok(None)
+
     async def wait_for_records(self) -> None:
         """Waits until further records have been passed on."""
         self._waiters += 1
@@ -167,27 +181,28 @@
         except TimeoutError:
             return
 
-    async def _read(self) -> Result[None, base.Fault]:
+    async def _read(self) -> Result[bool, base.Fault]:
         """Reads what is there; does not wait for records."""
         return await self._pass_on_read(
             lambda offset: self._log.read(self.partition, offset)
         )
 
-    async def _follow(self) -> Result[None, base.Fault]:
+    async def _follow(self) -> Result[bool, base.Fault]:
         """Waits for records and reads them."""
         return await self._pass_on_read(self._reader.read)
 
     async def _pass_on_read(
         self,
         read: Callable[[ids.Offset], Awaitable[Result[base.Page, base.Fault]]],
-    ) -> Result[None, base.Fault]:
+    ) -> Result[bool, base.Fault]:
+        """Returns whether the read found the end."""
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         offset = self.position
         match await read(offset):
             case Result(tag='ok', ok=page):
                 self._pass_on(offset, page, sent_at)
-                return Ok(None)
+                return Ok(self.position >= page.end)
             case Result(error=fault):
                 pass
         if fault.kind is not base.FaultKind.EXPIRED or fault.oldest is None:
@@ -203,7 +218,7 @@
             )
             self.position = fault.oldest
             self._listener.handle_gap()
-        return Ok(None)
+        return Ok(False)
 
     def _pass_on(
         self, offset: ids.Offset, page: base.Page, sent_at: float
--- a/waxwingport/submissions/view.py
+++ b/waxwingport/submissions/view.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from waxwingport import clocks
+from waxwingport import coalescing
 from waxwingport.log import base
 from waxwingport.log import dependency
 from waxwingport.log import leases
@@ -24,6 +25,9 @@
 
 TOPIC = base.Topic('submissions')
 _EVICTION_INTERVAL_S = 5.0
+_READ_TIMEOUT_S = 0.4
+"""Bounds the reads that all lookups of unknown submissions share, so that a
+lost answer holds up no later lookup for long."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -46,9 +50,9 @@
     """Bytes of compressed texts that a node caches: enough for the current
     steps of three trainers."""
     freshness: float = 0.4
-    """A submission is reported as unknown only if the log was read to its end
-    at most this many seconds ago.  This is less than half of the time within
-    which an accepted submission has to be visible on every node."""
+    """There are no further results of a submission if the log was read to its
+    end at most this many seconds ago.  This is less than half of the time
+    within which a result has to be visible on every node."""
 
 
 class SubmissionPartition(tails.RecordListener):
@@ -129,6 +133,7 @@
             )
             for number in range(settings.partitions)
         ]
+        self._reads = coalescing.Coalescing(self._read_to_end)
 
     def __iter__(self) -> Iterator[SubmissionPartition]:
         return iter(self._partitions)
@@ -205,18 +210,14 @@
     ]:
         """Returns a submission's partition and entry, ``None`` if unknown.
 
-        Catches up with the log before it returns ``None``, and fails if the
-        log can't be read for that.
+        Reads to the log's end before it returns ``None``, as the submission
+        may have been accepted by another node since the last read.  Fails if
+        the log can't be read for that.
         """
         found = self.find_in_memory(submission_id)
         if found is not None:
             return Ok(found)
-        outcomes = await asyncio.gather(
-            *(
-                partition.tail.catch_up(self.settings.freshness)
-                for partition in self._partitions
-            )
-        )
+        outcomes = await self._reads.run()
         found = self.find_in_memory(submission_id)
         for outcome in outcomes:
             match outcome:
@@ -224,6 +225,19 @@
                     return Error(fault)
         return Ok(found)
 
+    async def _read_to_end(self) -> list[Result[None, base.Fault]]:
+        try:
+            async with asyncio.timeout(_READ_TIMEOUT_S):
+                return await asyncio.gather(
+                    *(
+                        partition.tail.read_to_end()
+                        for partition in self._partitions
+                    )
+                )
+        except TimeoutError:
+            detail = f'no answer of the log within {_READ_TIMEOUT_S:g} s'
+            return [Error(base.Fault(base.FaultKind.UNKNOWN, detail))]
+
     async def _evict(self) -> None:
         """Drops old submissions at intervals.
 
