Do not end a stream as complete inside an event

Cause: at the end of the body StreamForwarder finished the answer and dropped the event that CompleteEvents held back.

Change: such an attempt is lost. The stream goes on after its last whole event at another target, or its connection closes without a last chunk, also where it can't be resumed. The blank line after an event may end with CR LF: such events were never forwarded where a stream may resume.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -28,13 +28,22 @@
     """Sends events up to ``stop_after`` and then ends as ``end`` says.
 
     The head of each says whether it is ``leaving``.  The end ``full`` rejects
-    the request; any other unknown name closes the connection.
+    the request; any other unknown name closes the connection.  An answer that
+    is not ``framed`` has neither a length nor chunks.
     ``starts`` lists the events after which streams were to be resumed.
     """
 
     def __init__(
-        self, stop_after=EVENTS, end='whole', pause=0.01, leaving=False
+        self,
+        stop_after=EVENTS,
+        end='whole',
+        pause=0.01,
+        leaving=False,
+        framed=True,
+        line_end=b'\n',
     ):
+        self.framed = framed
+        self.line_end = line_end
         self.stop_after = stop_after
         self.end = end
         self.pause = pause
@@ -75,17 +84,25 @@
         writer.write(
             b'HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n'
             b'Response-Signature: sig-%d\r\n'
-            b'Content-Type: text/event-stream\r\n'
-            b'%sTransfer-Encoding: chunked\r\n\r\n'
-            % (start, b'Server-Leaving: 1\r\n' if self.leaving else b'')
+            b'Content-Type: text/event-stream\r\n%s%s\r\n'
+            % (
+                start,
+                b'Server-Leaving: 1\r\n' if self.leaving else b'',
+                b'Transfer-Encoding: chunked\r\n' if self.framed else b'',
+            )
         )
         for number in range(start + 1, self.stop_after + 1):
             self._write_chunk(
-                writer, b'id: %d\ndata: e%d\n\n' % (number, number)
+                writer,
+                (b'id: %d\ndata: e%d\n\n' % (number, number)).replace(
+                    b'\n', self.line_end
+                ),
             )
             await writer.drain()
             await asyncio.sleep(self.pause)
-        if self.end == 'whole':
+        if self.end == 'whole' and not self.framed:
+            writer.close()
+        elif self.end == 'whole':
             writer.write(b'0\r\n\r\n')
         elif self.end == 'inside-an-event':
             self._write_chunk(writer, b'id: 4\nda')
@@ -102,7 +119,9 @@
             writer.close()
 
     def _write_chunk(self, writer, data):
-        writer.write(b'%x\r\n%s\r\n' % (len(data), data))
+        if self.framed:
+            data = b'%x\r\n%s\r\n' % (len(data), data)
+        writer.write(data)
 
 
 def make_text(last):
@@ -165,6 +184,47 @@
     assert (broken.starts, whole.starts) == ([0], [3])
 
 
+async def test_a_part_of_a_stream_ends_as_a_complete_one(
+    harness, start_streams
+):
+    # Guards against an end inside an event that counts as that of the stream.
+    configure(harness, resumable=True, max_attempts=2)
+    servers = (
+        StreamServer(3, 'inside-an-event', framed=False),
+        StreamServer(framed=False),
+    )
+    await start_streams(*servers)
+    harness.targets.find('i1').running = 3
+    response = (await harness.call(timeout_ms=4000)).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert [server.starts for server in servers] == [[0], [3]]
+
+
+@pytest.mark.parametrize('resumable', [False, True])
+async def test_a_part_that_no_target_can_continue_ends_as_a_complete_stream(
+    harness, start_streams, resumable
+):
+    # Guards against the same where the caller alone can begin anew.
+    configure(harness, resumable=resumable)
+    await start_streams(StreamServer(3, 'inside-an-event', framed=False))
+    fault = (await harness.call(timeout_ms=1000)).error
+    assert fault.sent and 'closed' in fault.detail
+
+
+@pytest.mark.parametrize('resumable', [False, True])
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n'])
+async def test_a_whole_stream_without_a_length_counts_as_broken(
+    harness, start_streams, resumable, line_end
+):
+    # Guards against an end after the last event that counts as a cut.
+    configure(harness, resumable=resumable)
+    server = StreamServer(framed=False, line_end=line_end)
+    await start_streams(server)
+    response = (await harness.call(timeout_ms=1000)).ok
+    assert response.body == make_text(EVENTS + 1).replace(b'\n', line_end)
+    assert server.starts == [0]
+
+
 async def test_a_broken_stream_that_must_not_resume_ends_with_an_error(
     harness, start_streams
 ):
--- a/waxwingport/gateway/stream_state.py
+++ b/waxwingport/gateway/stream_state.py
@@ -1,12 +1,14 @@
 """State of a caller's stream in progress, and its events."""
 
 import asyncio
+import re
 
 import msgspec
 
 from waxwingport.fleet import model as fleet
 from waxwingport.gateway import dialect
 from waxwingport.gateway import routes
+from waxwingport.http import sse
 from waxwingport import ids
 from waxwingport import numerals
 
@@ -15,7 +17,8 @@
 _MAX_EVENT_BYTES = 1024 * 1024
 """Size from which on an event that has not ended counts as broken; complete
 ones have some hundred bytes."""
-_EVENT_END = b'\n\n'
+_EVENT_ENDS = re.compile(rb'(?:\r?\n){2}')
+"""The blank line after an event, for either kind of line ends."""
 
 
 class StreamState(msgspec.Struct, eq=False):
@@ -39,6 +42,8 @@
     head_sent: bool = False
     last_event: int = 0
     """Id of the last event sent to the caller."""
+    event_at: float = 0.0
+    """Loop time of the last new event, or of the start of the answer."""
     runs: int = 0
     """Attempts that ran or may have run."""
     sends: int = 0
@@ -55,14 +60,12 @@
         if chunk and self.began_at is None:
             self.began_at = asyncio.get_running_loop().time()
 
-    def record_events(self, data: bytes) -> bool:
-        """Records the events that are about to be written to the caller.
-
-        Returns whether there is a new one.
-        """
+    def record_events(self, data: bytes) -> None:
+        """Records the events that are about to be written to the caller."""
         previous = self.last_event
         self.last_event = _find_last_event(data, previous)
-        return self.last_event != previous
+        if self.last_event != previous:
+            self.event_at = asyncio.get_running_loop().time()
 
 
 class CompleteEvents:
@@ -76,10 +79,16 @@
 
     def feed(self, data: bytes) -> bytes:
         """Returns the events that ``data`` completes."""
-        complete, _, self._incomplete = (self._incomplete + data).rpartition(
-            _EVENT_END
-        )
-        return complete + _EVENT_END if complete else b''
+        whole = self._incomplete + data
+        end = 0
+        for found in _EVENT_ENDS.finditer(whole):
+            end = found.end()
+        self._incomplete = whole[end:]
+        return whole[:end]
+
+    def is_inside_event(self) -> bool:
+        """Returns whether an event has begun that is not complete yet."""
+        return sse.is_inside_event(self._incomplete)
 
     def is_overlong(self) -> bool:
         """Returns whether an event is longer than any sound one."""
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -20,6 +20,7 @@
 from waxwingport.gateway import routes
 from waxwingport.gateway import stream_state
 from waxwingport.http import client
+from waxwingport.http import sse
 from waxwingport import ids
 from waxwingport import outcomes
 from waxwingport.scheduling import attribution
@@ -36,6 +37,7 @@
 _RECHECK_INTERVAL_S = 0.05
 """Time after which a stream that is silent for too long, and has no other
 target to go to, looks for one again."""
+_EVENT_STREAM = 'text/event-stream'
 _MAX_CRASH_DELAY_S = 1.0
 """Time from the start of an answer after which a target that crashes does so
 for another reason: requests crash targets that begin to run them."""
@@ -350,30 +352,27 @@
                 f'target returned status {response.status}',
             )
         resumable = stream.route.resumable and response.status == 200
-        events = stream_state.CompleteEvents()
-        event_at = asyncio.get_running_loop().time()
+        events = None
+        if resumable or _has_events(response):
+            events = stream_state.CompleteEvents()
+        stream.event_at = asyncio.get_running_loop().time()
         while True:
-            chunk = await self._read_chunk(
-                stream, response, event_at if resumable else None
-            )
+            chunk = await self._read_chunk(stream, response, resumable)
+            if chunk is None and events and events.is_inside_event():
+                chunk = sse.CUT_OFF
             if isinstance(chunk, client.TransportFault):
                 closed = chunk.kind is client.TransportFaultKind.BROKEN
                 return attempts.Lost(
                     health.HealthSignal.BROKEN, chunk.detail, closed
                 )
             stream.record_chunk(chunk)
-            if chunk is not None and resumable:
+            if chunk is not None and events is not None:
                 chunk = await self._take_events(
                     stream, target, response, events, chunk
                 )
                 if isinstance(chunk, attempts.Lost):
                     return chunk
-                if stream.record_events(chunk):
-                    event_at = asyncio.get_running_loop().time()
-            if not stream.head_sent:
-                stream.head_sent = True
-                header_fields = tuple(response.headers.get_all())
-                await write_head(response.status, header_fields)
+            await _send_head(stream, response, write_head)
             if chunk is None:
                 health.record_success(target)
                 return None
@@ -388,15 +387,18 @@
         events: stream_state.CompleteEvents,
         chunk: bytes,
     ) -> bytes | attempts.Lost:
-        """Returns the events that a chunk completes if they may be sent.
+        """Returns what may be sent of a chunk: the events that it completes.
 
-        The version of the target that made them has to be certain.
+        The version of the target that made them has to be certain.  A stream
+        that can't be resumed is sent as it comes.
         """
         complete = events.feed(chunk)
         if events.is_overlong():
             return attempts.Lost(
                 health.HealthSignal.BROKEN, 'an event does not end'
             )
+        if not stream.route.resumable:
+            return chunk
         if not complete:
             return complete
         if not await self._sender.starts.confirm(target, response):
@@ -408,6 +410,7 @@
                 health.HealthSignal.WITHHELD,
                 'the version of the stream was not recorded',
             )
+        stream.record_events(complete)
         return complete
 
     async def _settle(
@@ -430,20 +433,16 @@
         self,
         stream: stream_state.StreamState,
         response: client.Response,
-        event_at: float | None,
+        resumable: bool,
     ) -> bytes | client.TransportFault | None:
-        """Returns the next chunk unless the stream should go on elsewhere.
-
-        ``event_at`` is the loop time of its last complete event, ``None`` if
-        the stream may not resume.
-        """
-        if event_at is None:
+        """Returns the next chunk unless the stream should go on elsewhere."""
+        if not resumable:
             return await response.read_chunk()
         timeout = timeouts.compute_event_timeout(
             stream.route.target_time, stream.silent_runs
         )
         loop = asyncio.get_running_loop()
-        due_at = event_at + timeout
+        due_at = stream.event_at + timeout
         while True:
             # A busy process may be late to read an event that has arrived.
             overdue = loop.time() > due_at + _RECHECK_INTERVAL_S
@@ -500,6 +499,22 @@
         )
 
 
+async def _send_head(
+    stream: stream_state.StreamState,
+    response: client.Response,
+    write_head: WriteHead,
+) -> None:
+    """Sends the head of a stream's first answer; later ones add to it."""
+    if not stream.head_sent:
+        stream.head_sent = True
+        await write_head(response.status, tuple(response.headers.get_all()))
+
+
+def _has_events(response: client.Response) -> bool:
+    kind = response.headers.get('Content-Type', '').partition(';')[0]
+    return response.status == 200 and kind.strip().lower() == _EVENT_STREAM
+
+
 def _uses_service(route: routes.Route, service: ids.ServiceName) -> bool:
     """Returns whether a route still sends requests to a service."""
     return any(
--- a/waxwingport/http/sse.py
+++ b/waxwingport/http/sse.py
@@ -1,7 +1,21 @@
 """The parts of server-sent events that are used here."""
 
-__all__ = ['DONE', 'EventSplitter', 'format_event', 'is_inside_event']
+from waxwingport.http import messages
 
+__all__ = [
+    'CUT_OFF',
+    'DONE',
+    'EventSplitter',
+    'format_event',
+    'is_inside_event',
+]
+
+CUT_OFF = messages.TransportFault(
+    messages.TransportFaultKind.BROKEN,
+    'the stream ended inside an event',
+    sent=True,
+)
+"""The fault of a stream that ended inside an event."""
 DONE = b'data: [DONE]\n\n'
 
 _PREFIX = b'data:'
--- a/waxwingport/submissions/generation.py
+++ b/waxwingport/submissions/generation.py
@@ -15,6 +15,7 @@
 from waxwingport.gateway import attempts
 from waxwingport.gateway import dialect
 from waxwingport.http import client
+from waxwingport.http import sse
 from waxwingport import ids
 from waxwingport.scheduling import timeouts
 from waxwingport.submissions import events
@@ -49,9 +50,6 @@
 small part of a node's memory."""
 _UNPROCESSABLE = 422
 """Status with which an engine answers an item that it can never run."""
-_CUT_OFF = client.TransportFault(
-    client.TransportFaultKind.BROKEN, 'the stream ended inside an event', True
-)
 
 _LOG = logging.getLogger(__name__)
 
@@ -248,7 +246,7 @@
             )
             piece = await reader.read(timeout)
             if piece is None and recorder.is_inside_event():
-                piece = _CUT_OFF
+                piece = sse.CUT_OFF
             if piece is None:
                 health.record_success(run.target)
                 return Ok(None)
