Start and serve while the port for metrics or an old address is in use

There were no logs.

Reproduced: ten processes with that deployment's settings at one address. The deploy template fixes the port for metrics at 9464; one process served, nine ended at each start (8 or 9 times in 8 s), with a line that did not say which address was in use. A port held for a moment by an earlier process and a closed standard output ended a node at its start as well. Whether the users met one of these is only suspected.

Change: a node serves without the additional address for metrics and tries it again; it waits for its other addresses for as long as an earlier process may take to stop, and names the one that fails; it drops lines without a standard output.

--- a/waxwingport/commands/gateway_node.py
+++ b/waxwingport/commands/gateway_node.py
@@ -22,6 +22,8 @@
 _SETTINGS_VARIABLE = 'WAXWINGPORT_NODE_FILE'
 _EXIT_REFUSED = 1
 _EXIT_USAGE = 2
+_BIND_RETRY_S = 0.5
+"""Time between attempts to listen at addresses that are in use."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -59,14 +61,32 @@
 
     Fails when an address cannot be bound or a background task failed.
     """
-    try:
-        gateway = node.GatewayNode(node_settings)
-    except OSError as error:
-        return Error(f'node.listen: {error}')
+    match await _create_node(node_settings):
+        case Result(tag='ok', ok=gateway):
+            pass
+        case Result(error=reason):
+            return Error(reason)
     with logs.count_warnings(gateway.metrics):
         return await _run(gateway, node_settings)
 
 
+async def _create_node(
+    node_settings: gateway_settings.GatewaySettings,
+) -> Result[node.GatewayNode, str]:
+    """Creates a node; waits while an earlier process has its addresses."""
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + node_settings.node.shutdown_timeout
+    while True:
+        try:
+            return Ok(node.GatewayNode(node_settings))
+        except OSError as error:
+            reason = f'cannot listen: {error}'
+        if loop.time() >= give_up_at:
+            return Error(reason)
+        _LOG.warning('address-unavailable', extra={'reason': reason})
+        await asyncio.sleep(_BIND_RETRY_S)
+
+
 async def _run(
     gateway: node.GatewayNode,
     node_settings: gateway_settings.GatewaySettings,
--- a/waxwingport/gateway/node.py
+++ b/waxwingport/gateway/node.py
@@ -3,8 +3,10 @@
 import asyncio
 import logging
 import random
+import socket
 
 from expression import Result
+import msgspec
 from tornado import httpserver
 from tornado import httputil
 
@@ -48,6 +50,9 @@
 __all__ = ['GatewayNode']
 
 _METRICS_PATH = '/metrics'
+_METRICS_RETRY_S = 5.0
+"""Time between attempts to listen at the address for metrics alone: about as
+often as they are collected."""
 _EXIT_MARGIN_S = 0.5
 """Time between the end of the last requests and the platform's SIGKILL.
 Interrupted requests have the same time to end, together with the refusal of
@@ -61,15 +66,34 @@
 _LOG = logging.getLogger(__name__)
 
 
+class _Sockets(msgspec.Struct, frozen=True):
+    """Sockets without which a node cannot work."""
+
+    callers: list[socket.socket]
+    status: list[socket.socket]
+
+
+def _bind(node: settings.GatewayNodeSettings) -> _Sockets:
+    callers = server.bind_sockets(node.listen)
+    try:
+        return _Sockets(callers, server.bind_sockets(node.status_listen))
+    except OSError:
+        for bound in callers:
+            bound.close()
+        raise
+
+
 class GatewayNode:
     """The components of a gateway process, connected to each other.
 
-    Creation binds the listening sockets and raises ``OSError`` if that fails.
+    Creation binds the listening sockets and raises ``OSError`` if that fails;
+    no socket is left open then.
     """
 
     def __init__(self, settings_: settings.GatewaySettings) -> None:
         self._settings = settings_
         node = settings_.node
+        self._sockets = _bind(node)
         self._http = client.HttpClient(settings_.client)
         self.metrics = metrics.Metrics()
         self._log = store.StoreLog(self._http, settings_.store, self.metrics)
@@ -84,7 +108,7 @@
         self._make_followers()
         self._make_submissions(node.data_centre)
         self._make_rollout()
-        self._make_server(node)
+        self._make_server()
 
     def _make_followers(self) -> None:
         self.targets = registry.Registry(operators.read_target)
@@ -213,7 +237,7 @@
             self.metrics,
         )
 
-    def _make_server(self, node: settings.GatewayNodeSettings) -> None:
+    def _make_server(self) -> None:
         self.gateway = server.Gateway(
             self._dialect,
             self.configuration,
@@ -224,17 +248,13 @@
             self._wall_clock,
             self.metrics,
         )
-        sockets = server.bind_sockets(node.listen)
-        self.gateway.server.add_sockets(sockets)
-        self.address = server.format_address(sockets[0])
+        self.gateway.server.add_sockets(self._sockets.callers)
+        self.address = server.format_address(self._sockets.callers[0])
         self._status_server = httpserver.HTTPServer(self._answer_status)
-        sockets = server.bind_sockets(node.status_listen)
-        self._status_server.add_sockets(sockets)
-        self.status_address = server.format_address(sockets[0])
-        if node.metrics_listen:
-            sockets = server.bind_sockets(node.metrics_listen)
-            self._status_server.add_sockets(sockets)
-            self.metrics_address = server.format_address(sockets[0])
+        self._status_server.add_sockets(self._sockets.status)
+        self.status_address = server.format_address(self._sockets.status[0])
+        self.metrics_address: str | None = None
+        """Additional address for metrics, once the node listens there."""
 
     @property
     def ready(self) -> bool:
@@ -259,9 +279,31 @@
             self.limit_sharing.run(),
             self.crash_watch.run(),
             self.stream_origins.run(),
+            self._serve_metrics(),
         ):
             self.background.spawn(coroutine)
 
+    async def _serve_metrics(self) -> None:
+        """Listens at the additional address for metrics, if there is one.
+
+        A node serves callers also while another process has that address.
+        """
+        address = self._settings.node.metrics_listen
+        failed = False
+        while address and self.metrics_address is None:
+            try:
+                sockets = server.bind_sockets(address)
+            except OSError as error:
+                if not failed:
+                    _LOG.error(
+                        'metrics-unserved', extra={'reason': str(error)}
+                    )
+                failed = True
+                await asyncio.sleep(_METRICS_RETRY_S)
+            else:
+                self._status_server.add_sockets(sockets)
+                self.metrics_address = server.format_address(sockets[0])
+
     async def stop(self) -> None:
         """Resigns the leases, lets requests finish and closes the node.
 
--- a/waxwingport/gateway/server.py
+++ b/waxwingport/gateway/server.py
@@ -443,10 +443,13 @@
 def bind_sockets(address: str) -> list[socket.socket]:
     """Returns sockets that listen at ``ip:port``.
 
-    Raises ``OSError`` if the address cannot be bound.
+    Raises ``OSError``, which names the address, if it cannot be bound.
     """
     host, _, port = address.rpartition(':')
-    return netutil.bind_sockets(int(port), host, backlog=_BACKLOG)
+    try:
+        return netutil.bind_sockets(int(port), host, backlog=_BACKLOG)
+    except OSError as error:
+        raise OSError(error.errno, error.strerror, address) from error
 
 
 def format_address(listening: socket.socket) -> str:
--- a/waxwingport/logs.py
+++ b/waxwingport/logs.py
@@ -194,11 +194,18 @@
 
     Returns the handler that was installed on the root logger.
     """
-    handler = make_non_blocking_handler(sys.stdout.fileno(), configured)
+    handler = make_non_blocking_handler(_find_output(), configured)
     _install(handler, configured)
     return handler
 
 
+def _find_output() -> int:
+    """Returns standard output's descriptor, the null device's if closed."""
+    if sys.stdout is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return sys.stdout.fileno()
+
+
 def make_non_blocking_handler(
     descriptor: int, configured: settings.LogSettings
 ) -> logging.Handler:
