Ask a target that leaves for its start before its events are passed on

Cause: the question when a target started was withheld from targets that leave, and their answers counted as those of the registered start.

Change: a peer of its own for the question, which a target that leaves gets as well: it is about an answer that has begun, and no work.

--- a/tests/gateway/test_starts.py
+++ b/tests/gateway/test_starts.py
@@ -73,6 +73,32 @@
     assert (other.starts, current.starts) == ([0], [0])
 
 
+async def test_a_stream_of_another_start_that_leaves_is_forwarded(
+    harness, start_streams
+):
+    # Guards against a target that leaves and counts as the start of its entry.
+    configure(harness)
+    other = AskedServer(make_report(born=2), leaving=True)
+    current = AskedServer(CURRENT)
+    await start_streams(other, current)
+    harness.targets.find('i1').running = 3
+    assert (await harness.call(timeout_ms=4000)).ok.body == TEXT
+    assert (other.starts, current.starts) == ([0], [0])
+
+
+async def test_a_stream_of_a_target_that_leaves_is_begun_anew(
+    harness, start_streams
+):
+    # Guards against a question that is withheld from a target that leaves.
+    configure(harness)
+    leaving, current = AskedServer(CURRENT, leaving=True), AskedServer(CURRENT)
+    await start_streams(leaving, current)
+    harness.targets.find('i1').running = 3
+    assert (await harness.call(timeout_ms=4000)).ok.body == TEXT
+    assert (leaving.starts, current.starts) == ([0], [])
+    assert leaving.questions == 1
+
+
 async def test_a_target_of_another_start_gets_further_streams(
     harness, start_streams
 ):
--- a/waxwingport/gateway/conditions.py
+++ b/waxwingport/gateway/conditions.py
@@ -65,9 +65,13 @@
         """
         return _TargetPeer(self, target, is_stopped)
 
-    def is_registered(self, target: fleet.Target) -> bool:
-        """Returns whether this start of a target still has its entry."""
-        return self._targets.find(target.entry.instance) is target
+    def make_question_peer(self, target: fleet.Target) -> client.Peer:
+        """Returns the peer of a question about an answer that has begun.
+
+        Unlike reports and orders it goes to a target that leaves as well: it
+        is no work.
+        """
+        return _QuestionPeer(self, target)
 
     def make_control_peer(self, target: fleet.Target) -> client.Peer:
         """Returns the peer of a report or an order.
@@ -223,3 +227,21 @@
         if self._target.limit is not None:
             self._target.limit.charge(asyncio.get_running_loop().time())
         return True
+
+
+class _QuestionPeer(_ControlPeer):
+    __slots__ = ('_answered',)
+
+    def __init__(
+        self, conditions: TargetConditions, target: fleet.Target
+    ) -> None:
+        super().__init__(conditions, target)
+        self._answered = False
+
+    def accepts_requests(self) -> bool:
+        # Once it is answered, this tells whether to keep the connection.
+        return not self._answered or super().accepts_requests()
+
+    def record_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        self._answered = True
+        super().record_head(status, headers)
--- a/waxwingport/gateway/starts.py
+++ b/waxwingport/gateway/starts.py
@@ -55,9 +55,6 @@
         """
         if target.entry.started_at_ms is None:
             return True
-        if target.leaving and self._conditions.is_registered(target):
-            # It must not be asked; one that has just started does not leave.
-            return True
         if response.connected_at <= target.confirmed_at:
             return True
         question = self._questions.get(target)
@@ -72,7 +69,7 @@
         fetched = await self._http.fetch(
             entry.address,
             self._dialect.make_start_request(
-                entry.instance, self._conditions.make_control_peer(target)
+                entry.instance, self._conditions.make_question_peer(target)
             ),
             _TIMEOUT_S,
         )
