Let a later target add only events that follow to a stream

Shown here: text of another content type with status 200, if it held a blank line, and all events of an engine that ignores Last-Event-Id. Errors of other statuses never reached a stream (nine kinds of answers after three kinds of ends).

Cause: after the head only the status of a later answer was looked at.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -24,6 +24,28 @@
 """What a stalled stream goes on to send, by the name of its end."""
 
 
+ERROR_EVENT = b'data: error\n\n'
+ERROR_HEAD = b'Request-Id: q1\r\nResponse-Signature: s\r\n'
+ERROR_ANSWERS = {
+    'fails': b'HTTP/1.1 500 X\r\n%sContent-Length: 5\r\n\r\nerror'
+    % ERROR_HEAD,
+    'fails-in-chunks': b'HTTP/1.1 500 X\r\n%sTransfer-Encoding: chunked\r\n'
+    b'\r\n5\r\nerror\r\n0\r\n\r\n' % ERROR_HEAD,
+    'fails-without-a-length': b'HTTP/1.1 500 X\r\n%s\r\nerror' % ERROR_HEAD,
+    'fails-with-an-event': b'HTTP/1.1 502 X\r\n%s'
+    b'Content-Type: text/event-stream\r\n\r\n%s' % (ERROR_HEAD, ERROR_EVENT),
+    'head-is-cut': b'HTTP/1.1 500 X\r\nRequest-I',
+    'no-answer': b'error\r\n\r\n',
+    'error-as-success': b'HTTP/1.1 200 X\r\n%sContent-Length: 5\r\n\r\nerror'
+    % ERROR_HEAD,
+    'text-as-success': b'HTTP/1.1 200 X\r\n%sContent-Type: text/plain\r\n'
+    b'Content-Length: 7\r\n\r\nerror\n\n' % ERROR_HEAD,
+    'forbidden': b'HTTP/1.1 403 X\r\n%sContent-Length: 5\r\n\r\nerror'
+    % ERROR_HEAD,
+}
+"""Answers that are no events, by the name of their end."""
+
+
 class StreamServer:
     """Sends events up to ``stop_after`` and then ends as ``end`` says.
 
@@ -41,8 +63,11 @@
         leaving=False,
         framed=True,
         line_end=b'\n',
+        resumes=True,
     ):
         self.framed = framed
+        self.resumes = resumes
+        """Whether ``Last-Event-Id`` is respected."""
         self.line_end = line_end
         self.stop_after = stop_after
         self.end = end
@@ -75,6 +100,10 @@
     async def _send_events(self, reader, writer, fields):
         start = int(fields.get('last-event-id', 0))
         self.starts.append(start)
+        if self.end in ERROR_ANSWERS:
+            writer.write(ERROR_ANSWERS[self.end])
+            writer.close()
+            return
         if self.end == 'full':
             writer.write(
                 b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: q1\r\n'
@@ -91,7 +120,8 @@
                 b'Transfer-Encoding: chunked\r\n' if self.framed else b'',
             )
         )
-        for number in range(start + 1, self.stop_after + 1):
+        first = start + 1 if self.resumes else 1
+        for number in range(first, self.stop_after + 1):
             self._write_chunk(
                 writer,
                 (b'id: %d\ndata: e%d\n\n' % (number, number)).replace(
@@ -225,6 +255,67 @@
     assert server.starts == [0]
 
 
+@pytest.mark.parametrize('error', ERROR_ANSWERS)
+@pytest.mark.parametrize(
+    ('end', 'framed'),
+    [
+        ('breaks-off', True),
+        ('inside-an-event', True),
+        ('inside-an-event', False),
+    ],
+)
+async def test_the_error_of_a_later_target_is_sent_in_a_stream(
+    harness, start_streams, error, end, framed
+):
+    # Guards against any byte in a stream that is no event which follows.
+    configure(harness, resumable=True, max_attempts=3)
+    servers = StreamServer(3, end, framed=framed), StreamServer(3, error)
+    await start_streams(*servers, StreamServer())
+    harness.targets.find('i1').running = 3
+    harness.targets.find('i2').running = 5
+    response = (await harness.call(timeout_ms=4000)).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert servers[1].starts == [3]
+
+
+@pytest.mark.parametrize('error', ERROR_ANSWERS)
+async def test_a_stream_that_only_errors_follow_ends_as_a_complete_one(
+    harness, start_streams, error
+):
+    # Guards against an error's end that counts as that of the stream.
+    configure(harness, resumable=True, max_attempts=2)
+    await start_streams(StreamServer(3, 'breaks-off'), StreamServer(3, error))
+    harness.targets.find('i1').running = 3
+    sent, whole = await read_stream(harness)
+    assert sent == make_text(4)
+    assert not whole
+
+
+async def test_events_that_were_sent_before_are_sent_again(
+    harness, start_streams
+):
+    # Guards against a target that begins anew instead of going on.
+    configure(harness, resumable=True, max_attempts=3)
+    again = StreamServer(resumes=False)
+    await start_streams(StreamServer(3, 'breaks-off'), again, StreamServer())
+    harness.targets.find('i1').running = 3
+    harness.targets.find('i2').running = 5
+    response = (await harness.call(timeout_ms=4000)).ok
+    assert response.body == make_text(EVENTS + 1)
+    assert again.starts == [3]
+
+
+async def read_stream(harness):
+    """Returns what a caller gets of a stream, and whether it was whole."""
+    header_fields = (('Host', 'shop.example'), ('Request-Id', 'q1'))
+    request = client.Request('POST', '/a/b', header_fields)
+    opened = await harness.caller_http.open(harness.address, request, 5.0)
+    body = b''
+    while isinstance(chunk := await opened.ok.read_chunk(), bytes):
+        body += chunk
+    return body, chunk is None
+
+
 async def test_a_broken_stream_that_must_not_resume_ends_with_an_error(
     harness, start_streams
 ):
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -271,7 +271,7 @@
     for piece in (encoded, b'\n\n', data, b'\n\n'):
         for event in reader.feed(piece):
             assert event.number is None or event.number >= 0
-        stream_state._find_last_event(piece, 0)
+        list(stream_state._list_numbers(piece))
 
 
 @hypothesis.given(
--- a/waxwingport/gateway/stream_state.py
+++ b/waxwingport/gateway/stream_state.py
@@ -1,6 +1,7 @@
 """State of a caller's stream in progress, and its events."""
 
 import asyncio
+from collections.abc import Iterator
 import re
 
 import msgspec
@@ -60,11 +61,19 @@
         if chunk and self.began_at is None:
             self.began_at = asyncio.get_running_loop().time()
 
+    def is_continued_by(self, data: bytes) -> bool:
+        """Returns whether the ids of events increase from the last one on."""
+        previous = self.last_event
+        for number in _list_numbers(data):
+            if previous and number <= previous:
+                return False
+            previous = number
+        return True
+
     def record_events(self, data: bytes) -> None:
         """Records the events that are about to be written to the caller."""
-        previous = self.last_event
-        self.last_event = _find_last_event(data, previous)
-        if self.last_event != previous:
+        for number in _list_numbers(data):
+            self.last_event = number
             self.event_at = asyncio.get_running_loop().time()
 
 
@@ -95,10 +104,10 @@
         return len(self._incomplete) > _MAX_EVENT_BYTES
 
 
-def _find_last_event(data: bytes, previous: int) -> int:
-    last = previous
+def _list_numbers(data: bytes) -> Iterator[int]:
+    """Yields the numeric ids of events."""
     for line in data.split(b'\n'):
         if line.startswith(b'id:'):
             number = numerals.read_whole_number(line[3:])
-            last = last if number is None else number
-    return last
+            if number is not None:
+                yield number
--- a/waxwingport/gateway/streams.py
+++ b/waxwingport/gateway/streams.py
@@ -346,14 +346,17 @@
         write_head: WriteHead,
         write_body: WriteBody,
     ) -> attempts.Lost | None:
-        if stream.head_sent and response.status != 200:
+        kind = _read_content_type(response)
+        if stream.head_sent and (
+            response.status != 200 or kind not in ('', _EVENT_STREAM)
+        ):
             return attempts.Lost(
                 health.HealthSignal.FAILED,
-                f'target returned status {response.status}',
+                f'target returned status {response.status} {kind}',
             )
         resumable = stream.route.resumable and response.status == 200
         events = None
-        if resumable or _has_events(response):
+        if response.status == 200 and (resumable or kind == _EVENT_STREAM):
             events = stream_state.CompleteEvents()
         stream.event_at = asyncio.get_running_loop().time()
         while True:
@@ -401,6 +404,10 @@
             return chunk
         if not complete:
             return complete
+        if not stream.is_continued_by(complete):
+            return attempts.Lost(
+                health.HealthSignal.BROKEN, 'an event came again'
+            )
         if not await self._sender.starts.confirm(target, response):
             return attempts.Lost(
                 health.HealthSignal.MOVED, 'the target may have started anew'
@@ -510,9 +517,10 @@
         await write_head(response.status, tuple(response.headers.get_all()))
 
 
-def _has_events(response: client.Response) -> bool:
+def _read_content_type(response: client.Response) -> str:
+    """Returns the type without its parameters, empty if there is none."""
     kind = response.headers.get('Content-Type', '').partition(';')[0]
-    return response.status == 200 and kind.strip().lower() == _EVENT_STREAM
+    return kind.strip().lower()
 
 
 def _uses_service(route: routes.Route, service: ids.ServiceName) -> bool:
