Do not log the bytes of records that can't be applied

They may hold prompts, which are never logged. The key or position finds the record in the log; its size is logged instead. A test of the metric that counts warnings (record-skipped and others) by event.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,6 +9,7 @@
 
 from waxwingport import ids
 from waxwingport import logs
+from waxwingport import metrics
 from waxwingport import settings
 
 
@@ -98,3 +99,18 @@
     assert [line.split()[1] for line in lines] == [
         str(number) for number in range(3_000)
     ]
+
+
+def test_skipped_records_are_not_seen_in_the_metrics(log_stream):
+    # Guards against losses that only lines tell of, which may be dropped.
+    counters = metrics.Metrics()
+    with logs.count_warnings(counters):
+        for _ in range(9):
+            logging.getLogger('waxwingport.x').warning('record-skipped')
+        logging.getLogger('waxwingport.x').info('call-routed')
+        logging.getLogger('tornado.x').warning('from-a-library')
+    logging.getLogger('waxwingport.x').warning('record-skipped')
+    assert len(read_lines(log_stream)) < 9
+    body = counters.render()[0].decode()
+    lines = [line for line in body.splitlines() if not line.startswith('#')]
+    assert lines == ['waxwingport_warnings_total{event="record-skipped"} 9']
--- a/waxwingport/log/base.py
+++ b/waxwingport/log/base.py
@@ -27,7 +27,6 @@
     'PartitionLog',
     'Topic',
     'Writer',
-    'preview',
 ]
 
 Epoch = NewType('Epoch', int)
@@ -37,10 +36,6 @@
 Topic = NewType('Topic', str)
 
 
-_PREVIEW_BYTES = 64
-"""Bytes of a record in a log line: enough to recognize who wrote it."""
-
-
 class FaultKind(enum.Enum):
     """Why a call to the log failed."""
 
@@ -194,8 +189,3 @@
 
         Fails with ``INVALID`` if the record can't be decoded.
         """
-
-
-def preview(record: bytes) -> str:
-    """Returns the start of a record for a log line."""
-    return repr(record[:_PREVIEW_BYTES])
--- a/waxwingport/log/followers.py
+++ b/waxwingport/log/followers.py
@@ -197,7 +197,7 @@
                 extra={
                     'partition': str(self._partition),
                     'key': record.key,
-                    'value': base.preview(record.value or b''),
+                    'size': len(record.value or b''),
                 },
             )
 
--- a/waxwingport/log/tails.py
+++ b/waxwingport/log/tails.py
@@ -250,6 +250,6 @@
                 extra={
                     'partition': str(self.partition),
                     'position': self.position,
-                    'value': base.preview(record),
+                    'size': len(record),
                 },
             )
