--- a/waxwingport/gateway/settings.py
+++ b/waxwingport/gateway/settings.py
@@ -36,7 +36,7 @@
     """Address for the load balancer's readiness checks and for metrics."""
     metrics_listen: str = ''
     """Additional address for metrics, at a port that collectors know in
-    advance; none if empty."""
+    advance; none if empty.  A node serves without it while it is in use."""
     shutdown_timeout: float = 8.0
     """Seconds from SIGTERM after which the platform kills the process."""
     drain_delay: float = 2.5
