--- a/tests/gateway/test_addresses.py
+++ b/tests/gateway/test_addresses.py
@@ -75,11 +75,19 @@
     assert address in found.error
 
 
+@pytest.fixture
+async def node_process(deployment, tmp_path):
+    """A process that tests start; it ends with the test."""
+    found = processes.NodeProcess(tmp_path, 'n0', deployment.store.address)
+    yield found
+    await found.kill()
+
+
 async def test_an_address_of_an_earlier_process_ends_a_node(
-    deployment, tmp_path
+    deployment, node_process
 ):
     # Guards against a start that fails until the last process has ended.
-    served = processes.NodeProcess(tmp_path, 'n0', deployment.store.address)
+    served = node_process
     host, _, port = served.address.rpartition(':')
     with socket.create_server((host, int(port))):
         await served.run_process()
@@ -89,7 +97,6 @@
     await served.start(deployment.http)
     assert not served.own_ends
     assert served.starts == 1
-    await served.kill()
 
 
 async def test_a_closed_standard_output_ends_a_node(deployment, tmp_path):
@@ -101,9 +108,12 @@
         f'exec {sys.executable} -m waxwingport.gateway '
         f'--settings {served._settings} >&- 2>&-',
     )
-    async with asyncio.timeout(processes.READY_TIMEOUT_S):
-        while not await served.is_ready(deployment.http):
-            assert process.returncode is None
-            await asyncio.sleep(0.05)
-    process.terminate()
-    await process.wait()
+    try:
+        async with asyncio.timeout(processes.READY_TIMEOUT_S):
+            while not await served.is_ready(deployment.http):
+                assert process.returncode is None
+                await asyncio.sleep(0.05)
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.terminate()
+        await process.wait()
--- a/waxwingport/decoding.py
+++ b/waxwingport/decoding.py
@@ -21,6 +21,7 @@
 T = TypeVar('T')
 
 _MAX_NAME_CHARACTERS = 1024
+"""Longer than any name of a host, and short enough for a log line."""
 MAX_WHOLE_NUMBER = 2**53 - 1
 """Largest whole number that a float holds exactly; arithmetic that mixes both
 can't overflow up to it."""
--- a/waxwingport/gateway/stream_state.py
+++ b/waxwingport/gateway/stream_state.py
@@ -97,7 +97,7 @@
 
     def is_inside_event(self) -> bool:
         """Returns whether an event has begun that is not complete yet."""
-        return sse.is_inside_event(self._incomplete)
+        return sse.has_fields(self._incomplete)
 
     def is_overlong(self) -> bool:
         """Returns whether an event is longer than any sound one."""
--- a/waxwingport/http/sse.py
+++ b/waxwingport/http/sse.py
@@ -7,7 +7,7 @@
     'DONE',
     'EventSplitter',
     'format_event',
-    'is_inside_event',
+    'has_fields',
 ]
 
 CUT_OFF = messages.TransportFault(
@@ -26,16 +26,16 @@
     return b'data: ' + data + b'\n\n'
 
 
-def is_inside_event(rest: bytes) -> bool:
-    """Returns whether a stream that ends after ``rest`` is cut off.
+def has_fields(block: bytes) -> bool:
+    """Returns whether a block has more than comments and empty lines.
 
-    ``rest`` is what came after the last blank line.  Comments and empty lines
-    begin no event.  A body without a length ends with its connection, which
-    the kernel closes in order when the sender is killed.
+    A stream that ends with such a block and no blank line after it was cut
+    off.  A body without a length shows it in no other way: the kernel closes
+    the connections of a killed sender in order.
     """
     return any(
         line.strip() and not line.startswith(b':')
-        for line in rest.split(b'\n')
+        for line in block.split(b'\n')
     )
 
 
--- a/waxwingport/submissions/events.py
+++ b/waxwingport/submissions/events.py
@@ -43,7 +43,7 @@
 
     def is_inside_event(self) -> bool:
         """Returns whether an event has begun that is not complete yet."""
-        return sse.is_inside_event(self._incomplete)
+        return sse.has_fields(self._incomplete)
 
     def feed(self, data: bytes) -> list[Event]:
         """Returns the events that ``data`` completes, comments left out.
@@ -53,9 +53,7 @@
         whole = (self._incomplete + data).replace(b'\r\n', b'\n')
         *blocks, self._incomplete = whole.split(b'\n\n')
         return [
-            self._parse(block)
-            for block in blocks
-            if sse.is_inside_event(block)
+            self._parse(block) for block in blocks if sse.has_fields(block)
         ]
 
     def _parse(self, block: bytes) -> Event:
