Review cases 6 and 9: the engine is a process, and one answer in 50

The engine that breaks off is a process of its own and is killed by SIGKILL, so that the kernel ends its connections.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # checks that the modules which they use can be imported.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-PYTHONPATH="target/deps:." python3 -c 'import review.lib2.deployment, review.lib2.engine'
+PYTHONPATH="target/deps:." python3 -c 'import review.lib2.engine_process, review.lib2.steps'
--- a/review/lib2/engine.py
+++ b/review/lib2/engine.py
@@ -32,7 +32,7 @@
     ``record`` is called with a line for each order, run and answer.
     """
 
-    def __init__(self, name, service, models, record):
+    def __init__(self, name, service, models, record, port=0):
         self.name = name
         self.service = service
         self.versions = dict.fromkeys(models, _FIRST_VERSION)
@@ -49,9 +49,9 @@
         """Request id, start and end of each run."""
         self.orders = []
         """Loop time, holder, fence and status of each order."""
-        self.has_length = True
-        """Whether texts are sent in chunks; without, the end of the connection
-        ends them."""
+        self.without_length = 0
+        """How many of the next texts are sent without a length, so that the
+        end of the connection ends them."""
         self.on_order = None
         """Called with the engine when it has accepted an order."""
         self._record = record
@@ -66,7 +66,7 @@
             ],
             engine=self,
         )
-        sockets = netutil.bind_sockets(0, '127.0.0.1')
+        sockets = netutil.bind_sockets(port, '127.0.0.1')
         self._port = sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{self._port}'
         self._listen(sockets)
@@ -242,6 +242,7 @@
             if engine.born == born:
                 engine.running.pop(name, None)
             engine.spans.append((name, started_at, loop.time()))
+            engine.note(f'{name} ends')
 
     async def _send_events(self, name, first):
         engine = self.engine
@@ -250,8 +251,10 @@
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('Weight-Versions', str(told))
         self.set_header('Response-Signature', f's.{name}')
-        write = self._write_chunk
-        if not engine.has_length:
+        write, stream = self._write_chunk, None
+        if engine.without_length:
+            engine.without_length -= 1
+            engine.note(f'sends {name} without a length')
             stream = await self._begin_without_length()
             write = stream.write
         for number in range(first, EVENTS + 1):
@@ -262,7 +265,7 @@
                 mark = f'weight-versions: {told}\n'
             event = f'{mark}id: {number}\ndata: {name}-{number}\n\n'
             await write(event.encode())
-        if not engine.has_length:
+        if stream is not None:
             stream.close()
             raise web.Finish
 
