--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -131,6 +131,14 @@
             self.send_signal(signal.SIGKILL)
             await self._process.wait()
 
+    def read_memory(self):
+        """Returns the resident bytes of the process, 0 if it has ended."""
+        try:
+            text = pathlib.Path(f'/proc/{self._process.pid}/statm').read_text()
+        except OSError:
+            return 0
+        return int(text.split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
     def read_log(self):
         """Returns the lines that the process has logged."""
         return self._log.read_text(errors='replace').splitlines()
--- a/review/lib2/steps.py
+++ b/review/lib2/steps.py
@@ -79,16 +79,23 @@
 
     async def submit(self):
         """Submits the step; raises ``RuntimeError`` if it is refused."""
+        if await self.try_submit(self._site.nodes[0]) != 202:
+            raise RuntimeError('the submission was not accepted')
+
+    async def try_submit(self, node):
+        """Submits the step to a node; returns the status."""
+        body = msgspec.json.encode(self._body)
         status, _ = await deployment.fetch(
-            self._site.nodes[0].address,
+            node.address,
             'POST',
             '/gen/step',
             {'Request-Id': self.name, 'Deadline-Ms': '10000'},
-            msgspec.json.encode(self._body),
+            body,
         )
-        self._site.record(f'submission {self.name} -> {status}')
-        if status != 202:
-            raise RuntimeError('the submission was not accepted')
+        self._site.record(
+            f'submission {self.name} of {len(body)} bytes -> {status}'
+        )
+        return status
 
     async def read_until(self, end):
         """Reads results until the loop time ``end`` or all are listed."""
@@ -109,10 +116,11 @@
             await asyncio.sleep(_READ_INTERVAL_S)
 
     async def end(self):
-        """Ends the submission."""
-        await deployment.fetch(
+        """Ends the submission; returns the status."""
+        status, _ = await deployment.fetch(
             self._site.nodes[0].address, 'DELETE', f'/lots/{self.name}', {}
         )
+        return status
 
     def _take(self, result):
         self.results[result['id']] = result
